--- /dev/null
+++ b/crates/dispatch/src/entity.rs
@@ -0,0 +1,130 @@
+//! Index newtypes for entities, and the interner that assigns them.
+//!
+//! Indices stay valid for the life of the process: a name keeps its index when it leaves the
+//! configuration and returns.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::hash::Hash;
+
+use typed_index_collections::TiVec;
+
+macro_rules! entity_index {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(u32);
+
+        impl From<usize> for $name {
+            fn from(index: usize) -> Self {
+                Self(u32::try_from(index).expect("fewer than 2^32 entities"))
+            }
+        }
+
+        impl From<$name> for usize {
+            fn from(index: $name) -> usize {
+                index.0 as usize
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($prefix, "{}"), self.0)
+            }
+        }
+    };
+}
+
+entity_index!(
+    /// A team.
+    TeamIndex, "team"
+);
+entity_index!(
+    /// A kind of work within a service; different services have different indices.
+    KindIndex, "kind"
+);
+entity_index!(
+    /// A service.
+    ServiceIndex, "service"
+);
+entity_index!(
+    /// A target.
+    TargetIndex, "target"
+);
+entity_index!(
+    /// An availability zone.
+    ZoneIndex, "zone"
+);
+
+slotmap::new_key_type! {
+    /// A live job. Keys are never reused, so a late event for an ended job finds nothing.
+    pub struct JobKey;
+
+    /// A live task. Keys are never reused, so a late event for an ended task finds nothing.
+    pub struct TaskKey;
+}
+
+/// Assigns an index to each name.
+#[derive(Clone)]
+pub struct NameInterner<Index, Name> {
+    names: TiVec<Index, Name>,
+    indices: HashMap<Name, Index>,
+}
+
+impl<Index, Name> fmt::Debug for NameInterner<Index, Name>
+where
+    Name: fmt::Debug,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.names.raw.iter()).finish()
+    }
+}
+
+impl<Index, Name> Default for NameInterner<Index, Name> {
+    fn default() -> Self {
+        Self {
+            names: TiVec::new(),
+            indices: HashMap::new(),
+        }
+    }
+}
+
+impl<Index, Name> NameInterner<Index, Name>
+where
+    Index: Copy + From<usize>,
+    usize: From<Index>,
+    Name: Clone + Eq + Hash,
+{
+    /// The index of `name`, assigned on first use.
+    pub fn intern(&mut self, name: &Name) -> Index {
+        if let Some(&index) = self.indices.get(name) {
+            return index;
+        }
+        let index = self.names.push_and_get_key(name.clone());
+        self.indices.insert(name.clone(), index);
+        index
+    }
+
+    /// The index of `name`, if it has one.
+    pub fn get(&self, name: &Name) -> Option<Index> {
+        self.indices.get(name).copied()
+    }
+
+    /// The name behind `index`.
+    ///
+    /// # Panics
+    /// When the index comes from another interner.
+    pub fn name(&self, index: Index) -> &Name {
+        &self.names[index]
+    }
+
+    /// How many names have an index.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Whether no name has an index.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/main.rs
@@ -0,0 +1,5 @@
+//! The filbertpitch command.
+
+fn main() {
+    println!("Hello, world!");
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,15 @@
+//! Identifiers, units, outcomes and protocol messages shared by every crate.
+//!
+//! They live apart from the decisions and from the transport so that the command line, the
+//! dispatcher and the test tools agree on one definition of each message.
+
+pub mod caller;
+pub mod ids;
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+pub mod prelude;
+pub mod target;
+pub mod text;
+pub mod time;
+pub mod units;
--- /dev/null
+++ b/crates/types/src/outcome.rs
@@ -0,0 +1,123 @@
+//! Outcomes as values. Each variant says what is certain about the work.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Why work did not run. Using this type asserts that the work certainly never started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NotRunReason {
+    /// No target in the configuration can run this kind of work.
+    NoCapableTarget,
+    /// The service does not exist.
+    UnknownService,
+    /// The team does not exist.
+    UnknownTeam,
+    /// The deadline could not be met.
+    DeadlineUnreachable,
+    /// The team's queue or quota is full.
+    QuotaExceeded,
+    /// The VM's queue is full.
+    QueueFull,
+    /// The VM is stopping.
+    Draining,
+    /// The caller cancelled before the start.
+    Cancelled,
+    /// Another task of the job failed first.
+    JobFailed,
+    /// The log is unreachable, so a bare key cannot be claimed.
+    LogUnavailable,
+}
+
+/// Why work ran and failed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureReason {
+    /// The target reported an error.
+    TargetError(Box<str>),
+    /// The caller cancelled after the start.
+    Cancelled,
+    /// Another task of the job failed, so this one was stopped.
+    JobFailed,
+    /// The deadline passed while it ran.
+    DeadlinePassed,
+    /// The target ended it because its lease ran out.
+    LeaseLapsed,
+}
+
+/// Why it is not known whether work ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UnknownReason {
+    /// The target could not be reached after the start was sent.
+    TargetUnreachable,
+    /// The process that owned the submission is gone.
+    OwnerGone,
+    /// The outcome is no longer remembered.
+    Expired,
+}
+
+/// The outcome of one task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum TaskOutcome {
+    /// It ran once and gave this output.
+    Done {
+        /// What the target returned.
+        output: Box<str>,
+    },
+    /// It started and did not complete.
+    Failed {
+        /// Why.
+        reason: FailureReason,
+    },
+    /// It certainly never started.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+    },
+    /// It may or may not have run.
+    Unknown {
+        /// Why.
+        reason: UnknownReason,
+    },
+}
+
+/// The outcome of a job: complete or failed, never partial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobOutcome {
+    /// Every task is done and its output is in the answer.
+    Complete,
+    /// At least one task ran and the job did not complete; what ran is certain.
+    Failed,
+    /// No task of the job ever started.
+    NotRun,
+    /// The job failed and for at least one task it is unknown whether it ran.
+    Unknown,
+}
+
+macro_rules! display_as_serialized {
+    ($($name:ident),+) => {$(
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.serialize(f)
+            }
+        }
+    )+};
+}
+
+display_as_serialized!(NotRunReason, UnknownReason, JobOutcome);
+
+impl fmt::Display for FailureReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TargetError(text) => write!(f, "target_error: {text}"),
+            Self::Cancelled => f.write_str("cancelled"),
+            Self::JobFailed => f.write_str("job_failed"),
+            Self::DeadlinePassed => f.write_str("deadline_passed"),
+            Self::LeaseLapsed => f.write_str("lease_lapsed"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder module, replaced by the first commit of this crate.
