Add submissions, attempts, jobs, routing and claims to the dispatcher

The life cycles that the engine composes.

Targets report a boot number. Without it a restarted target would confirm by fencing that an attempt never started although its former process ran it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,11 @@
 //! Events and the time go in, actions come out. The serve loop and the seeded fault run drive the
 //! same code, so a fault found by one is a fault of the other.
 
+pub mod attempt;
 pub mod catalog;
+pub mod claim;
 pub mod entity;
+pub mod job;
+pub mod route;
+pub mod submission;
 pub mod timer;
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -93,6 +93,9 @@
     pub parked: u16,
     /// Whether the target is leaving.
     pub leaving: bool,
+    /// Identifies one run of the target process. A changed value means that the target lost its
+    /// memory of earlier attempts, so its word on them proves nothing.
+    pub boot: u64,
 }
 
 /// The answer to a [`StartRequest`].
