Add fair queueing between teams and run-time estimates

Purpose: teams share the slots by work, and declared run times that are wrong by two orders of magnitude must not decide placement.

FairQueue is start-time fair queueing with lanes per kind and size class. Lanes are linked lists through a SecondaryMap, so a removal needs no scan; deadlines are in an ordered set. RunEstimator keeps decaying logarithmic histograms of the run time and of its ratio to the declared time, and predicts with whichever had the smaller recent error.

Ruled out: a binary heap of deadlines with lazy deletion, because dead entries would stay until their deadline, which may be minutes away.

--- /dev/null
+++ b/crates/dispatch/src/estimate.rs
@@ -0,0 +1,337 @@
+//! Learns how long each kind of work runs.
+//!
+//! Declared run times may be wrong by two orders of magnitude in either direction, so they count
+//! only until run times have been measured, or when they prove to predict the measured ones.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use typed_index_collections::TiVec;
+
+use crate::entity::{KindIndex, ServiceIndex};
+use crate::histogram::{LogHistogram, LogValue};
+
+/// How many samples outweigh the priors.
+const PRIOR_SAMPLES: f64 = 2.0;
+
+/// Samples after which a prediction counts as learned.
+const LEARNED_SAMPLES: u64 = 8;
+
+/// The share of the latest sample in the recent prediction error.
+const ERROR_GAIN: f64 = 0.05;
+
+/// Errors beyond this many doublings (a factor of 128) count as this, so that a single straggler
+/// does not decide between the predictors.
+const ERROR_CAP: f64 = 7.0;
+
+/// Declared times are used when their error is below this fraction of the error without them.
+const DECLARED_ADVANTAGE: f64 = 0.8;
+
+/// The quantile of run times that an attempt is expected not to exceed by much.
+const UPPER_QUANTILE: f64 = 0.95;
+
+/// The upper quantile relative to the median before it has been measured.
+const UPPER_PRIOR: f64 = 2.0;
+
+/// How often the typical run time of a service is recomputed, in observations of the service.
+const TYPICAL_REFRESH: u32 = 32;
+
+/// How many of a service's latest tasks decide its typical run time.
+const SERVICE_MEMORY: f64 = 1000.0;
+
+/// The weight at which a service's weights are scaled down, far below overflow.
+const SERVICE_WEIGHT_LIMIT: f64 = 1e12;
+
+/// Whether a task is expected to run much longer than its service's typical task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SizeClass {
+    /// It runs about as long as others, or less.
+    #[default]
+    Short,
+    /// It runs long and must not occupy all slots of a target.
+    Long,
+}
+
+/// How run times are judged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EstimateSettings {
+    /// A task is long when expected to exceed the service's typical run time by this factor.
+    pub long_factor: f64,
+    /// An attempt is overdue when it exceeds the expected run time by this factor, and the upper
+    /// quantile by half of it.
+    pub overdue_factor: f64,
+    /// The least time after which an attempt is overdue.
+    pub overdue_floor: Duration,
+}
+
+impl Default for EstimateSettings {
+    fn default() -> Self {
+        Self {
+            long_factor: 4.0,
+            overdue_factor: 4.0,
+            overdue_floor: Duration::from_millis(20),
+        }
+    }
+}
+
+/// What is known about a task before it runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunPrediction {
+    /// The expected run time.
+    pub expected: Duration,
+    /// Whether that is long for the service.
+    pub size: SizeClass,
+    /// The run time after which the attempt deserves a check.
+    pub overdue_after: Duration,
+    /// Whether it rests on measurements rather than on declared or configured values.
+    pub learned: bool,
+}
+
+/// A predictor of run times and its recent error, in doublings.
+#[derive(Clone, Debug)]
+struct RunPredictor {
+    histogram: LogHistogram,
+    median: Option<LogValue>,
+    upper: Option<LogValue>,
+    error: f64,
+}
+
+impl RunPredictor {
+    fn new(histogram: LogHistogram) -> Self {
+        Self {
+            histogram,
+            median: None,
+            upper: None,
+            error: 0.0,
+        }
+    }
+
+    fn observe(&mut self, value: LogValue) {
+        if let Some(median) = self.median {
+            let error = median.distance(value).min(ERROR_CAP);
+            self.error += (error - self.error) * ERROR_GAIN;
+        }
+        self.histogram.record(value);
+        self.median = self.histogram.quantile(0.5);
+        self.upper = self.histogram.quantile(UPPER_QUANTILE);
+    }
+}
+
+#[derive(Clone, Debug)]
+struct KindModel {
+    service: ServiceIndex,
+    typical: LogValue,
+    /// Predicts the run time itself.
+    plain: RunPredictor,
+    /// Predicts the ratio of the measured to the declared run time.
+    relative: RunPredictor,
+    /// The kind's share in the recent tasks of its service.
+    weight: f64,
+}
+
+impl KindModel {
+    fn new(service: ServiceIndex, typical: LogValue) -> Self {
+        Self {
+            service,
+            typical,
+            plain: RunPredictor::new(LogHistogram::for_durations()),
+            relative: RunPredictor::new(LogHistogram::for_ratios()),
+            weight: 0.0,
+        }
+    }
+
+    /// The expected run time and its upper quantile.
+    fn predict(&self, declared: LogValue) -> (LogValue, LogValue) {
+        let prior = self.typical.blend(declared, 0.5);
+        let spread = LogValue::from_factor(UPPER_PRIOR);
+        let (Some(median), Some(upper)) = self.learned(declared) else {
+            return (prior, prior.times(spread));
+        };
+        let samples = self.plain.histogram.samples() as f64;
+        let share = samples / (samples + PRIOR_SAMPLES);
+        (
+            prior.blend(median, share),
+            prior.times(spread).blend(upper, share),
+        )
+    }
+
+    fn learned(&self, declared: LogValue) -> (Option<LogValue>, Option<LogValue>) {
+        let informative = self.relative.error < self.plain.error * DECLARED_ADVANTAGE;
+        if !informative {
+            return (self.plain.median, self.plain.upper);
+        }
+        let scale = |ratio: LogValue| ratio.times(declared);
+        (
+            self.relative.median.map(scale),
+            self.relative.upper.map(scale),
+        )
+    }
+
+    /// The run time that represents the kind within its service.
+    fn center(&self) -> LogValue {
+        let Some(median) = self.plain.median else {
+            return self.typical;
+        };
+        let samples = self.plain.histogram.samples() as f64;
+        self.typical
+            .blend(median, samples / (samples + PRIOR_SAMPLES))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ServiceModel {
+    kinds: Vec<KindIndex>,
+    typical: LogValue,
+    next_weight: f64,
+    until_refresh: u32,
+}
+
+impl Default for ServiceModel {
+    fn default() -> Self {
+        Self {
+            kinds: Vec::new(),
+            typical: LogValue::from_duration(Duration::ZERO),
+            next_weight: 1.0,
+            until_refresh: 0,
+        }
+    }
+}
+
+/// Learned run times of all kinds.
+#[derive(Clone, Debug, Default)]
+pub struct RunEstimator {
+    settings: EstimateSettings,
+    kinds: TiVec<KindIndex, Option<KindModel>>,
+    services: HashMap<ServiceIndex, ServiceModel>,
+}
+
+impl RunEstimator {
+    /// An estimator that knows no kinds.
+    pub fn new(settings: EstimateSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a kind, or changes its configured typical run time; measurements are kept.
+    pub fn configure(&mut self, kind: KindIndex, service: ServiceIndex, typical: Duration) {
+        let needed = usize::from(kind) + 1;
+        if self.kinds.len() < needed {
+            self.kinds.resize(needed, None);
+        }
+        let typical = LogValue::from_duration(typical);
+        match &mut self.kinds[kind] {
+            Some(model) => model.typical = typical,
+            empty => {
+                *empty = Some(KindModel::new(service, typical));
+                self.services.entry(service).or_default().kinds.push(kind);
+            }
+        }
+        self.refresh_typical(service);
+    }
+
+    /// Predicts one task. Without configuration for the kind, the declared time is believed.
+    pub fn predict(&self, kind: KindIndex, declared: Duration) -> RunPrediction {
+        let declared = LogValue::from_duration(declared);
+        let model = self.kinds.get(kind).and_then(Option::as_ref);
+        let (expected, upper) = model.map_or((declared, declared), |it| it.predict(declared));
+        let expected = expected.to_duration();
+        let size = match model {
+            Some(model) if self.is_long(model.service, expected) => SizeClass::Long,
+            _ => SizeClass::Short,
+        };
+        RunPrediction {
+            expected,
+            size,
+            overdue_after: self.overdue_after(expected, upper.to_duration()),
+            learned: model.is_some_and(|it| it.plain.histogram.samples() >= LEARNED_SAMPLES),
+        }
+    }
+
+    /// Learns from a completed run.
+    pub fn observe(&mut self, kind: KindIndex, declared: Duration, measured: Duration) {
+        let Some(model) = self.kinds.get_mut(kind).and_then(Option::as_mut) else {
+            return;
+        };
+        let measured = LogValue::from_duration(measured);
+        model.plain.observe(measured);
+        model
+            .relative
+            .observe(measured.ratio(LogValue::from_duration(declared)));
+        let service = model.service;
+        self.count_task(kind, service);
+    }
+
+    /// The typical run time of a service: the weighted median over its kinds.
+    pub fn typical(&self, service: ServiceIndex) -> Option<Duration> {
+        self.services
+            .get(&service)
+            .map(|model| model.typical.to_duration())
+    }
+
+    fn is_long(&self, service: ServiceIndex, expected: Duration) -> bool {
+        self.typical(service)
+            .is_some_and(|typical| expected > typical.mul_f64(self.settings.long_factor))
+    }
+
+    fn overdue_after(&self, expected: Duration, upper: Duration) -> Duration {
+        let factor = self.settings.overdue_factor;
+        let overdue = expected.mul_f64(factor).max(upper.mul_f64(factor / 2.0));
+        overdue.max(self.settings.overdue_floor)
+    }
+
+    fn count_task(&mut self, kind: KindIndex, service: ServiceIndex) {
+        let Some(group) = self.services.get_mut(&service) else {
+            return;
+        };
+        if let Some(model) = &mut self.kinds[kind] {
+            model.weight += group.next_weight;
+        }
+        group.next_weight *= 1.0 + 1.0 / SERVICE_MEMORY;
+        if group.next_weight > SERVICE_WEIGHT_LIMIT {
+            let factor = group.next_weight.recip();
+            group.next_weight = 1.0;
+            for &kind in &group.kinds {
+                if let Some(model) = &mut self.kinds[kind] {
+                    model.weight *= factor;
+                }
+            }
+        }
+        if group.until_refresh == 0 {
+            self.refresh_typical(service);
+        } else {
+            group.until_refresh -= 1;
+        }
+    }
+
+    fn refresh_typical(&mut self, service: ServiceIndex) {
+        let Some(group) = self.services.get_mut(&service) else {
+            return;
+        };
+        let models = group
+            .kinds
+            .iter()
+            .filter_map(|&kind| self.kinds[kind].as_ref());
+        // A kind without tasks counts as one task, so that the configured values apply at first.
+        let mut centers = models
+            .map(|model| (model.center(), model.weight.max(group.next_weight)))
+            .collect::<Vec<_>>();
+        if let Some(typical) = weighted_median(&mut centers) {
+            group.typical = typical;
+        }
+        group.until_refresh = TYPICAL_REFRESH;
+    }
+}
+
+/// The lower weighted median.
+fn weighted_median(values: &mut [(LogValue, f64)]) -> Option<LogValue> {
+    values.sort_by(|(left, _), (right, _)| left.total_cmp(*right));
+    let half = values.iter().map(|(_, weight)| weight).sum::<f64>() / 2.0;
+    let mut sum = 0.0;
+    let found = values.iter().find(|(_, weight)| {
+        sum += weight;
+        sum >= half
+    });
+    found.map(|&(value, _)| value)
+}
--- /dev/null
+++ b/crates/dispatch/src/lane.rs
@@ -0,0 +1,181 @@
+//! The lanes of one team: linked lists of queued tasks, ordered by the age of their heads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use crate::entity::{KindIndex, TaskKey};
+use crate::queue::{LaneKey, QueueNode};
+
+pub(crate) type NodeMap = SecondaryMap<TaskKey, QueueNode>;
+
+/// The position of a task among those of its team. Tasks placed again precede fresh ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct QueuePlace {
+    fresh: bool,
+    number: u64,
+}
+
+impl QueuePlace {
+    pub(crate) fn fresh(number: u64) -> Self {
+        Self {
+            fresh: true,
+            number,
+        }
+    }
+
+    pub(crate) fn again(number: u64) -> Self {
+        Self {
+            fresh: false,
+            number,
+        }
+    }
+
+    pub(crate) fn is_again(self) -> bool {
+        !self.fresh
+    }
+}
+
+/// A doubly linked list through the nodes of a [`NodeMap`].
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskList {
+    ends: Option<(TaskKey, TaskKey)>,
+}
+
+impl TaskList {
+    fn append(&mut self, nodes: &mut NodeMap, task: TaskKey) {
+        let Some((head, tail)) = self.ends else {
+            self.ends = Some((task, task));
+            return;
+        };
+        nodes[tail].next = Some(task);
+        nodes[task].previous = Some(tail);
+        self.ends = Some((head, task));
+    }
+
+    fn unlink(&mut self, nodes: &mut NodeMap, node: &QueueNode) {
+        if let Some(previous) = node.previous {
+            nodes[previous].next = node.next;
+        }
+        if let Some(next) = node.next {
+            nodes[next].previous = node.previous;
+        }
+        self.ends = self.ends.and_then(|(head, tail)| {
+            let head = if node.previous.is_none() {
+                node.next?
+            } else {
+                head
+            };
+            let tail = if node.next.is_none() {
+                node.previous?
+            } else {
+                tail
+            };
+            Some((head, tail))
+        });
+    }
+
+    fn head(&self) -> Option<TaskKey> {
+        self.ends.map(|(head, _)| head)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskLane {
+    again: TaskList,
+    fresh: TaskList,
+    work: Duration,
+}
+
+impl TaskLane {
+    fn list(&mut self, place: QueuePlace) -> &mut TaskList {
+        if place.is_again() {
+            &mut self.again
+        } else {
+            &mut self.fresh
+        }
+    }
+
+    fn head(&self) -> Option<TaskKey> {
+        self.again.head().or(self.fresh.head())
+    }
+}
+
+/// The lanes of one team that hold tasks.
+#[derive(Debug, Default)]
+pub(crate) struct LaneTable {
+    lanes: BTreeMap<LaneKey, TaskLane>,
+    heads: BTreeMap<QueuePlace, (LaneKey, TaskKey)>,
+}
+
+impl LaneTable {
+    /// Adds a task to its lane and tells whether the lane was empty.
+    pub(crate) fn append(
+        &mut self,
+        nodes: &mut NodeMap,
+        key: LaneKey,
+        task: TaskKey,
+        work: Duration,
+    ) -> bool {
+        let lane = self.lanes.entry(key).or_default();
+        let before = lane.head();
+        lane.list(nodes[task].place()).append(nodes, task);
+        lane.work += work;
+        let after = lane.head();
+        self.replace_head(nodes, key, before, after);
+        before.is_none()
+    }
+
+    /// Removes a task from its lane and tells whether the lane is empty now.
+    pub(crate) fn unlink(
+        &mut self,
+        nodes: &mut NodeMap,
+        key: LaneKey,
+        node: &QueueNode,
+        work: Duration,
+    ) -> bool {
+        let lane = self.lanes.get_mut(&key).expect("a queued task has a lane");
+        let before = lane.head();
+        lane.list(node.place()).unlink(nodes, node);
+        lane.work -= work;
+        let after = lane.head();
+        self.replace_head(nodes, key, before, after);
+        if after.is_none() {
+            self.lanes.remove(&key);
+        }
+        after.is_none()
+    }
+
+    fn replace_head(
+        &mut self,
+        nodes: &NodeMap,
+        key: LaneKey,
+        before: Option<TaskKey>,
+        after: Option<TaskKey>,
+    ) {
+        if before == after {
+            return;
+        }
+        if let Some(task) = before {
+            self.heads.remove(&nodes[task].place());
+        }
+        if let Some(task) = after {
+            self.heads.insert(nodes[task].place(), (key, task));
+        }
+    }
+
+    /// The lanes and their first tasks, oldest first.
+    pub(crate) fn heads(&self) -> impl Iterator<Item = (LaneKey, TaskKey)> {
+        self.heads.values().copied()
+    }
+
+    /// The queued work of the kinds that `competes` selects.
+    pub(crate) fn work_among<F>(&self, competes: F) -> Duration
+    where
+        F: Fn(KindIndex) -> bool,
+    {
+        let lanes = self.lanes.iter().filter(|(key, _)| competes(key.kind));
+        lanes.map(|(_, lane)| lane.work).sum()
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,4 +5,10 @@
 
 pub mod catalog;
 pub mod entity;
+pub mod estimate;
+pub mod histogram;
+mod lane;
+pub mod queue;
 pub mod timer;
+pub mod virtual_time;
+pub mod work_rate;
--- /dev/null
+++ b/crates/dispatch/src/queue.rs
@@ -0,0 +1,460 @@
+//! Start-time fair queueing between teams.
+//!
+//! Each team has a virtual time that advances by the work it started (expected run time divided by
+//! the team's weight); the backlogged team with the lowest virtual time is served next. Within a
+//! team, tasks wait in lanes, one per kind and size class, so that a kind without free slots does
+//! not delay another.
+//!
+//! A task is charged when it is first popped. Whoever pops it settles it exactly once, when it
+//! ends, with the total run time of its attempts; zero if it never ran.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::time::Duration;
+
+use filbertpitch_types::prelude::*;
+use slotmap::SecondaryMap;
+use typed_index_collections::TiVec;
+
+use crate::entity::{KindIndex, TaskKey, TeamIndex};
+use crate::estimate::SizeClass;
+use crate::lane::{LaneTable, QueuePlace};
+use crate::virtual_time::{VirtualSpan, VirtualTime};
+use crate::work_rate::WorkRate;
+
+/// How long, at the current service rate, a team may at most be held back for work that ran longer
+/// than predicted, or be preferred for service it missed while its lanes were blocked.
+const LAG_WINDOW: Duration = Duration::from_secs(5);
+
+/// The least bound on a team's lag, in work per unit of weight. It keeps the bound meaningful
+/// before a service rate has been measured.
+const LAG_FLOOR: Duration = Duration::from_secs(10);
+
+/// Tasks of one kind and size class: those that compete for the same slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LaneKey {
+    /// The kind of work.
+    pub kind: KindIndex,
+    /// Whether the tasks are expected to run long.
+    pub size: SizeClass,
+}
+
+/// A waiting task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueEntry {
+    /// The task. It must leave the queue before its key is released.
+    pub task: TaskKey,
+    /// The team that is charged.
+    pub team: TeamIndex,
+    /// The lane.
+    pub lane: LaneKey,
+    /// The expected run time, which is charged when the task is popped.
+    pub predicted: Duration,
+    /// When the task is no longer worth starting.
+    pub deadline: TimePoint,
+    /// Whether a second run does no harm.
+    pub repeatable: bool,
+}
+
+/// What the caller of [`FairQueue::pop_next`] decides about a lane's head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LaneChoice<P> {
+    /// Start the task with this placement.
+    Start(P),
+    /// No slot is free for this kind and size class, whichever team asks.
+    Blocked,
+    /// This task cannot start now; the same lane of another team may.
+    Skip,
+}
+
+/// What one scheduling round has found out. A round is valid until a slot becomes free.
+#[derive(Clone, Debug, Default)]
+pub struct SchedulingRound {
+    blocked: HashSet<LaneKey>,
+    skipped: HashSet<(TeamIndex, LaneKey)>,
+}
+
+impl SchedulingRound {
+    /// Forgets all answers, keeping the memory for the next round.
+    pub fn reset(&mut self) {
+        self.blocked.clear();
+        self.skipped.clear();
+    }
+
+    fn is_open(&self, team: TeamIndex, lane: LaneKey) -> bool {
+        !self.blocked.contains(&lane)
+            && (self.skipped.is_empty() || !self.skipped.contains(&(team, lane)))
+    }
+}
+
+#[derive(Debug, Default)]
+struct TeamBacklog {
+    weight: TeamWeight,
+    virtual_time: VirtualTime,
+    lanes: LaneTable,
+    depth: usize,
+    work: Duration,
+}
+
+impl TeamBacklog {
+    fn span(&self, work: Duration) -> VirtualSpan {
+        VirtualSpan::new(work, self.weight)
+    }
+}
+
+/// Queued tasks of all teams.
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    nodes: SecondaryMap<TaskKey, QueueNode>,
+    teams: TiVec<TeamIndex, TeamBacklog>,
+    /// The backlogged teams by virtual time.
+    order: BTreeSet<(VirtualTime, TeamIndex)>,
+    /// The total weight of the teams in `order`.
+    order_weight: u64,
+    /// How many teams have tasks in a lane.
+    lane_teams: BTreeMap<LaneKey, u32>,
+    deadlines: BTreeSet<(TimePoint, TaskKey)>,
+    /// Entries found past their deadline and not yet taken through `expire`.
+    expired: Vec<QueueEntry>,
+    /// The highest start tag served.
+    system_time: VirtualTime,
+    /// The highest virtual time any team reached.
+    finish_time: VirtualTime,
+    rate: WorkRate,
+    next_place: u64,
+}
+
+/// A queued task with its links within the lane.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueueNode {
+    entry: QueueEntry,
+    place: QueuePlace,
+    pub(crate) previous: Option<TaskKey>,
+    pub(crate) next: Option<TaskKey>,
+}
+
+impl QueueNode {
+    pub(crate) fn place(&self) -> QueuePlace {
+        self.place
+    }
+}
+
+impl FairQueue {
+    /// Sets a team's weight; work it started so far stays charged as it was.
+    pub fn set_weight(&mut self, team: TeamIndex, weight: TeamWeight) {
+        self.ensure_team(team);
+        let backlog = &mut self.teams[team];
+        if backlog.depth > 0 {
+            self.order_weight -= u64::from(backlog.weight.0.get());
+            self.order_weight += u64::from(weight.0.get());
+        }
+        backlog.weight = weight;
+    }
+
+    /// Adds a task behind its lane.
+    ///
+    /// # Panics
+    /// When the task is already queued.
+    pub fn push(&mut self, now: TimePoint, entry: QueueEntry) {
+        let place = QueuePlace::fresh(self.take_place());
+        self.insert(now, entry, place);
+    }
+
+    /// Returns a task that was popped and could not start, ahead of all tasks that were not popped
+    /// yet. It is not charged again.
+    ///
+    /// # Panics
+    /// When the task is already queued.
+    pub fn push_front(&mut self, now: TimePoint, entry: QueueEntry) {
+        let place = QueuePlace::again(self.take_place());
+        self.insert(now, entry, place);
+    }
+
+    /// Takes the next task that `try_place` can start.
+    ///
+    /// Teams are asked in order of virtual time, and the lanes of a team in order of the age of
+    /// their heads. Answers other than `Start` hold for the rest of the round. Tasks whose deadline
+    /// has passed are never offered.
+    pub fn pop_next<P, F>(
+        &mut self,
+        now: TimePoint,
+        round: &mut SchedulingRound,
+        mut try_place: F,
+    ) -> Option<(QueueEntry, P)>
+    where
+        F: FnMut(&QueueEntry) -> LaneChoice<P>,
+    {
+        self.collect_expired(now);
+        let (task, placement) = self.find_startable(round, &mut try_place)?;
+        let place = self.nodes[task].place;
+        let entry = self.unlink(task);
+        if !place.is_again() {
+            self.charge(now, entry.team, entry.predicted);
+        }
+        self.settle_idle();
+        Some((entry, placement))
+    }
+
+    /// Takes the entries whose deadline has passed.
+    pub fn expire(&mut self, now: TimePoint) -> Vec<QueueEntry> {
+        self.collect_expired(now);
+        self.settle_idle();
+        std::mem::take(&mut self.expired)
+    }
+
+    /// When the next entry expires.
+    pub fn next_deadline(&self) -> Option<TimePoint> {
+        self.deadlines.first().map(|&(deadline, _)| deadline)
+    }
+
+    /// Takes a task out, if it is queued.
+    pub fn remove(&mut self, task: TaskKey) -> Option<QueueEntry> {
+        if let Some(position) = self.expired.iter().position(|entry| entry.task == task) {
+            return Some(self.expired.swap_remove(position));
+        }
+        if !self.nodes.contains_key(task) {
+            return None;
+        }
+        let entry = self.unlink(task);
+        self.settle_idle();
+        Some(entry)
+    }
+
+    /// Corrects the charge of a popped task once its run time is known.
+    ///
+    /// The resulting debt or credit is bounded, so that one burst of mispredicted work neither
+    /// starves its team nor lets it crowd out the others.
+    pub fn settle(&mut self, team: TeamIndex, predicted: Duration, measured: Duration) {
+        self.ensure_team(team);
+        let (lowest, highest) = self.lag_bounds();
+        let backlog = &self.teams[team];
+        let time = backlog.virtual_time;
+        let corrected = if measured >= predicted {
+            let debt = backlog.span(measured - predicted);
+            (time + debt).min(highest).max(time)
+        } else {
+            let credit = backlog.span(predicted - measured);
+            (time - credit).max(lowest).min(time)
+        };
+        self.move_team(team, corrected);
+    }
+
+    /// How many tasks are queued.
+    pub fn len(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// Whether no task is queued.
+    pub fn is_empty(&self) -> bool {
+        self.deadlines.is_empty()
+    }
+
+    /// How many tasks of a team are queued.
+    pub fn depth(&self, team: TeamIndex) -> usize {
+        self.teams.get(team).map_or(0, |backlog| backlog.depth)
+    }
+
+    /// The expected run time of a team's queued tasks.
+    pub fn queued_work(&self, team: TeamIndex) -> Duration {
+        self.teams
+            .get(team)
+            .map_or(Duration::ZERO, |backlog| backlog.work)
+    }
+
+    /// The work that is served before a new task of this team under fair shares.
+    pub fn work_ahead(&self, team: TeamIndex) -> Duration {
+        self.sum_ahead(team, |backlog| backlog.work)
+    }
+
+    /// Like [`Self::work_ahead`], counting only kinds that compete for the same slots.
+    pub fn work_ahead_among<F>(&self, team: TeamIndex, competes: F) -> Duration
+    where
+        F: Fn(KindIndex) -> bool,
+    {
+        self.sum_ahead(team, |backlog| backlog.lanes.work_among(&competes))
+    }
+
+    fn sum_ahead<F>(&self, team: TeamIndex, work_of: F) -> Duration
+    where
+        F: Fn(&TeamBacklog) -> Duration,
+    {
+        let idle = TeamBacklog::default();
+        let own = self.teams.get(team).unwrap_or(&idle);
+        let start = own.virtual_time.max(self.system_time) + own.span(work_of(own));
+        let others = self.order.iter().take_while(|&&(time, _)| time < start);
+        let others = others.filter(|&&(_, other)| other != team);
+        let served = others.map(|&(time, other)| {
+            let other = &self.teams[other];
+            work_of(other).min((start - time).work(other.weight))
+        });
+        work_of(own) + served.sum::<Duration>()
+    }
+
+    fn ensure_team(&mut self, team: TeamIndex) {
+        let needed = usize::from(team) + 1;
+        if self.teams.len() < needed {
+            self.teams.resize_with(needed, TeamBacklog::default);
+        }
+    }
+
+    fn take_place(&mut self) -> u64 {
+        self.next_place += 1;
+        self.next_place
+    }
+
+    fn insert(&mut self, now: TimePoint, entry: QueueEntry, place: QueuePlace) {
+        assert!(
+            !self.nodes.contains_key(entry.task),
+            "task is already queued"
+        );
+        if entry.deadline <= now {
+            self.expired.push(entry);
+            return;
+        }
+        self.ensure_team(entry.team);
+        self.activate(entry.team);
+        let node = QueueNode {
+            entry,
+            place,
+            previous: None,
+            next: None,
+        };
+        self.nodes.insert(entry.task, node);
+        let backlog = &mut self.teams[entry.team];
+        let opened = backlog
+            .lanes
+            .append(&mut self.nodes, entry.lane, entry.task, entry.predicted);
+        if opened {
+            *self.lane_teams.entry(entry.lane).or_default() += 1;
+        }
+        backlog.depth += 1;
+        backlog.work += entry.predicted;
+        self.deadlines.insert((entry.deadline, entry.task));
+    }
+
+    /// Makes an idle team backlogged. It resumes at the system's virtual time, so that idling
+    /// accumulates no credit.
+    fn activate(&mut self, team: TeamIndex) {
+        let backlog = &mut self.teams[team];
+        if backlog.depth > 0 {
+            return;
+        }
+        backlog.virtual_time = backlog.virtual_time.max(self.system_time);
+        self.order.insert((backlog.virtual_time, team));
+        self.order_weight += u64::from(backlog.weight.0.get());
+    }
+
+    fn unlink(&mut self, task: TaskKey) -> QueueEntry {
+        let node = self.nodes[task];
+        let entry = node.entry;
+        let backlog = &mut self.teams[entry.team];
+        let closed = backlog
+            .lanes
+            .unlink(&mut self.nodes, entry.lane, &node, entry.predicted);
+        self.nodes.remove(task);
+        backlog.depth -= 1;
+        backlog.work -= entry.predicted;
+        if backlog.depth == 0 {
+            self.order.remove(&(backlog.virtual_time, entry.team));
+            self.order_weight -= u64::from(backlog.weight.0.get());
+        }
+        self.deadlines.remove(&(entry.deadline, task));
+        if closed {
+            self.close_lane(entry.lane);
+        }
+        entry
+    }
+
+    fn close_lane(&mut self, lane: LaneKey) {
+        if let Some(teams) = self.lane_teams.get_mut(&lane) {
+            *teams -= 1;
+            if *teams == 0 {
+                self.lane_teams.remove(&lane);
+            }
+        }
+    }
+
+    fn collect_expired(&mut self, now: TimePoint) {
+        while let Some(&(deadline, task)) = self.deadlines.first() {
+            if deadline > now {
+                return;
+            }
+            let entry = self.unlink(task);
+            self.expired.push(entry);
+        }
+    }
+
+    fn find_startable<P, F>(
+        &self,
+        round: &mut SchedulingRound,
+        try_place: &mut F,
+    ) -> Option<(TaskKey, P)>
+    where
+        F: FnMut(&QueueEntry) -> LaneChoice<P>,
+    {
+        if self.all_blocked(round) {
+            return None;
+        }
+        for &(_, team) in &self.order {
+            for (lane, task) in self.teams[team].lanes.heads() {
+                if !round.is_open(team, lane) {
+                    continue;
+                }
+                match try_place(&self.nodes[task].entry) {
+                    LaneChoice::Start(placement) => return Some((task, placement)),
+                    LaneChoice::Skip => {
+                        round.skipped.insert((team, lane));
+                    }
+                    LaneChoice::Blocked => {
+                        round.blocked.insert(lane);
+                        if self.all_blocked(round) {
+                            return None;
+                        }
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Ends a round without a scan over all teams once no lane with tasks is open.
+    fn all_blocked(&self, round: &SchedulingRound) -> bool {
+        self.lane_teams
+            .keys()
+            .all(|lane| round.blocked.contains(lane))
+    }
+
+    fn charge(&mut self, now: TimePoint, team: TeamIndex, predicted: Duration) {
+        self.rate.record(now, predicted);
+        let (lowest, _) = self.lag_bounds();
+        let backlog = &self.teams[team];
+        let start = backlog.virtual_time.max(lowest);
+        let finish = start + backlog.span(predicted);
+        self.system_time = self.system_time.max(start);
+        self.move_team(team, finish);
+    }
+
+    fn move_team(&mut self, team: TeamIndex, time: VirtualTime) {
+        let backlog = &mut self.teams[team];
+        if backlog.depth > 0 {
+            self.order.remove(&(backlog.virtual_time, team));
+            self.order.insert((time, team));
+        }
+        backlog.virtual_time = time;
+        self.finish_time = self.finish_time.max(time);
+    }
+
+    /// How far a team's virtual time may lie before and behind the system's.
+    fn lag_bounds(&self) -> (VirtualTime, VirtualTime) {
+        let served = self.rate.per_second().mul_f64(LAG_WINDOW.as_secs_f64());
+        let share = served.div_f64(self.order_weight.max(1) as f64);
+        let bound = VirtualSpan::new(share.max(LAG_FLOOR), TeamWeight::default());
+        (self.system_time - bound, self.system_time + bound)
+    }
+
+    /// An empty queue ends the busy period: debts and credits from it no longer matter.
+    fn settle_idle(&mut self) {
+        if self.order.is_empty() {
+            self.system_time = self.system_time.max(self.finish_time);
+        }
+    }
+}
