Add placement with shares of slots, borrowing and spill-over

Choosing targets on reported load alone collides when several entry VMs see the same stale report. The VMs of a zone therefore divide the slots by position and need the reports only for borrowed slots and other zones.

Pools keep sets of targets with a free slot, so that a placement samples at most 16 of them and a saturated pool answers without a search.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod catalog;
 pub mod entity;
+pub mod placement;
 pub mod timer;
--- /dev/null
+++ b/crates/dispatch/src/placement/load.rs
@@ -0,0 +1,89 @@
+//! What a target last reported about its load, and pauses after busy refusals.
+
+use std::time::Duration;
+
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::LoadReport;
+
+/// The slots that other VMs use on a target, from its latest load report.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LoadView {
+    reported: Option<TimePoint>,
+    slots: u16,
+    others: u16,
+    peak: u16,
+    peak_at: TimePoint,
+}
+
+impl LoadView {
+    /// `own` is the number of slots that this VM uses on the target.
+    pub fn report(&mut self, now: TimePoint, load: &LoadReport, own: u16, decay: Duration) {
+        self.reported = Some(now);
+        self.slots = load.slots;
+        self.others = load.running.saturating_sub(own);
+        let decayed = self.decayed_peak(now, decay);
+        if decayed != self.peak || self.others >= decayed {
+            self.peak = decayed.max(self.others);
+            self.peak_at = now;
+        }
+    }
+
+    fn decayed_peak(&self, now: TimePoint, decay: Duration) -> u16 {
+        let steps = now.since(self.peak_at).as_micros() / decay.as_micros().max(1);
+        self.peak
+            .saturating_sub(u16::try_from(steps).unwrap_or(u16::MAX))
+    }
+
+    pub fn is_fresh(&self, now: TimePoint, ttl: Duration) -> bool {
+        self.reported
+            .is_some_and(|reported| now.since(reported) < ttl)
+    }
+
+    /// When the report stops counting.
+    pub fn expires(&self, ttl: Duration) -> Option<TimePoint> {
+        self.reported.map(|reported| reported + ttl)
+    }
+
+    pub fn others(&self) -> u16 {
+        self.others
+    }
+
+    /// The most that the other VMs used recently.
+    pub fn peak(&self) -> u16 {
+        self.peak
+    }
+
+    /// The slots that exist, as far as configuration and report agree.
+    pub fn slots(&self, configured: u16) -> u16 {
+        match self.slots {
+            0 => configured,
+            reported => configured.min(reported),
+        }
+    }
+}
+
+/// A pause that doubles with each refusal and shrinks with each success.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PauseTimer {
+    until: TimePoint,
+    length: Duration,
+}
+
+impl PauseTimer {
+    pub fn refuse(&mut self, now: TimePoint, first: Duration, limit: Duration) {
+        self.length = (self.length * 2).clamp(first, limit);
+        self.until = now + self.length;
+    }
+
+    pub fn succeed(&mut self) {
+        self.length /= 2;
+    }
+
+    pub fn is_paused(&self, now: TimePoint) -> bool {
+        now < self.until
+    }
+
+    pub fn until(&self) -> TimePoint {
+        self.until
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/placement/table.rs
@@ -0,0 +1,613 @@
+//! The table of all targets: placement and incremental bookkeeping.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::LoadReport;
+use rand::Rng;
+use smallvec::SmallVec;
+use typed_index_collections::TiVec;
+
+use super::load::PauseTimer;
+use super::pool::{OpenKind, OpenSet, PoolIndex, PoolMap, PoolSeat, TargetPool};
+use super::settings::PlacementSettings;
+use super::share::{ShareDealer, SharePosition, TargetShare, long_slots, remote_connections};
+use super::state::{LeavingMark, TargetReach, TargetState, micros};
+use super::{
+    CapacityView, HoldEnd, HoldSource, Placement, PlacementRequest, SlotClass, SlotHold, TargetGate,
+};
+use crate::catalog::ConfigCatalog;
+use crate::entity::{KindIndex, TargetIndex, ZoneIndex};
+use crate::timer::TimerService;
+
+/// The most targets compared for one placement.
+const CANDIDATE_LIMIT: usize = 16;
+
+/// The entry VMs of all zones, as far as they matter for targets in other zones.
+#[derive(Clone, Debug)]
+struct FleetShare {
+    position: SharePosition,
+    populated: Vec<ZoneIndex>,
+}
+
+/// One search for a target over several sets.
+struct CandidateSearch<'a, R> {
+    now: TimePoint,
+    pool: PoolIndex,
+    request: &'a PlacementRequest,
+    /// What is left of the sampling limit.
+    sample: usize,
+    rng: &'a mut R,
+}
+
+impl<R> CandidateSearch<'_, R>
+where
+    R: Rng,
+{
+    /// Draws seats from a set: all of them in a random rotation if the sampling limit allows.
+    fn draw(&mut self, set: &OpenSet) -> SmallVec<[u32; CANDIDATE_LIMIT]> {
+        let members = set.members();
+        let draws = members.len().min(self.sample);
+        self.sample -= draws;
+        if draws < members.len() {
+            let mut pick = || members[self.rng.random_range(0..members.len())];
+            return (0..draws).map(|_| pick()).collect();
+        }
+        let start = match draws {
+            0 => 0,
+            _ => self.rng.random_range(0..draws),
+        };
+        let (head, tail) = members.split_at(start);
+        tail.iter().chain(head).copied().collect()
+    }
+}
+
+/// The targets, the slots in use on them, and the choice among them.
+#[derive(Debug)]
+pub struct TargetTable {
+    settings: PlacementSettings,
+    targets: TiVec<TargetIndex, TargetState>,
+    /// The configured targets in the order of their names, which is the same on every VM.
+    order: Vec<TargetIndex>,
+    pools: PoolMap,
+    zones: HashMap<ZoneIndex, PauseTimer>,
+    home: Option<ZoneIndex>,
+    share: SharePosition,
+    fleet: FleetShare,
+    timers: TimerService<TargetIndex>,
+}
+
+impl TargetTable {
+    /// A table without targets. The VM is alone until [`Self::set_share`] says otherwise.
+    pub fn new(settings: PlacementSettings) -> Self {
+        let alone = SharePosition {
+            position: 0,
+            vms: 1,
+        };
+        Self {
+            settings,
+            targets: TiVec::new(),
+            order: Vec::new(),
+            pools: PoolMap::default(),
+            zones: HashMap::new(),
+            home: None,
+            share: alone,
+            fleet: FleetShare {
+                position: alone,
+                populated: Vec::new(),
+            },
+            timers: TimerService::default(),
+        }
+    }
+
+    /// Takes over a configuration. Attempts on targets that left it stay in the books.
+    pub fn install(&mut self, now: TimePoint, catalog: &ConfigCatalog, home: ZoneIndex) {
+        self.home = Some(home);
+        self.order.clear();
+        for state in &mut self.targets {
+            state.reach = TargetReach::Absent;
+            state.seats.clear();
+            state.open = Default::default();
+            state.counted = 0;
+        }
+        for name in catalog.configuration().targets.keys() {
+            if let Some(target) = catalog.target_index(name) {
+                self.install_target(catalog, target);
+            }
+        }
+        self.install_pools(catalog);
+        self.divide(now);
+    }
+
+    fn install_target(&mut self, catalog: &ConfigCatalog, target: TargetIndex) {
+        let Some(entry) = catalog.target(target) else {
+            return;
+        };
+        let length = usize::from(target) + 1;
+        if self.targets.len() < length {
+            self.targets.resize(length, TargetState::default());
+        }
+        let state = &mut self.targets[target];
+        state.zone = Some(entry.zone);
+        state.slots = entry.spec.slots;
+        state.connections = entry.spec.connections;
+        // `divide` replaces this by the reach that follows from the zone.
+        state.reach = TargetReach::Remote;
+        self.order.push(target);
+    }
+
+    fn install_pools(&mut self, catalog: &ConfigCatalog) {
+        self.pools = PoolMap::default();
+        let mut known: HashMap<Vec<TargetIndex>, PoolIndex> = HashMap::new();
+        for (service, spec) in &catalog.configuration().services {
+            for kind in spec.kinds.keys() {
+                let Some(index) = catalog.kind_index(service, kind) else {
+                    continue;
+                };
+                let Some(entry) = catalog.kind(index) else {
+                    continue;
+                };
+                let pool = match known.get(&entry.targets) {
+                    Some(&pool) => pool,
+                    None => {
+                        let pool = self.add_pool(&entry.targets);
+                        known.insert(entry.targets.clone(), pool);
+                        pool
+                    }
+                };
+                self.pools.assign(index, pool);
+            }
+        }
+    }
+
+    fn add_pool(&mut self, targets: &[TargetIndex]) -> PoolIndex {
+        let pools = &mut self.pools.pools;
+        let pool = pools.push_and_get_key(TargetPool::new(targets.to_vec()));
+        for (seat, &target) in (0..).zip(targets) {
+            let state = &mut self.targets[target];
+            state.seats.push(PoolSeat { pool, seat });
+            pools[pool].running += u32::from(state.running);
+        }
+        pool
+    }
+
+    /// Sets this VM's place among the live, ready entry VMs of its zone.
+    pub fn set_share(&mut self, now: TimePoint, position: u32, zone_vms: u32) {
+        let share = SharePosition {
+            position,
+            vms: zone_vms,
+        };
+        if self.share != share {
+            self.share = share;
+            self.divide(now);
+        }
+    }
+
+    /// Sets this VM's place among the live, ready entry VMs of all zones, and the zones that have
+    /// any. The VMs of other zones divide the targets of the remaining zones among themselves.
+    pub fn set_fleet(
+        &mut self,
+        now: TimePoint,
+        position: SharePosition,
+        populated: Vec<ZoneIndex>,
+    ) {
+        if self.fleet.position != position || self.fleet.populated != populated {
+            self.fleet = FleetShare {
+                position,
+                populated,
+            };
+            self.divide(now);
+        }
+    }
+
+    /// Divides the targets anew; linear in their number, so only for changes of the environment.
+    fn divide(&mut self, now: TimePoint) {
+        let mut home_dealer = ShareDealer::new(self.share);
+        let mut adopted_dealers = HashMap::new();
+        let order = std::mem::take(&mut self.order);
+        for &target in &order {
+            let reach = self.reach(self.targets[target].zone);
+            let state = &mut self.targets[target];
+            state.reach = reach;
+            state.share = match reach {
+                TargetReach::Home => home_dealer.deal(state.slots, state.connections),
+                TargetReach::Adopted => adopted_dealers
+                    .entry(state.zone)
+                    .or_insert_with(|| ShareDealer::new(self.fleet.position))
+                    .deal(state.slots, state.connections),
+                TargetReach::Remote | TargetReach::Absent => spill_share(
+                    state.slots,
+                    state.connections,
+                    self.fleet.position.vms,
+                    self.settings.spill_divisor,
+                ),
+            };
+        }
+        self.order = order;
+        for target in self.targets.keys() {
+            self.refresh(now, target);
+        }
+    }
+
+    fn reach(&self, zone: Option<ZoneIndex>) -> TargetReach {
+        match zone {
+            None => TargetReach::Absent,
+            Some(zone) if Some(zone) == self.home => TargetReach::Home,
+            Some(zone) if self.fleet.populated.contains(&zone) => TargetReach::Remote,
+            Some(_) => TargetReach::Adopted,
+        }
+    }
+
+    /// Chooses the target of an attempt. [`Self::started`] must follow before the next call when
+    /// the attempt starts.
+    pub fn place<R>(&mut self, now: TimePoint, request: &PlacementRequest, rng: &mut R) -> Placement
+    where
+        R: Rng,
+    {
+        self.advance(now);
+        let Some(pool) = self.pools.pool_of(request.kind) else {
+            return Placement::Impossible;
+        };
+        if self.pools.pools[pool].targets.is_empty() {
+            return Placement::Impossible;
+        }
+        let mut search = CandidateSearch {
+            now,
+            pool,
+            request,
+            sample: CANDIDATE_LIMIT,
+            rng,
+        };
+        for kind in self.tiers(pool, request) {
+            if let Some(target) = self.choose(kind, &mut search) {
+                return Placement::Start(target);
+            }
+        }
+        Placement::Wait
+    }
+
+    /// The sets to try in order; empty ones cost nothing.
+    fn tiers(
+        &self,
+        pool: PoolIndex,
+        request: &PlacementRequest,
+    ) -> impl Iterator<Item = OpenKind> + use<> {
+        let waits_longer = request.wait_estimate > self.settings.spill_extra;
+        let spills = waits_longer || self.pools.pools[pool].home_slots == 0;
+        [
+            request.repeatable.then_some(OpenKind::Probe),
+            Some(request.class.own()),
+            Some(request.class.borrow()),
+            spills.then_some(request.class.spill()),
+        ]
+        .into_iter()
+        .flatten()
+    }
+
+    /// The least loaded of the sampled targets in a set.
+    fn choose<R>(
+        &mut self,
+        kind: OpenKind,
+        search: &mut CandidateSearch<'_, R>,
+    ) -> Option<TargetIndex>
+    where
+        R: Rng,
+    {
+        let pool = &self.pools.pools[search.pool];
+        let (now, request) = (search.now, search.request);
+        let mut best = None;
+        let mut stale = None;
+        for seat in search.draw(pool.set(kind)) {
+            let target = pool.targets[seat as usize];
+            if request.exclude.contains(&target) {
+                continue;
+            }
+            let state = &self.targets[target];
+            if !self.is_current(now, state, kind, request.class) {
+                stale = Some(target);
+                continue;
+            }
+            let work = state.expected_work(now, request.expected, &self.settings);
+            if best.is_none_or(|(least, _)| work < least) {
+                best = Some((work, target));
+            }
+        }
+        // Removing one per call keeps the cost bounded; the others follow on later calls.
+        if let Some(target) = stale {
+            self.refresh(now, target);
+        }
+        best.map(|(_, target)| target)
+    }
+
+    /// Checks the conditions that change with time alone.
+    fn is_current(
+        &self,
+        now: TimePoint,
+        state: &TargetState,
+        kind: OpenKind,
+        class: SlotClass,
+    ) -> bool {
+        match kind {
+            OpenKind::BorrowShort | OpenKind::BorrowLong => {
+                state.may_borrow(now, class, &self.settings)
+            }
+            OpenKind::SpillShort | OpenKind::SpillLong if state.reach == TargetReach::Remote => {
+                state.may_spill(now, class, &self.settings) && !self.is_zone_paused(now, state)
+            }
+            _ => true,
+        }
+    }
+
+    /// Whether the zone refused attempts that were sent there without a fresh report.
+    fn is_zone_paused(&self, now: TimePoint, state: &TargetState) -> bool {
+        let pause = state.zone.and_then(|zone| self.zones.get(&zone));
+        !state.load.is_fresh(now, self.settings.report_ttl)
+            && pause.is_some_and(|pause| pause.is_paused(now))
+    }
+
+    /// Records that an attempt starts on `target`.
+    pub fn started(
+        &mut self,
+        now: TimePoint,
+        target: TargetIndex,
+        class: SlotClass,
+        expected: Duration,
+    ) -> SlotHold {
+        let state = &mut self.targets[target];
+        let source = match (state.gate, state.reach) {
+            (TargetGate::Probe, _) => HoldSource::Probe,
+            (_, TargetReach::Remote) => HoldSource::Spilled,
+            _ if state.starts_on_share(class) => HoldSource::Own,
+            _ => HoldSource::Borrowed,
+        };
+        let hold = SlotHold {
+            target,
+            class,
+            source,
+            expected,
+            expected_end: now + expected,
+            parked: false,
+        };
+        state.running += 1;
+        state.long += u16::from(class == SlotClass::Long);
+        state.probes += u16::from(source == HoldSource::Probe);
+        state.expected_sum += micros(expected);
+        state.end_sum += hold.expected_end.0;
+        for seat in &state.seats {
+            self.pools.pools[seat.pool].running += 1;
+        }
+        self.refresh(now, target);
+        hold
+    }
+
+    /// Records that an attempt was throttled: it keeps its connection and releases its slot.
+    pub fn throttled(&mut self, now: TimePoint, hold: &mut SlotHold) {
+        if !hold.parked {
+            hold.parked = true;
+            self.release_slot(hold);
+            self.targets[hold.target].parked += 1;
+            self.refresh(now, hold.target);
+        }
+    }
+
+    /// Records that an attempt no longer uses its target. Call this before [`Self::report_load`]
+    /// with the load of the same answer.
+    pub fn ended(&mut self, now: TimePoint, hold: SlotHold, end: HoldEnd) {
+        match hold.parked {
+            true => self.targets[hold.target].parked -= 1,
+            false => self.release_slot(&hold),
+        }
+        let state = &mut self.targets[hold.target];
+        state.probes -= u16::from(hold.source == HoldSource::Probe);
+        match end {
+            HoldEnd::Ran => self.note_success(&hold),
+            HoldEnd::RefusedBusy => self.note_busy(now, &hold),
+            HoldEnd::RefusedLeaving => self.mark_leaving(now, hold.target),
+            HoldEnd::Other => {}
+        }
+        self.refresh(now, hold.target);
+    }
+
+    fn release_slot(&mut self, hold: &SlotHold) {
+        let state = &mut self.targets[hold.target];
+        state.running -= 1;
+        state.long -= u16::from(hold.class == SlotClass::Long);
+        state.expected_sum -= micros(hold.expected);
+        state.end_sum -= hold.expected_end.0;
+        for seat in &state.seats {
+            self.pools.pools[seat.pool].running -= 1;
+        }
+    }
+
+    fn note_success(&mut self, hold: &SlotHold) {
+        let state = &mut self.targets[hold.target];
+        state.own_pause.succeed();
+        if matches!(hold.source, HoldSource::Borrowed | HoldSource::Spilled) {
+            state.borrow_pause.succeed();
+        }
+        if hold.source == HoldSource::Spilled
+            && let Some(pause) = state.zone.and_then(|zone| self.zones.get_mut(&zone))
+        {
+            pause.succeed();
+        }
+    }
+
+    fn note_busy(&mut self, now: TimePoint, hold: &SlotHold) {
+        let settings = &self.settings;
+        let state = &mut self.targets[hold.target];
+        let (first, limit) = (settings.borrow_pause, settings.borrow_pause_limit);
+        state.borrow_pause.refuse(now, first, limit);
+        if hold.source != HoldSource::Spilled {
+            let (first, limit) = (settings.own_pause, settings.own_pause_limit);
+            state.own_pause.refuse(now, first, limit);
+        } else if let Some(zone) = state.zone {
+            let pause = self.zones.entry(zone).or_default();
+            pause.refuse(now, first, limit);
+        }
+    }
+
+    /// Takes over a target's load report.
+    pub fn report_load(&mut self, now: TimePoint, target: TargetIndex, load: &LoadReport) {
+        let decay = self.settings.peak_decay;
+        let state = &mut self.targets[target];
+        state.load.report(now, load, state.running, decay);
+        if load.leaving {
+            self.mark_leaving(now, target);
+        } else {
+            self.note_return(now, target, |mark| mark.reported_back = true);
+            self.refresh(now, target);
+        }
+    }
+
+    /// Records that a target is leaving, by the VM list, its load report or its refusal. It gets no
+    /// new work.
+    pub fn mark_leaving(&mut self, now: TimePoint, target: TargetIndex) {
+        self.targets[target].leaving = Some(LeavingMark {
+            since: now,
+            listed_live: false,
+            reported_back: false,
+        });
+        self.refresh(now, target);
+    }
+
+    /// Records that the VM list says that a target is live. A leaving target returns only when its
+    /// own report agrees.
+    pub fn mark_live(&mut self, now: TimePoint, target: TargetIndex) {
+        self.note_return(now, target, |mark| mark.listed_live = true);
+        self.refresh(now, target);
+    }
+
+    fn note_return<F>(&mut self, now: TimePoint, target: TargetIndex, note: F)
+    where
+        F: FnOnce(&mut LeavingMark),
+    {
+        let state = &mut self.targets[target];
+        let Some(mark) = &mut state.leaving else {
+            return;
+        };
+        if now.since(mark.since) < self.settings.leaving_hold {
+            return;
+        }
+        note(mark);
+        if mark.listed_live && mark.reported_back {
+            state.leaving = None;
+        }
+    }
+
+    /// Whether a target is leaving.
+    pub fn is_leaving(&self, target: TargetIndex) -> bool {
+        self.targets
+            .get(target)
+            .is_some_and(|state| state.leaving.is_some())
+    }
+
+    /// Whether a leaving target is listed as live, so that a check could bring the report that lets
+    /// it return.
+    pub fn awaits_report(&self, target: TargetIndex) -> bool {
+        let mark = self.targets.get(target).and_then(|state| state.leaving);
+        mark.is_some_and(|mark| mark.listed_live)
+    }
+
+    /// Sets which work a target takes, by its health.
+    pub fn set_gate(&mut self, now: TimePoint, target: TargetIndex, gate: TargetGate) {
+        self.targets[target].gate = gate;
+        self.refresh(now, target);
+    }
+
+    /// The slots for a kind; none if no target can run it.
+    pub fn capacity(&self, kind: KindIndex) -> CapacityView {
+        let pool = self.pools.pool_of(kind);
+        pool.map_or_else(CapacityView::default, |pool| {
+            let pool = &self.pools.pools[pool];
+            CapacityView {
+                slots: pool.slots,
+                running: pool.running,
+            }
+        })
+    }
+
+    /// This VM's share of a target.
+    pub fn share(&self, target: TargetIndex) -> TargetShare {
+        self.targets[target].share
+    }
+
+    /// This VM's attempts that hold a slot of a target.
+    pub fn running(&self, target: TargetIndex) -> u16 {
+        self.targets[target].running
+    }
+
+    /// The long ones among [`Self::running`].
+    pub fn running_long(&self, target: TargetIndex) -> u16 {
+        self.targets[target].long
+    }
+
+    /// The connections that this VM's attempts hold to a target.
+    pub fn connections(&self, target: TargetIndex) -> u16 {
+        let state = &self.targets[target];
+        state.running + state.parked
+    }
+
+    /// The expected work on a target, in run time; `typical` stands for attempts of other VMs.
+    pub fn expected_work(
+        &self,
+        now: TimePoint,
+        target: TargetIndex,
+        typical: Duration,
+    ) -> Duration {
+        let state = &self.targets[target];
+        Duration::from_micros(state.expected_work(now, typical, &self.settings))
+    }
+
+    /// When a waiting request may become placeable without any other event.
+    pub fn next_due(&self) -> Option<TimePoint> {
+        self.timers.next_due()
+    }
+
+    /// Ends pauses that are over. [`Self::place`] includes this.
+    pub fn advance(&mut self, now: TimePoint) {
+        while let Some(target) = self.timers.pop_due(now) {
+            self.targets[target].wake = None;
+            self.refresh(now, target);
+        }
+    }
+
+    /// Brings the sets and sums of the target's pools up to date.
+    fn refresh(&mut self, now: TimePoint, target: TargetIndex) {
+        let state = &mut self.targets[target];
+        let open = state.open_mask(now, &self.settings);
+        let counted = state.usable_share();
+        if open != state.open || counted != state.counted {
+            // Only `install` changes whether a target is in the home zone, and it resets `counted`.
+            let is_home = state.reach == TargetReach::Home;
+            for seat in &state.seats {
+                let pool = &mut self.pools.pools[seat.pool];
+                pool.update(seat.seat, state.open, open);
+                pool.slots = pool.slots - u32::from(state.counted) + u32::from(counted);
+                if is_home {
+                    pool.home_slots =
+                        pool.home_slots - u32::from(state.counted) + u32::from(counted);
+                }
+            }
+            state.open = open;
+            state.counted = counted;
+        }
+        if let Some(wake) = state.next_wake(now, &self.settings)
+            && state.wake.is_none_or(|pending| wake < pending)
+        {
+            state.wake = Some(wake);
+            self.timers.subscribe(wake, target);
+        }
+    }
+}
+
+/// What this VM may use of a target in a zone with entry VMs of its own.
+fn spill_share(slots: u16, connections: u16, vms: u32, divisor: u16) -> TargetShare {
+    let slots = (slots / divisor.max(1)).max(1).min(slots);
+    let connections = u32::from(remote_connections(connections)) / vms.max(1);
+    TargetShare {
+        slots,
+        long: long_slots(slots),
+        connections: u16::try_from(connections).unwrap_or(u16::MAX),
+    }
+}
