--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod histogram;
 mod lane;
 pub mod queue;
+pub mod placement;
 pub mod timer;
 pub mod virtual_time;
 pub mod work_rate;
