--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -141,6 +141,21 @@
     Uncertain(TaskAttempt<Uncertain>),
 }
 
+impl AttemptEnd {
+    /// A stable word for traces.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Done { .. } => "done",
+            Self::Failed { .. } => "failed",
+            Self::NotStarted { .. } => "not_started",
+            Self::Stopped => "stopped",
+            Self::Checkpointed { .. } => "checkpointed",
+            Self::Lapsed => "lapsed",
+            Self::Vanished => "vanished",
+        }
+    }
+}
+
 impl AttemptRecord {
     /// Concludes from an answer that names this attempt.
     ///
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -208,6 +208,13 @@
             .filter_map(|(index, entry)| Some((index, entry.as_ref()?)))
     }
 
+    /// The kinds in force, in ascending order of index.
+    pub fn kinds(&self) -> impl Iterator<Item = (KindIndex, &KindEntry)> {
+        self.kinds
+            .iter_enumerated()
+            .filter_map(|(index, entry)| Some((index, entry.as_ref()?)))
+    }
+
     /// The teams in force, in ascending order of index.
     pub fn teams(&self) -> impl Iterator<Item = (TeamIndex, &TeamSpec)> {
         self.teams
--- /dev/null
+++ b/crates/dispatch/src/engine/mod.rs
@@ -0,0 +1,341 @@
+//! The dispatcher of one incarnation: events in, actions out.
+//!
+//! The engine owns the live jobs and composes the queue, placement, health and submission parts.
+//! It reads no clock and does no I/O; [`DispatchEngine::handle`] gets the time with each event.
+
+mod attempts;
+mod checks;
+mod event;
+mod jobs;
+mod schedule;
+mod settings;
+mod view;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+use filbertpitch_config::spec::Configuration;
+use filbertpitch_types::platform::{VmList, VmRole, VmState};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::LoadReport;
+use filbertpitch_types::time::ClockReading;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+use typed_index_collections::TiVec;
+
+use crate::catalog::ConfigCatalog;
+use crate::entity::{TargetIndex, TaskKey};
+use crate::estimate::RunEstimator;
+use crate::job::LiveJob;
+use crate::placement::{SharePosition, TargetTable};
+use crate::queue::{FairQueue, SchedulingRound};
+use crate::submission::SubmissionTable;
+use crate::timer::TimerService;
+
+pub use self::event::{
+    AttemptTrace, CallerReply, EngineAction, EngineCounters, EngineEvent, EngineNotice, FleetView,
+    StateCommand,
+};
+pub use self::settings::EngineSettings;
+pub use self::view::{EngineView, TargetView, TeamView};
+
+/// What a timer of the engine is for.
+#[derive(Clone, Copy, Debug)]
+enum TimerTopic {
+    /// The deadline of a job.
+    JobDeadline(JobNumber),
+    /// The end of the wait for attempts of a failing job.
+    JobEnding(JobNumber),
+    /// An attempt exceeded its expected run time.
+    AttemptOverdue(AttemptId),
+    /// A target may be due for a check.
+    TargetCheck(TargetIndex),
+    /// A delayed task is queued again.
+    TaskRequeue(TaskKey),
+    /// Waiting tasks are offered again.
+    QueueRetry,
+    /// Epochs, health and quotas advance.
+    Housekeeping,
+}
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct TaskRef {
+    job: JobNumber,
+    task: TaskIndex,
+}
+
+impl TaskRef {
+    fn of(attempt: AttemptId) -> Self {
+        Self {
+            job: attempt.job,
+            task: attempt.task,
+        }
+    }
+
+    fn position(self) -> usize {
+        usize::from(self.task.0)
+    }
+}
+
+/// What the engine keeps per target beside placement.
+#[derive(Debug, Default)]
+struct TargetLink {
+    /// The attempts of this VM that may be running there.
+    attempts: BTreeSet<AttemptId>,
+    /// The target process that answered last.
+    boot: Option<u64>,
+    /// Throttled attempts that the target reported last.
+    parked: u16,
+    /// Whether the last check got no answer.
+    unreachable: bool,
+    /// Whether a check is on its way.
+    check_pending: bool,
+    /// When the next check timer is set for.
+    check_due: Option<TimePoint>,
+    /// How many checks in a row got no answer.
+    failed_checks: u32,
+}
+
+/// The dispatcher of one incarnation.
+#[derive(Debug)]
+pub struct DispatchEngine {
+    settings: EngineSettings,
+    incarnation: IncarnationId,
+    zone: ZoneName,
+    clock: ClockReading,
+    catalog: ConfigCatalog,
+    submissions: SubmissionTable,
+    jobs: HashMap<JobNumber, LiveJob>,
+    task_refs: SlotMap<TaskKey, TaskRef>,
+    next_job: JobNumber,
+    queue: FairQueue,
+    round: SchedulingRound,
+    targets: TargetTable,
+    links: TiVec<TargetIndex, TargetLink>,
+    estimator: RunEstimator,
+    timers: TimerService<TimerTopic>,
+    queue_retry_due: Option<TimePoint>,
+    pending_stops: BTreeMap<TargetIndex, Vec<AttemptId>>,
+    pending_throttles: BTreeMap<TargetIndex, Vec<AttemptId>>,
+    draining: bool,
+    counters: EngineCounters,
+    actions: Vec<EngineAction>,
+    rng: ChaCha8Rng,
+}
+
+impl DispatchEngine {
+    /// An engine without configuration. `seed` drives the sampling of targets.
+    pub fn new(
+        settings: EngineSettings,
+        incarnation: IncarnationId,
+        zone: ZoneName,
+        clock: ClockReading,
+        seed: u64,
+    ) -> Self {
+        let mut timers = TimerService::default();
+        timers.subscribe(clock.time, TimerTopic::Housekeeping);
+        Self {
+            submissions: SubmissionTable::new(
+                incarnation,
+                settings.submissions.clone(),
+                clock.time,
+            ),
+            targets: TargetTable::new(settings.placement.clone()),
+            estimator: RunEstimator::new(settings.estimates),
+            settings,
+            incarnation,
+            zone,
+            clock,
+            catalog: ConfigCatalog::default(),
+            jobs: HashMap::new(),
+            task_refs: SlotMap::with_key(),
+            next_job: JobNumber(0),
+            queue: FairQueue::default(),
+            round: SchedulingRound::default(),
+            links: TiVec::new(),
+            timers,
+            queue_retry_due: None,
+            pending_stops: BTreeMap::new(),
+            pending_throttles: BTreeMap::new(),
+            draining: false,
+            counters: EngineCounters::default(),
+            actions: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Reacts to an event. Time must not go backwards from call to call.
+    pub fn handle(&mut self, clock: ClockReading, event: EngineEvent) {
+        self.clock = ClockReading {
+            time: clock.time.max(self.clock.time),
+            wall: clock.wall,
+        };
+        self.fire_timers();
+        self.react(event);
+        self.schedule();
+    }
+
+    fn react(&mut self, event: EngineEvent) {
+        match event {
+            EngineEvent::JobSubmitted {
+                caller,
+                request,
+                traceparent,
+            } => self.submit_job(caller, request, traceparent),
+            EngineEvent::JobLookedUp { caller, submission } => {
+                self.look_up_job(caller, &submission);
+            }
+            EngineEvent::JobCancelled { caller, submission } => {
+                self.cancel_job(caller, &submission);
+            }
+            EngineEvent::CallerLeft { caller } => self.forget_caller(caller),
+            EngineEvent::OutcomesAdopted(answers) => self.submissions.adopt(answers),
+            EngineEvent::StartAnswered { target, answer } => {
+                self.receive_start_answer(target, answer);
+            }
+            EngineEvent::StartFailed { attempt, written } => self.fail_start(attempt, written),
+            EngineEvent::StatesAnswered {
+                target,
+                command,
+                answer,
+            } => self.receive_states(target, command, answer),
+            EngineEvent::StatesFailed { target, command } => self.fail_states(target, command),
+            EngineEvent::ConfigurationChanged(configuration) => {
+                self.install_configuration(configuration);
+            }
+            EngineEvent::VmListRead(list) => self.read_vm_list(&list),
+            EngineEvent::FleetChanged(fleet) => self.change_fleet(&fleet),
+            EngineEvent::DrainStarted => self.draining = true,
+            EngineEvent::TimeAdvanced => {}
+        }
+    }
+
+    /// Takes the actions that the events so far caused. Stops and throttles of one batch of
+    /// events go out as one request per target, so that a wave of cancellations is cheap.
+    pub fn take_actions(&mut self) -> Vec<EngineAction> {
+        self.flush_changes();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`Self::handle`] must be called at the latest.
+    pub fn next_due(&self) -> Option<TimePoint> {
+        self.timers.next_due()
+    }
+
+    /// Whether no job is live, so that a draining process may stop.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// The epoch for new prefixes.
+    pub fn current_epoch(&self) -> EpochNumber {
+        self.submissions.current_epoch()
+    }
+
+    /// The submissions of this incarnation, for a handover and for status.
+    pub fn submissions(&self) -> &SubmissionTable {
+        &self.submissions
+    }
+
+    /// The compiled configuration.
+    pub fn catalog(&self) -> &ConfigCatalog {
+        &self.catalog
+    }
+
+    /// Counts since the start of the process.
+    pub fn counters(&self) -> EngineCounters {
+        self.counters
+    }
+
+    fn fire_timers(&mut self) {
+        while let Some(topic) = self.timers.pop_due(self.clock.time) {
+            match topic {
+                TimerTopic::JobDeadline(job) => self.reach_deadline(job),
+                TimerTopic::JobEnding(job) => self.reach_ending(job),
+                TimerTopic::AttemptOverdue(attempt) => self.reach_overdue(attempt),
+                TimerTopic::TargetCheck(target) => self.check_target(target),
+                TimerTopic::TaskRequeue(key) => self.requeue_delayed(key),
+                TimerTopic::QueueRetry => self.queue_retry_due = None,
+                TimerTopic::Housekeeping => self.keep_house(),
+            }
+        }
+    }
+
+    fn keep_house(&mut self) {
+        self.submissions.advance(self.clock.time);
+        let due = self.clock.time + self.settings.housekeeping_interval;
+        self.timers.subscribe(due, TimerTopic::Housekeeping);
+    }
+
+    fn install_configuration(&mut self, configuration: Rc<Configuration>) {
+        self.catalog.install(configuration);
+        let home = self.catalog.intern_zone(&self.zone);
+        self.targets.install(self.clock.time, &self.catalog, home);
+        for (index, _) in self.catalog.targets() {
+            while self.links.len() <= usize::from(index) {
+                self.links.push(TargetLink::default());
+            }
+        }
+        for (kind, entry) in self.catalog.kinds() {
+            self.estimator.configure(kind, entry.service, entry.typical);
+        }
+        for (team, spec) in self.catalog.teams() {
+            self.queue.set_weight(team, spec.weight);
+        }
+    }
+
+    fn read_vm_list(&mut self, list: &VmList) {
+        for vm in list.vms.iter().filter(|vm| vm.role == VmRole::Target) {
+            let Some(target) = self.catalog.target_index(&vm.name) else {
+                continue;
+            };
+            match vm.state {
+                VmState::Leaving => self.mark_leaving(target),
+                VmState::Live => self.targets.mark_live(self.clock.time, target),
+            }
+        }
+    }
+
+    fn mark_leaving(&mut self, target: TargetIndex) {
+        if !self.targets.is_leaving(target) {
+            let notice = EngineNotice::TargetLeaving(target);
+            self.actions.push(EngineAction::Notice(notice));
+        }
+        self.targets.mark_leaving(self.clock.time, target);
+    }
+
+    fn change_fleet(&mut self, fleet: &FleetView) {
+        let now = self.clock.time;
+        self.targets
+            .set_share(now, fleet.zone_position, fleet.zone_vms);
+        let position = SharePosition {
+            position: fleet.fleet_position,
+            vms: fleet.fleet_vms,
+        };
+        let populated = fleet
+            .populated
+            .iter()
+            .map(|zone| self.catalog.intern_zone(zone))
+            .collect();
+        self.targets.set_fleet(now, position, populated);
+    }
+
+    /// Takes over what a target reports about itself.
+    fn note_load(&mut self, target: TargetIndex, load: &LoadReport) {
+        if load.leaving {
+            self.mark_leaving(target);
+        }
+        self.targets.report_load(self.clock.time, target, load);
+        let link = &mut self.links[target];
+        link.parked = load.parked;
+        link.unreachable = false;
+        link.failed_checks = 0;
+        if link.boot.is_some_and(|boot| boot != load.boot) {
+            // The former process took its attempts with it; a check settles each of them.
+            self.schedule_check(target, self.clock.time);
+        }
+        self.links[target].boot = Some(load.boot);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/engine/schedule.rs
@@ -0,0 +1,173 @@
+//! From the queue to a target.
+
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::StartRequest;
+
+use super::{DispatchEngine, EngineAction, TaskRef, TimerTopic};
+use crate::attempt::{AttemptPhase, AttemptRecord, TaskAttempt};
+use crate::entity::{TargetIndex, TaskKey};
+use crate::estimate::SizeClass;
+use crate::job::TaskState;
+use crate::placement::{Placement, PlacementRequest, SlotClass};
+use crate::queue::{LaneChoice, LaneKey, QueueEntry};
+
+/// Where a task enters the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum QueueEnd {
+    /// Behind the tasks of its lane.
+    Back,
+    /// Ahead of them; the task was taken out before and could not start.
+    Front,
+}
+
+impl DispatchEngine {
+    pub(super) fn enqueue(&mut self, task_ref: TaskRef, end: QueueEnd) {
+        let now = self.clock.time;
+        let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
+        let task = &mut job.tasks[task_ref.position()];
+        task.state = TaskState::Queued;
+        let entry = QueueEntry {
+            task: task.key,
+            team: job.team,
+            lane: LaneKey {
+                kind: task.kind,
+                size: task.prediction.size,
+            },
+            predicted: task.prediction.expected,
+            deadline: job.deadline,
+            repeatable: task.spec.repeatable,
+        };
+        match end {
+            QueueEnd::Back => self.queue.push(now, entry),
+            QueueEnd::Front => self.queue.push_front(now, entry),
+        }
+    }
+
+    /// Queues a task again after a short delay.
+    pub(super) fn delay(&mut self, task_ref: TaskRef, delay: std::time::Duration) {
+        let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
+        let task = &mut job.tasks[task_ref.position()];
+        task.state = TaskState::Delayed;
+        let due = self.clock.time + delay;
+        self.timers
+            .subscribe(due, TimerTopic::TaskRequeue(task.key));
+    }
+
+    pub(super) fn requeue_delayed(&mut self, key: TaskKey) {
+        let Some(&task_ref) = self.task_refs.get(key) else {
+            return;
+        };
+        let job = &self.jobs[&task_ref.job];
+        if matches!(job.tasks[task_ref.position()].state, TaskState::Delayed) {
+            self.enqueue(task_ref, QueueEnd::Front);
+        }
+    }
+
+    /// Starts waiting tasks while slots are free.
+    pub(super) fn schedule(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        self.round.reset();
+        while let Some((entry, target)) = self.pop_placeable() {
+            self.start_attempt(self.task_refs[entry.task], target);
+        }
+        self.arm_queue_retry();
+    }
+
+    fn pop_placeable(&mut self) -> Option<(QueueEntry, TargetIndex)> {
+        let now = self.clock.time;
+        let (jobs, task_refs) = (&self.jobs, &self.task_refs);
+        let (targets, rng) = (&mut self.targets, &mut self.rng);
+        let try_place = |entry: &QueueEntry| {
+            let task_ref = task_refs[entry.task];
+            let task = &jobs[&task_ref.job].tasks[task_ref.position()];
+            let request = PlacementRequest {
+                kind: task.kind,
+                class: slot_class(entry.lane.size),
+                expected: entry.predicted,
+                exclude: task.excluded.clone(),
+                repeatable: entry.repeatable,
+                wait_estimate: now.since(task.queued_at),
+            };
+            match targets.place(now, &request, rng) {
+                Placement::Start(target) => LaneChoice::Start(target),
+                Placement::Wait if task.excluded.is_empty() => LaneChoice::Blocked,
+                Placement::Wait | Placement::Impossible => LaneChoice::Skip,
+            }
+        };
+        self.queue.pop_next(now, &mut self.round, try_place)
+    }
+
+    /// Other VMs free slots without telling this one, so waiting tasks are offered regularly.
+    fn arm_queue_retry(&mut self) {
+        if self.queue.is_empty() || self.queue_retry_due.is_some() {
+            return;
+        }
+        let due = self.clock.time + self.settings.queue_retry_interval;
+        self.queue_retry_due = Some(due);
+        self.timers.subscribe(due, TimerTopic::QueueRetry);
+    }
+
+    fn start_attempt(&mut self, task_ref: TaskRef, target: TargetIndex) {
+        let clock = self.clock;
+        let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
+        let task = &mut job.tasks[task_ref.position()];
+        let id = AttemptId {
+            incarnation: self.incarnation,
+            job: task_ref.job,
+            task: task_ref.task,
+            attempt: task.next_attempt,
+        };
+        task.next_attempt = task.next_attempt.next();
+        task.starts = task.starts.saturating_add(1);
+        task.target = Some(target);
+        let expected = task.prediction.expected;
+        let lease = (expected * self.settings.lease_factor).max(self.settings.lease_floor);
+        let record = AttemptRecord {
+            id,
+            target,
+            sent_at: clock.time,
+            predicted: expected,
+            lease_until: clock.wall + lease,
+            boot: self.links[target].boot,
+            stop: None,
+            throttled: false,
+        };
+        let request = StartRequest {
+            attempt: id,
+            service: job.service_name.clone(),
+            kind: task.spec.kind.clone(),
+            input: task.spec.input.clone(),
+            lease_until: record.lease_until,
+            resume_from: task.resume_from.clone(),
+        };
+        let class = slot_class(task.prediction.size);
+        task.hold = Some(self.targets.started(clock.time, target, class, expected));
+        task.state = TaskState::Running(AttemptPhase::Sent(TaskAttempt::sent(record)));
+        let overdue = clock.time + task.prediction.overdue_after;
+        let traceparent = job.traceparent.clone();
+        self.timers
+            .subscribe(overdue, TimerTopic::AttemptOverdue(id));
+        self.links[target].attempts.insert(id);
+        self.counters.starts += 1;
+        let entry = self
+            .catalog
+            .target(target)
+            .expect("placed on a target in force");
+        self.actions.push(EngineAction::Start {
+            target,
+            address: entry.spec.address,
+            request,
+            traceparent,
+        });
+    }
+}
+
+/// Long work may not take every slot of a target.
+fn slot_class(size: SizeClass) -> SlotClass {
+    match size {
+        SizeClass::Short => SlotClass::Short,
+        SizeClass::Long => SlotClass::Long,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/engine/settings.rs
@@ -0,0 +1,59 @@
+//! The engine's settings.
+
+use std::time::Duration;
+
+use crate::estimate::EstimateSettings;
+use crate::placement::PlacementSettings;
+use crate::submission::SubmissionSettings;
+
+/// Bounds and intervals of the engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Bounds on remembered outcomes.
+    pub submissions: SubmissionSettings,
+    /// Placement.
+    pub placement: PlacementSettings,
+    /// Run-time estimates.
+    pub estimates: EstimateSettings,
+    /// The least lease of an attempt. Longer than most tasks run, so that they need no renewal.
+    pub lease_floor: Duration,
+    /// The lease as a multiple of the expected run time.
+    pub lease_factor: u32,
+    /// How long after the end of a lease the attempt counts as over: covers the difference
+    /// between the clocks and a pause of the target's process.
+    pub lease_margin: Duration,
+    /// How long a failing job waits for its running attempts to be stopped.
+    pub ending_timeout: Duration,
+    /// The least age of an attempt before its target is checked.
+    pub check_floor: Duration,
+    /// The least time between two checks of a target, doubled after each failed one.
+    pub check_interval: Duration,
+    /// The longest time between two checks of an unreachable target.
+    pub check_interval_limit: Duration,
+    /// The delay before a task that was refused several times in a row is queued again.
+    pub refusal_delay: Duration,
+    /// How often waiting tasks are offered without any other event.
+    pub queue_retry_interval: Duration,
+    /// How often epochs and other slow state advance.
+    pub housekeeping_interval: Duration,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            submissions: SubmissionSettings::default(),
+            placement: PlacementSettings::default(),
+            estimates: EstimateSettings::default(),
+            lease_floor: Duration::from_secs(5),
+            lease_factor: 4,
+            lease_margin: Duration::from_secs(1),
+            ending_timeout: Duration::from_secs(2),
+            check_floor: Duration::from_secs(1),
+            check_interval: Duration::from_millis(500),
+            check_interval_limit: Duration::from_secs(4),
+            refusal_delay: Duration::from_millis(5),
+            queue_retry_interval: Duration::from_millis(10),
+            housekeeping_interval: Duration::from_millis(500),
+        }
+    }
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -12,13 +12,15 @@
 
 use crate::attempt::{AbandonReason, AttemptPhase};
 use crate::entity::{KindIndex, ServiceIndex, TargetIndex, TaskKey, TeamIndex};
+use crate::estimate::RunPrediction;
+use crate::placement::SlotHold;
 
 /// Identifies a caller's request that waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallerToken(pub u64);
 
 /// Where a task is in its life.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum TaskState {
     /// It waits in the queue.
     Queued,
@@ -31,7 +33,7 @@
 }
 
 /// One task of a live job.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct LiveTask {
     /// What the caller asked for.
     pub spec: TaskSpec,
@@ -55,10 +57,14 @@
     pub target: Option<TargetIndex>,
     /// The run time that the target measured.
     pub run_time: Duration,
+    /// The outcome if the task is not started again, when an earlier attempt ran.
+    pub last_end: Option<TaskOutcome>,
+    /// The slot that the running attempt holds.
+    pub hold: Option<SlotHold>,
     /// When it was queued first.
     pub queued_at: TimePoint,
     /// The run time that was expected when it was queued.
-    pub predicted: Duration,
+    pub prediction: RunPrediction,
 }
 
 impl LiveTask {
@@ -66,8 +72,13 @@
     const EXCLUDED_LIMIT: usize = 4;
 
     /// A task that is about to be queued.
-    pub fn new(spec: TaskSpec, kind: KindIndex, key: TaskKey, now: TimePoint) -> Self {
-        let predicted = spec.declared;
+    pub fn new(
+        spec: TaskSpec,
+        kind: KindIndex,
+        key: TaskKey,
+        prediction: RunPrediction,
+        now: TimePoint,
+    ) -> Self {
         Self {
             spec,
             kind,
@@ -80,8 +91,10 @@
             resume_from: None,
             target: None,
             run_time: Duration::ZERO,
+            last_end: None,
+            hold: None,
             queued_at: now,
-            predicted,
+            prediction,
         }
     }
 
@@ -137,7 +150,7 @@
 }
 
 /// A job that has no answer yet.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct LiveJob {
     /// Its number within this incarnation.
     pub number: JobNumber,
@@ -166,7 +179,7 @@
 }
 
 /// The parts of a new job that are looked up before it is accepted.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct JobParts {
     /// Its number.
     pub number: JobNumber,
