Add change tickets and the fold of the ticket stream

Operators need to see every error of a ticket at once, and every VM must reach the same verdict on it without a coordinator.

The text is read into a tree that keeps repeated keys, and a decoder collects all errors with their field paths. The YAML library has no positions for values, so a line is found by reading the text once more with a visitor that fails at the field; reporting is limited to 64 errors. Deriving the parser was ruled out because it stops at the first error and the maps drop repeated keys.

The fold checks only what a ticket changes. Nonces, verdicts and the numbers of removed objects are kept within fixed bounds; the highest dropped number becomes a floor, so the number of an object never goes down.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,4 +3,18 @@
 //! Every VM folds the same records in log order with the same pure function, so all VMs agree on
 //! the accepted tickets without talking to each other.
 
+mod decode;
+pub mod error;
+pub mod fold;
+pub mod history;
+mod locate;
+mod node;
+pub mod object;
+pub mod path;
+pub mod record;
+pub mod resolve;
+pub mod snapshot;
 pub mod spec;
+pub mod ticket;
+pub mod verdict;
+pub mod verify;
--- a/crates/config/src/spec.rs
+++ b/crates/config/src/spec.rs
@@ -34,11 +34,11 @@
 }
 
 impl ServiceSpec {
-    fn default_max_attempts() -> u8 {
+    pub(crate) fn default_max_attempts() -> u8 {
         3
     }
 
-    fn default_retry_percent() -> u8 {
+    pub(crate) fn default_retry_percent() -> u8 {
         10
     }
 }
@@ -62,11 +62,11 @@
 }
 
 impl TargetSpec {
-    fn default_slots() -> u16 {
+    pub(crate) fn default_slots() -> u16 {
         8
     }
 
-    fn default_connections() -> u16 {
+    pub(crate) fn default_connections() -> u16 {
         64
     }
 }
