Add models of the log service, the VM list and targets

The dispatcher is tested against stand-ins at its published interfaces. The models have no I/O and receive the time as an argument, so the HTTP processes and the seeded fault-injection run can share one behaviour. The ledger of real starts is kept apart from the protocol and survives simulated crashes, so that an audit finds doubled runs that the dispatcher does not notice.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder module, replaced by the first commit of this crate.
+//! Stand-ins for everything around filbertpitch: the log service, the VM list and the targets.
+//!
+//! Each stand-in is a model without I/O that receives the time as an argument. The HTTP processes
+//! and the seeded fault-injection run use the same models, so both test the same behaviour. This
+//! crate is not shipped.
+
+pub mod audit;
+pub mod ledger;
+pub mod log_model;
+pub mod plan;
+pub mod target_model;
+pub mod vm_model;
