Test the models of targets, log and VM list

Fencing, joining, leases, retention, lost answers, lag, throttling and checkpoints are what the dispatcher's guarantees depend on, so a fault in a model would hide a fault in the dispatcher.

--- /dev/null
+++ b/crates/standins/tests/models/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the models without I/O.
+
+mod platform;
+mod support;
+mod target;
