Add the HTTP server, client and codecs

Callers, targets, the platform and peers are all reached over HTTP/1.1. monoio-http parses and writes messages but sets no bound on heads, bodies or chunks and accepts ambiguous lengths, so the crate checks the bytes before the library sees them.

The server runs one task per connection with limits on sizes, times and connections, answers invalid input with 400, 408, 413 or 431, and stops gracefully. The client keeps a bounded pool per address, and its error says whether any byte of the request was accepted by the kernel.

Ruled out: detecting a client that closes during its request, because closing only the sending direction is legal and cannot be told apart.

--- /dev/null
+++ b/crates/wire/src/client/connection.rs
@@ -0,0 +1,188 @@
+//! One connection of a client.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+
+use futures_util::FutureExt;
+use http::StatusCode;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
+use monoio::BufResult;
+use monoio::buf::{IoBuf, IoVecBuf};
+use monoio::io::AsyncWriteRent;
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::TcpStream;
+use monoio_codec::FramedRead;
+use monoio_http::common::request::Request;
+use monoio_http::common::response::ResponseHead;
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::{FixedPayload, Payload};
+
+use super::SentState;
+use crate::frame::{BodyLength, FrameError, ResponseFrames, keeps_alive, read_body};
+use crate::message::{ClientRequest, ClientResponse};
+
+/// Initial size of the read buffer; most responses fit.
+const READ_BUFFER: usize = 4096;
+
+/// Records whether the operating system has accepted any byte of a request.
+///
+/// On epoll a write either happens within one poll or not at all, so the mark is also right when
+/// the writing future is dropped.
+#[derive(Debug, Default)]
+pub(super) struct SentMark(Cell<bool>);
+
+impl SentMark {
+    pub(super) fn state(&self) -> SentState {
+        if self.0.get() {
+            SentState::MaybeSent
+        } else {
+            SentState::NotSent
+        }
+    }
+
+    fn record(&self, result: &io::Result<usize>) {
+        if matches!(result, Ok(count) if *count > 0) {
+            self.0.set(true);
+        }
+    }
+}
+
+/// Writes to a stream and keeps a [`SentMark`].
+struct MarkingWriter<'a> {
+    stream: &'a mut TcpStream,
+    mark: &'a SentMark,
+}
+
+impl AsyncWriteRent for MarkingWriter<'_> {
+    async fn write<T>(&mut self, buffer: T) -> BufResult<usize, T>
+    where
+        T: IoBuf,
+    {
+        let (result, buffer) = self.stream.write(buffer).await;
+        self.mark.record(&result);
+        (result, buffer)
+    }
+
+    async fn writev<T>(&mut self, buffers: T) -> BufResult<usize, T>
+    where
+        T: IoVecBuf,
+    {
+        let (result, buffers) = self.stream.writev(buffers).await;
+        self.mark.record(&result);
+        (result, buffers)
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        self.stream.flush().await
+    }
+
+    async fn shutdown(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+}
+
+/// A connection on which requests follow one another.
+///
+/// Dropping it closes the socket, so a response can never be read by a later request.
+pub(super) struct ClientConnection {
+    frames: FramedRead<TcpStream, ResponseFrames>,
+}
+
+impl ClientConnection {
+    pub(super) async fn open(address: SocketAddr, head_bytes: usize) -> io::Result<Self> {
+        let stream = TcpStream::connect_addr(address).await?;
+        stream.set_nodelay(true)?;
+        let decoder = ResponseFrames::new(head_bytes);
+        Ok(Self {
+            frames: FramedRead::with_capacity(stream, decoder, READ_BUFFER),
+        })
+    }
+
+    /// Whether an idle connection can be used again.
+    ///
+    /// A socket that is readable between requests has been closed by the server or holds bytes
+    /// that belong to no request.
+    pub(super) fn is_usable(&self) -> bool {
+        let readable = pin!(self.frames.get_ref().readable(false));
+        readable.now_or_never().is_none()
+    }
+
+    pub(super) async fn write(
+        &mut self,
+        address: SocketAddr,
+        request: &ClientRequest,
+        mark: &SentMark,
+    ) -> Result<(), FrameError> {
+        let message = encode(address, request)?;
+        let stream = self.frames.get_mut();
+        let mut encoder = GenericEncoder::new(MarkingWriter { stream, mark });
+        Ok(encoder.send_and_flush(message).await?)
+    }
+
+    /// Reads a response, and whether the connection can be used again after it.
+    pub(super) async fn read(
+        &mut self,
+        body_bytes: usize,
+    ) -> Result<(ClientResponse, bool), FrameError> {
+        let (head, decoder) = match self.frames.next().await {
+            Some(head) => head?,
+            None => return Err(FrameError::Closed),
+        };
+        let length = response_length(&head)?;
+        let body = read_body(&mut self.frames, decoder, length, body_bytes).await?;
+        let reusable =
+            keeps_alive(head.version, &head.headers) && self.frames.read_buffer().is_empty();
+        let response = ClientResponse {
+            status: head.status,
+            headers: head.headers,
+            body,
+        };
+        Ok((response, reusable))
+    }
+}
+
+/// Refuses interim responses and bodies that end with the connection.
+///
+/// Nothing distinguishes the end of such a body from a connection that failed.
+fn response_length(head: &ResponseHead) -> Result<BodyLength, FrameError> {
+    let length = BodyLength::of(&head.headers)?;
+    let bodiless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    if head.status.is_informational() {
+        return Err(FrameError::Malformed("the response is an interim one"));
+    }
+    if bodiless && !matches!(length, BodyLength::Undeclared | BodyLength::Fixed(0)) {
+        return Err(FrameError::Malformed("the status does not permit a body"));
+    }
+    if !bodiless && length == BodyLength::Undeclared {
+        return Err(FrameError::Malformed("the body length is not declared"));
+    }
+    Ok(length)
+}
+
+fn encode(address: SocketAddr, request: &ClientRequest) -> Result<Request<Payload>, FrameError> {
+    let body = if request.body.is_empty() {
+        Payload::None
+    } else {
+        Payload::Fixed(FixedPayload::new(request.body.clone()))
+    };
+    let host = HeaderValue::try_from(address.to_string())
+        .map_err(|_| FrameError::Malformed("the address is not a header value"))?;
+    let mut message = Request::new(body);
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.target.clone();
+    let headers = message.headers_mut();
+    headers.extend(request.headers.iter().cloned());
+    headers.insert(HOST, host);
+    // The encoder replaces this by the actual length; without it, an empty body has no length.
+    headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
+    if let Some(content_type) = &request.content_type {
+        headers.insert(CONTENT_TYPE, content_type.clone());
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/crates/wire/src/client/pool.rs
@@ -0,0 +1,232 @@
+//! A bounded set of connections to one remote address.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::time::timeout;
+
+use super::connection::{ClientConnection, SentMark};
+use super::{ClientError, ClientErrorKind, SentState};
+use crate::frame::FrameError;
+use crate::message::{ClientRequest, ClientResponse};
+
+/// Bounds of a pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PoolLimits {
+    /// The most open connections, in use or idle.
+    pub connections: usize,
+    /// How long an unused connection is kept. It must be shorter than the server's idle time-out,
+    /// so that requests rarely meet a connection that is being closed.
+    pub idle_timeout: Duration,
+    /// The time in which a connection must be established.
+    pub connect_timeout: Duration,
+    /// The largest response head, in bytes.
+    pub head_bytes: usize,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            connections: 64,
+            idle_timeout: Duration::from_secs(30),
+            connect_timeout: Duration::from_secs(1),
+            head_bytes: 16 << 10,
+        }
+    }
+}
+
+/// Options of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestOptions {
+    /// The time for connecting, sending and receiving together.
+    pub timeout: Duration,
+    /// Whether to use a new connection, which works when established ones no longer respond.
+    pub fresh_connection: bool,
+    /// The largest response body, in bytes.
+    pub max_response_body: usize,
+}
+
+impl Default for RequestOptions {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_secs(10),
+            fresh_connection: false,
+            max_response_body: 4 << 20,
+        }
+    }
+}
+
+struct IdleConnection {
+    connection: ClientConnection,
+    slot: ConnectionSlot,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct PoolState {
+    open: Cell<usize>,
+    /// The most recently used connection is last.
+    idle: RefCell<VecDeque<IdleConnection>>,
+}
+
+/// Counts one open connection.
+struct ConnectionSlot(Rc<PoolState>);
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// A pool of connections to one remote address.
+pub struct ConnectionPool {
+    address: SocketAddr,
+    limits: PoolLimits,
+    state: Rc<PoolState>,
+}
+
+impl ConnectionPool {
+    /// A pool without connections.
+    pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
+        Self {
+            address,
+            limits,
+            state: Rc::default(),
+        }
+    }
+
+    /// The remote address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The number of open connections, in use or idle.
+    pub fn open_connections(&self) -> usize {
+        self.state.open.get()
+    }
+
+    /// The number of idle connections.
+    pub fn idle_connections(&self) -> usize {
+        self.state.idle.borrow().len()
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        drop(self.state.idle.take());
+    }
+
+    /// Closes the connections that have been idle for too long or that the server has closed.
+    pub fn prune(&self) {
+        let expired = |idle: &IdleConnection| idle.since.elapsed() >= self.limits.idle_timeout;
+        let keep = |idle: &IdleConnection| !expired(idle) && idle.connection.is_usable();
+        let (kept, dropped) = self.state.idle.take().into_iter().partition(keep);
+        *self.state.idle.borrow_mut() = kept;
+        // Dropping the connections changes the state, so it must not be borrowed here.
+        drop::<VecDeque<_>>(dropped);
+    }
+
+    /// Sends a request and reads its response. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    /// The error says whether the request may have been received.
+    pub async fn request(
+        &self,
+        request: &ClientRequest,
+        options: &RequestOptions,
+    ) -> Result<ClientResponse, ClientError> {
+        let mark = SentMark::default();
+        let exchange = self.exchange(request, options, &mark);
+        let result = match timeout(options.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(ClientErrorKind::TimedOut),
+        };
+        result.map_err(|kind| ClientError {
+            sent: mark.state(),
+            kind,
+        })
+    }
+
+    async fn exchange(
+        &self,
+        request: &ClientRequest,
+        options: &RequestOptions,
+        mark: &SentMark,
+    ) -> Result<ClientResponse, ClientErrorKind> {
+        loop {
+            let reused = (!options.fresh_connection).then(|| self.take_idle());
+            let reused = reused.flatten();
+            let was_reused = reused.is_some();
+            let (mut connection, slot) = match reused {
+                Some(idle) => (idle.connection, idle.slot),
+                None => self.connect().await?,
+            };
+            let written = connection.write(self.address, request, mark).await;
+            if let Err(error) = &written
+                && mark.state() == SentState::NotSent
+            {
+                if was_reused {
+                    continue;
+                }
+                return Err(kind_of(error));
+            }
+            // A server may respond and close before it has read the whole request, so a failed
+            // write does not exclude a response.
+            let read = connection.read(options.max_response_body).await;
+            let (response, reusable) = read.map_err(|error| kind_of(&error))?;
+            if reusable && written.is_ok() {
+                self.put_idle(connection, slot);
+            }
+            return Ok(response);
+        }
+    }
+
+    async fn connect(&self) -> Result<(ClientConnection, ConnectionSlot), ClientErrorKind> {
+        let slot = self.open_slot()?;
+        let open = ClientConnection::open(self.address, self.limits.head_bytes);
+        match timeout(self.limits.connect_timeout, open).await {
+            Ok(Ok(connection)) => Ok((connection, slot)),
+            Ok(Err(_)) => Err(ClientErrorKind::Refused),
+            Err(_) => Err(ClientErrorKind::TimedOut),
+        }
+    }
+
+    /// Reserves a connection, in place of the oldest idle one if necessary.
+    fn open_slot(&self) -> Result<ConnectionSlot, ClientErrorKind> {
+        if self.state.open.get() >= self.limits.connections {
+            let oldest = self.state.idle.borrow_mut().pop_front();
+            drop(oldest.ok_or(ClientErrorKind::PoolFull)?);
+        }
+        self.state.open.set(self.state.open.get() + 1);
+        Ok(ConnectionSlot(self.state.clone()))
+    }
+
+    fn take_idle(&self) -> Option<IdleConnection> {
+        loop {
+            let idle = self.state.idle.borrow_mut().pop_back()?;
+            let fresh = idle.since.elapsed() < self.limits.idle_timeout;
+            if fresh && idle.connection.is_usable() {
+                return Some(idle);
+            }
+        }
+    }
+
+    fn put_idle(&self, connection: ClientConnection, slot: ConnectionSlot) {
+        let since = Instant::now();
+        self.state.idle.borrow_mut().push_back(IdleConnection {
+            connection,
+            slot,
+            since,
+        });
+    }
+}
+
+fn kind_of(error: &FrameError) -> ClientErrorKind {
+    match error {
+        FrameError::Malformed(_) => ClientErrorKind::Malformed,
+        FrameError::HeadTooLarge | FrameError::BodyTooLarge => ClientErrorKind::TooLarge,
+        FrameError::Closed => ClientErrorKind::Closed,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame/body.rs
@@ -0,0 +1,124 @@
+//! Bounded reading of message bodies.
+
+use bytes::{Bytes, BytesMut};
+use monoio::io::AsyncReadRent;
+use monoio_codec::{Decoded, Decoder, FramedRead};
+use monoio_http::h1::codec::decoder::{ChunkedBodyDecoder, PayloadDecoder};
+
+use super::{BodyDecoder, BodyLength, FrameError};
+
+/// The most hexadecimal digits of a chunk size.
+const CHUNK_SIZE_DIGITS: usize = 16;
+
+/// Reads the body that follows a head, of at most `limit` bytes.
+///
+/// `length` must come from the same head as `decoder`.
+pub(crate) async fn read_body<IO, C>(
+    frames: &mut FramedRead<IO, C>,
+    decoder: BodyDecoder,
+    length: BodyLength,
+    limit: usize,
+) -> Result<Bytes, FrameError>
+where
+    IO: AsyncReadRent,
+{
+    if matches!(length, BodyLength::Fixed(size) if size > limit) {
+        return Err(FrameError::BodyTooLarge);
+    }
+    match decoder {
+        PayloadDecoder::None => Ok(Bytes::new()),
+        PayloadDecoder::Fixed(mut decoder) => match frames.next_with(&mut decoder).await {
+            Some(body) => Ok(body?),
+            None => Err(FrameError::Closed),
+        },
+        PayloadDecoder::Streamed(decoder) => {
+            let decoder = BoundedChunkDecoder::new(decoder, limit);
+            read_chunks(frames, decoder).await
+        }
+    }
+}
+
+async fn read_chunks<IO, C>(
+    frames: &mut FramedRead<IO, C>,
+    mut decoder: BoundedChunkDecoder,
+) -> Result<Bytes, FrameError>
+where
+    IO: AsyncReadRent,
+{
+    let mut body = BytesMut::new();
+    loop {
+        match frames.next_with(&mut decoder).await {
+            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+            Some(Ok(None)) => return Ok(body.freeze()),
+            Some(Err(error)) => return Err(error),
+            None => return Err(FrameError::Closed),
+        }
+    }
+}
+
+/// Checks each chunk size before the inner decoder waits for that many bytes.
+struct BoundedChunkDecoder {
+    inner: ChunkedBodyDecoder,
+    /// Bytes that further chunks may contain.
+    budget: usize,
+    /// Whether the inner decoder has taken the size line of the current chunk.
+    in_chunk: bool,
+}
+
+impl BoundedChunkDecoder {
+    fn new(inner: ChunkedBodyDecoder, budget: usize) -> Self {
+        Self {
+            inner,
+            budget,
+            in_chunk: false,
+        }
+    }
+}
+
+impl Decoder for BoundedChunkDecoder {
+    type Item = Option<Bytes>;
+    type Error = FrameError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Decoded<Self::Item>, FrameError> {
+        if !self.in_chunk {
+            let Some(size) = chunk_size(source)? else {
+                return Ok(Decoded::Insufficient);
+            };
+            self.budget = self
+                .budget
+                .checked_sub(size)
+                .ok_or(FrameError::BodyTooLarge)?;
+            self.in_chunk = true;
+        }
+        let decoded = self.inner.decode(source)?;
+        if matches!(decoded, Decoded::Some(_)) {
+            self.in_chunk = false;
+        }
+        Ok(decoded)
+    }
+}
+
+/// Reads a chunk size without consuming it; nothing if its line is incomplete.
+///
+/// The inner decoder takes a line without digits for the last chunk, and searches for the end of
+/// the line without a limit.
+fn chunk_size(source: &[u8]) -> Result<Option<usize>, FrameError> {
+    const INVALID: FrameError = FrameError::Malformed("a chunk size is invalid");
+    let digits = source
+        .iter()
+        .take_while(|byte| byte.is_ascii_hexdigit())
+        .count();
+    if digits > CHUNK_SIZE_DIGITS {
+        return Err(INVALID);
+    }
+    match source[digits..] {
+        [] => Ok(None),
+        [b'\r'] if digits > 0 => Ok(None),
+        [b'\r', b'\n', ..] if digits > 0 => {
+            let text = std::str::from_utf8(&source[..digits]).map_err(|_| INVALID)?;
+            let size = usize::from_str_radix(text, 16).map_err(|_| INVALID)?;
+            Ok(Some(size))
+        }
+        _ => Err(INVALID),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame/head.rs
@@ -0,0 +1,124 @@
+//! Bounded decoding of message heads.
+
+use bytes::{Buf, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Version};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::common::error::HttpError;
+
+use super::FrameError;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const LINE_END: &[u8] = b"\r\n";
+
+/// Checks the size and the line ends of a head before `D` parses it.
+pub(crate) struct BoundedHeadDecoder<D> {
+    inner: D,
+    limit: usize,
+}
+
+impl<D> BoundedHeadDecoder<D>
+where
+    D: Default,
+{
+    /// Accepts heads of at most `limit` bytes.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            inner: D::default(),
+            limit,
+        }
+    }
+}
+
+impl<D> Decoder for BoundedHeadDecoder<D>
+where
+    D: Decoder<Error = HttpError>,
+{
+    type Item = D::Item;
+    type Error = FrameError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Decoded<D::Item>, FrameError> {
+        // RFC 9112 section 2.2 asks servers to ignore empty lines before a request line.
+        while source.starts_with(LINE_END) {
+            source.advance(LINE_END.len());
+        }
+        let end = memchr::memmem::find(source, HEAD_END).map(|start| start + HEAD_END.len());
+        if end.unwrap_or(source.len()) > self.limit {
+            return Err(FrameError::HeadTooLarge);
+        }
+        let Some(end) = end else {
+            return Ok(Decoded::Insufficient);
+        };
+        check_line_ends(&source[..end])?;
+        Ok(self.inner.decode(source)?)
+    }
+}
+
+/// Refuses line feeds without a carriage return.
+///
+/// httparse accepts them, so a head could end earlier for the parser than for the search above,
+/// and the bytes between the two ends would be lost or taken for another message.
+fn check_line_ends(head: &[u8]) -> Result<(), FrameError> {
+    let bare = memchr::memchr_iter(b'\n', head).any(|at| at == 0 || head[at - 1] != b'\r');
+    if bare {
+        return Err(FrameError::Malformed("a line does not end with CR LF"));
+    }
+    Ok(())
+}
+
+/// How the length of a body is declared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyLength {
+    /// Neither header is present.
+    Undeclared,
+    /// A content length.
+    Fixed(usize),
+    /// A chunked body.
+    Chunked,
+}
+
+impl BodyLength {
+    /// Reads the headers that declare the length, and refuses every ambiguous combination.
+    ///
+    /// monoio-http takes the first of several values and prefers chunked over a length, so an
+    /// intermediary could see other message boundaries than this process.
+    pub(crate) fn of(headers: &HeaderMap) -> Result<Self, FrameError> {
+        let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().count();
+        match (lengths, codings) {
+            (0, 0) => Ok(Self::Undeclared),
+            (1, 0) => Self::fixed(headers),
+            (0, 1) => Self::chunked(headers),
+            _ => Err(FrameError::Malformed("the body length is ambiguous")),
+        }
+    }
+
+    fn fixed(headers: &HeaderMap) -> Result<Self, FrameError> {
+        let text = headers
+            .get(CONTENT_LENGTH)
+            .and_then(|value| value.to_str().ok());
+        text.filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
+            .and_then(|text| text.parse().ok())
+            .map(Self::Fixed)
+            .ok_or(FrameError::Malformed("the content length is invalid"))
+    }
+
+    fn chunked(headers: &HeaderMap) -> Result<Self, FrameError> {
+        let coding = headers.get(TRANSFER_ENCODING).map(|value| value.as_bytes());
+        if coding.is_some_and(|coding| coding.eq_ignore_ascii_case(b"chunked")) {
+            return Ok(Self::Chunked);
+        }
+        Err(FrameError::Malformed("the transfer coding is not chunked"))
+    }
+}
+
+/// Whether the sender of a head keeps the connection open after the message.
+pub(crate) fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
+    let close = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"));
+    version == Version::HTTP_11 && !close
+}
--- /dev/null
+++ b/crates/wire/src/frame/mod.rs
@@ -0,0 +1,28 @@
+//! Message framing with bounds, shared by server and client.
+//!
+//! The decoders of monoio-http buffer a head or a chunk of any size and accept messages whose
+//! length is ambiguous. The decoders here check the bytes first and then let monoio-http parse.
+
+mod body;
+mod error;
+mod head;
+
+pub(crate) use body::read_body;
+pub(crate) use error::FrameError;
+pub(crate) use head::{BodyLength, BoundedHeadDecoder, keeps_alive};
+
+use monoio_http::common::request::Request;
+use monoio_http::common::response::Response;
+use monoio_http::h1::codec::decoder::{
+    ChunkedBodyDecoder, DirectWrapper, FixedBodyDecoder, GenericHeadDecoder, PayloadDecoder,
+    RequestHeadDecoder, ResponseHeadDecoder,
+};
+
+/// Decodes request heads within a size limit.
+pub(crate) type RequestFrames =
+    BoundedHeadDecoder<GenericHeadDecoder<Request, RequestHeadDecoder, DirectWrapper>>;
+/// Decodes response heads within a size limit.
+pub(crate) type ResponseFrames =
+    BoundedHeadDecoder<GenericHeadDecoder<Response, ResponseHeadDecoder, DirectWrapper>>;
+/// Decodes the body that follows a head.
+pub(crate) type BodyDecoder = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,137 @@
+//! Requests and responses as the server's handlers and the client's callers see them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, StatusCode, Uri};
+
+/// A request that a server has read completely.
+#[derive(Clone, Debug)]
+pub struct ServerRequest {
+    /// The method.
+    pub method: Method,
+    /// The request target.
+    pub uri: Uri,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// The body, empty if the request had none.
+    pub body: Bytes,
+    /// The address of the client.
+    pub peer: SocketAddr,
+}
+
+impl ServerRequest {
+    /// The path of the request target.
+    pub fn path(&self) -> &str {
+        self.uri.path()
+    }
+
+    /// The query of the request target, without the question mark.
+    pub fn query(&self) -> Option<&str> {
+        self.uri.query()
+    }
+
+    /// The value of a query parameter, as sent.
+    pub fn query_value(&self, name: &str) -> Option<&str> {
+        let parameters = self.query()?.split('&');
+        parameters
+            .filter_map(|parameter| parameter.split_once('='))
+            .find_map(|(found, value)| (found == name).then_some(value))
+    }
+
+    /// The first value of a header, if it is readable text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A response to be written by a server.
+#[derive(Clone, Debug)]
+pub struct ServerResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// The content type, absent for an empty body.
+    pub content_type: Option<HeaderValue>,
+    /// Further headers. Content length and connection are set by the server.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ServerResponse {
+    /// A response without a body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self {
+            status,
+            content_type: None,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+}
+
+/// A request to be sent by a client.
+#[derive(Clone, Debug)]
+pub struct ClientRequest {
+    /// The method. `HEAD` and `CONNECT` are not supported.
+    pub method: Method,
+    /// The path and query.
+    pub target: Uri,
+    /// The content type of the body.
+    pub content_type: Option<HeaderValue>,
+    /// Further headers. Host, content length and connection are set by the client.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ClientRequest {
+    /// A request without a body.
+    pub fn new(method: Method, target: Uri) -> Self {
+        Self {
+            method,
+            target,
+            content_type: None,
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
+    /// Sets the body and its content type.
+    pub fn with_body(mut self, content_type: HeaderValue, body: Bytes) -> Self {
+        self.content_type = Some(content_type);
+        self.body = body;
+        self
+    }
+}
+
+/// A response that a client has read completely.
+#[derive(Clone, Debug)]
+pub struct ClientResponse {
+    /// The status.
+    pub status: StatusCode,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ClientResponse {
+    /// The first value of a header, if it is readable text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
--- /dev/null
+++ b/crates/wire/src/server/connection.rs
@@ -0,0 +1,267 @@
+//! One connection of a server: reads requests, writes responses, ends cleanly.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use http::header::{CONNECTION, CONTENT_TYPE, EXPECT, HOST, HeaderValue};
+use http::{HeaderMap, Method, StatusCode, Version};
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf};
+use monoio::io::{OwnedWriteHalf, Splitable};
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_codec::FramedRead;
+use monoio_http::common::request::RequestHead;
+use monoio_http::common::response::Response;
+use monoio_http::h1::codec::encoder::GenericEncoder;
+use monoio_http::h1::payload::{FixedPayload, Payload};
+
+use super::{RequestHandler, ServerState};
+use crate::frame::{BodyDecoder, BodyLength, FrameError, RequestFrames, keeps_alive, read_body};
+use crate::message::{ServerRequest, ServerResponse};
+
+/// Initial size of the read buffer; most requests fit.
+const READ_BUFFER: usize = 4096;
+/// After an error response the connection is read and discarded for this long, because closing a
+/// socket with unread data makes the kernel discard the response as well.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The most bytes that are read and discarded.
+const LINGER_BYTES: usize = 8 << 20;
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A request that is not answered by the handler.
+struct Rejection {
+    status: StatusCode,
+    error: &'static str,
+    message: &'static str,
+}
+
+/// Why no request was read.
+enum ReadError {
+    /// The client gets a response before the connection is closed.
+    Rejected(Rejection),
+    /// The client is gone.
+    Closed,
+}
+
+impl From<FrameError> for ReadError {
+    fn from(error: FrameError) -> Self {
+        let (status, error, message) = match error {
+            FrameError::Closed => return Self::Closed,
+            FrameError::Malformed(message) => (StatusCode::BAD_REQUEST, "bad_request", message),
+            FrameError::HeadTooLarge => (
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "head_too_large",
+                "the request head exceeds the limit",
+            ),
+            FrameError::BodyTooLarge => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                "the request body exceeds the limit",
+            ),
+        };
+        Self::Rejected(Rejection {
+            status,
+            error,
+            message,
+        })
+    }
+}
+
+const SLOW_REQUEST: ReadError = ReadError::Rejected(Rejection {
+    status: StatusCode::REQUEST_TIMEOUT,
+    error: "request_timeout",
+    message: "the request was not received in time",
+});
+
+/// One connection.
+pub(super) struct Connection<'a, H> {
+    frames: FramedRead<OwnedReadHalf<TcpStream>, RequestFrames>,
+    writer: OwnedWriteHalf<TcpStream>,
+    peer: SocketAddr,
+    state: &'a ServerState<H>,
+}
+
+impl<'a, H> Connection<'a, H>
+where
+    H: RequestHandler,
+{
+    pub(super) fn new(stream: TcpStream, peer: SocketAddr, state: &'a ServerState<H>) -> Self {
+        // Without this, the kernel may hold back the end of a response for 40 ms.
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let decoder = RequestFrames::new(state.limits.head_bytes);
+        Self {
+            frames: FramedRead::with_capacity(reader, decoder, READ_BUFFER),
+            writer,
+            peer,
+            state,
+        }
+    }
+
+    /// Serves requests until either side closes the connection.
+    pub(super) async fn serve(&mut self) {
+        while self.await_request().await {
+            match self.read_request().await {
+                Ok((request, keep_alive)) => {
+                    if !self.answer(request, keep_alive).await {
+                        return;
+                    }
+                }
+                Err(ReadError::Rejected(rejection)) => return self.reject(rejection).await,
+                Err(ReadError::Closed) => return,
+            }
+        }
+    }
+
+    /// Tells the client that the server has too many connections.
+    pub(super) async fn reject_overload(&mut self) {
+        self.reject(Rejection {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            error: "too_many_connections",
+            message: "the server has too many connections",
+        })
+        .await;
+    }
+
+    /// Waits for the first byte of a request. False if the connection is to be closed.
+    async fn await_request(&mut self) -> bool {
+        if !self.frames.read_buffer().is_empty() {
+            return true;
+        }
+        let stop = self.state.stop.clone();
+        let data = pin!(timeout(
+            self.state.limits.idle_timeout,
+            self.frames.peek_data()
+        ));
+        match select(data, stop).await {
+            Either::Left((Ok(Ok(data)), _)) => !data.is_empty(),
+            _ => false,
+        }
+    }
+
+    async fn read_request(&mut self) -> Result<(ServerRequest, bool), ReadError> {
+        let head = timeout(self.state.limits.head_timeout, self.frames.next()).await;
+        let (head, decoder) = match head {
+            Err(_) => return Err(SLOW_REQUEST),
+            Ok(None) => return Err(ReadError::Closed),
+            Ok(Some(head)) => head?,
+        };
+        let length = BodyLength::of(&head.headers)?;
+        check_host(&head)?;
+        let keep_alive = keeps_alive(head.version, &head.headers);
+        let body_timeout = self.state.limits.body_timeout;
+        let body = match length {
+            BodyLength::Undeclared | BodyLength::Fixed(0) => bytes::Bytes::new(),
+            _ => match timeout(body_timeout, self.body(&head, decoder, length)).await {
+                Err(_) => return Err(SLOW_REQUEST),
+                Ok(body) => body?,
+            },
+        };
+        let request = ServerRequest {
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            peer: self.peer,
+        };
+        Ok((request, keep_alive))
+    }
+
+    async fn body(
+        &mut self,
+        head: &RequestHead,
+        decoder: BodyDecoder,
+        length: BodyLength,
+    ) -> Result<bytes::Bytes, FrameError> {
+        let limit = self.state.limits.body_bytes;
+        let fits = !matches!(length, BodyLength::Fixed(size) if size > limit);
+        if fits && expects_continue(&head.headers) && self.frames.read_buffer().is_empty() {
+            let (result, _) = self.writer.write_all(CONTINUE).await;
+            result?;
+        }
+        read_body(&mut self.frames, decoder, length, limit).await
+    }
+
+    /// Answers a request. False if the connection is to be closed.
+    async fn answer(&mut self, request: ServerRequest, keep_alive: bool) -> bool {
+        let bodiless = request.method == Method::HEAD;
+        let mut response = self.state.handler.handle(request).await;
+        if bodiless {
+            response.body = bytes::Bytes::new();
+        }
+        let keep_alive = keep_alive && self.state.stop.peek().is_none();
+        self.write(response, keep_alive).await && keep_alive
+    }
+
+    async fn reject(&mut self, rejection: Rejection) {
+        let response = ServerResponse::error(rejection.status, rejection.error, rejection.message);
+        if self.write(response, false).await {
+            let _ = self.writer.shutdown().await;
+            let _ = timeout(LINGER_TIME, self.discard_input()).await;
+        }
+    }
+
+    async fn discard_input(&mut self) {
+        let mut buffer = vec![0; READ_BUFFER];
+        let mut discarded = 0;
+        while discarded < LINGER_BYTES {
+            let (result, returned) = self.frames.get_mut().read(buffer).await;
+            buffer = returned;
+            match result {
+                Ok(0) | Err(_) => return,
+                Ok(count) => discarded += count,
+            }
+        }
+    }
+
+    /// Writes a response. False if the client did not take it in time.
+    async fn write(&mut self, response: ServerResponse, keep_alive: bool) -> bool {
+        let response = encode(response, keep_alive);
+        let mut encoder = GenericEncoder::new(&mut self.writer);
+        let write = encoder.send_and_flush(response);
+        matches!(
+            timeout(self.state.limits.write_timeout, write).await,
+            Ok(Ok(()))
+        )
+    }
+}
+
+fn encode(response: ServerResponse, keep_alive: bool) -> Response<Payload> {
+    let body = if response.body.is_empty() {
+        Payload::None
+    } else {
+        Payload::Fixed(FixedPayload::new(response.body))
+    };
+    let mut message = Response::new(body);
+    *message.status_mut() = response.status;
+    let headers = message.headers_mut();
+    headers.extend(response.headers);
+    if let Some(content_type) = response.content_type {
+        headers.insert(CONTENT_TYPE, content_type);
+    }
+    if !keep_alive {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    message
+}
+
+/// RFC 9112 section 3.2 requires exactly one host header in HTTP/1.1.
+fn check_host(head: &RequestHead) -> Result<(), FrameError> {
+    let hosts = head.headers.get_all(HOST).iter().count();
+    if hosts > 1 || (hosts == 0 && head.version == Version::HTTP_11) {
+        return Err(FrameError::Malformed(
+            "there is not exactly one host header",
+        ));
+    }
+    Ok(())
+}
+
+fn expects_continue(headers: &HeaderMap) -> bool {
+    headers
+        .get(EXPECT)
+        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
