Keep long probes within the long slots of a target

The probe set did not look at the class, so a long probe could follow a long attempt that was still running from before the ejection.

--- a/crates/dispatch/src/placement/state.rs
+++ b/crates/dispatch/src/placement/state.rs
@@ -89,6 +89,11 @@
         self.reach != TargetReach::Remote && self.has_own_slot(class)
     }
 
+    /// A probe may follow long attempts that still run from before the ejection.
+    pub fn allows_probe(&self, class: SlotClass) -> bool {
+        class == SlotClass::Short || self.long < long_slots(self.slots.max(1)).min(self.slots)
+    }
+
     /// The most running attempts that keep `class` within the target's slots.
     fn class_limit(&self, class: SlotClass) -> u16 {
         let slots = self.load.slots(self.slots);
--- a/crates/dispatch/src/placement/table.rs
+++ b/crates/dispatch/src/placement/table.rs
@@ -320,7 +320,8 @@
         best.map(|(_, target)| target)
     }
 
-    /// Checks the conditions that change with time alone.
+    /// Checks the conditions that the sets leave out: those that change with time alone, and the
+    /// class of a probe.
     fn is_current(
         &self,
         now: TimePoint,
@@ -335,6 +336,7 @@
             OpenKind::SpillShort | OpenKind::SpillLong if state.reach == TargetReach::Remote => {
                 state.may_spill(now, class, &self.settings) && !self.is_zone_paused(now, state)
             }
+            OpenKind::Probe => state.allows_probe(class),
             _ => true,
         }
     }
