--- a/crates/dispatch/tests/placement_rules.rs
+++ b/crates/dispatch/tests/placement_rules.rs
@@ -197,6 +197,7 @@
                     running,
                     parked: 0,
                     leaving,
+                    boot: 0,
                 };
                 self.table.report_load(self.now, target.into(), &load);
                 self.leaving[target] = self.table.is_leaving(target.into());
--- a/crates/standins/src/target_model/fault.rs
+++ b/crates/standins/src/target_model/fault.rs
@@ -137,6 +137,7 @@
 
     fn restart(&mut self, now: TimePoint) {
         self.die(now);
+        self.boot += 1;
         self.faults = FaultState::default();
     }
 }
--- a/crates/standins/src/target_model/mod.rs
+++ b/crates/standins/src/target_model/mod.rs
@@ -81,6 +81,7 @@
     memory: AttemptMemory,
     due: BinaryHeap<Reverse<(TimePoint, u64, AttemptId)>>,
     next_generation: u64,
+    boot: u64,
     parked: u16,
     ended: Vec<EndedAttempt>,
     ledger: StartLedger,
@@ -97,6 +98,7 @@
             memory: AttemptMemory::default(),
             due: BinaryHeap::new(),
             next_generation: 0,
+            boot: 0,
             parked: 0,
             ended: Vec::new(),
             ledger: StartLedger::default(),
@@ -126,6 +128,7 @@
             running: self.slots_in_use(),
             parked: self.parked,
             leaving: self.faults.leaving,
+            boot: self.boot,
         }
     }
 
