--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Shortens the key window when the log keeps records for less than twice as long. Otherwise
+    /// the first claim of an acceptable key could have expired.
+    pub fn bound_window(&mut self, retention: Duration) {
+        self.settings.key_window = self.settings.key_window.min(retention / 2);
+    }
+
     /// Skips records that the log no longer keeps. They are older than the key window.
     pub fn skip_to(&mut self, first: LogOffset) {
         self.next = self.next.max(first);
--- a/crates/dispatch/src/engine/checks.rs
+++ b/crates/dispatch/src/engine/checks.rs
@@ -174,6 +174,7 @@
                 self.actions.push(EngineAction::Notice(notice));
             }
             (AttemptState::Running, StateCommand::Throttle) => self.park_attempt(id),
+            (AttemptState::Running, StateCommand::Check) => self.repeat_stop(id),
             _ => {}
         }
     }
@@ -191,6 +192,18 @@
         self.pending_stops.entry(target).or_default().push(id);
     }
 
+    /// Asks again for a stop whose request was lost.
+    fn repeat_stop(&mut self, id: AttemptId) {
+        let Some(phase) = self.current_attempt(id) else {
+            return;
+        };
+        let record = phase.record();
+        if record.stop.is_some() {
+            let target = record.target;
+            self.pending_stops.entry(target).or_default().push(id);
+        }
+    }
+
     fn park_attempt(&mut self, id: AttemptId) {
         if self.current_attempt(id).is_none() {
             return;
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -14,6 +14,7 @@
 
 use crate::entity::TargetIndex;
 use crate::job::CallerToken;
+use crate::placement::SharePosition;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -93,14 +94,12 @@
 /// The live entry VMs as seen from this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetView {
-    /// This VM's position among the ready VMs of its availability zone.
-    pub zone_position: u32,
-    /// How many ready VMs its availability zone has.
-    pub zone_vms: u32,
-    /// This VM's position among all ready VMs.
-    pub fleet_position: u32,
-    /// How many ready VMs there are.
-    pub fleet_vms: u32,
+    /// This VM's place among the ready VMs of its availability zone.
+    pub zone: SharePosition,
+    /// This VM's place among all ready VMs.
+    pub fleet: SharePosition,
+    /// How many entry VMs are live in all.
+    pub live_vms: u32,
     /// The availability zones that have ready VMs.
     pub populated: Vec<ZoneName>,
 }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -28,7 +28,7 @@
 use crate::entity::{TargetIndex, TaskKey};
 use crate::estimate::RunEstimator;
 use crate::job::LiveJob;
-use crate::placement::{SharePosition, TargetTable};
+use crate::placement::TargetTable;
 use crate::queue::{FairQueue, SchedulingRound};
 use crate::submission::SubmissionTable;
 use crate::timer::TimerService;
@@ -308,18 +308,14 @@
 
     fn change_fleet(&mut self, fleet: &FleetView) {
         let now = self.clock.time;
-        self.targets
-            .set_share(now, fleet.zone_position, fleet.zone_vms);
-        let position = SharePosition {
-            position: fleet.fleet_position,
-            vms: fleet.fleet_vms,
-        };
+        let zone = fleet.zone;
+        self.targets.set_share(now, zone.position, zone.vms);
         let populated = fleet
             .populated
             .iter()
             .map(|zone| self.catalog.intern_zone(zone))
             .collect();
-        self.targets.set_fleet(now, position, populated);
+        self.targets.set_fleet(now, fleet.fleet, populated);
     }
 
     /// Takes over what a target reports about itself.
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -4,21 +4,9 @@
 
 use std::net::SocketAddr;
 
-use filbertpitch_types::peer::HandoverNotice;
 use filbertpitch_types::prelude::*;
 
-/// What is known about the incarnation that a prefix names.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OwnerStatus {
-    /// It is this process.
-    This,
-    /// It is believed to run, or nothing is known about it.
-    Reachable,
-    /// It stopped and another incarnation keeps its outcomes.
-    HandedOver(HandoverNotice),
-    /// It will never run again.
-    Gone,
-}
+use crate::membership::OwnerStatus;
 
 /// Where a request for a submission goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,7 +43,8 @@
             owner: notice.to,
         },
         OwnerStatus::Gone => RouteDecision::OwnerGone,
-        OwnerStatus::Reachable => RouteDecision::Forward {
+        // An owner that missed heartbeats may answer a request all the same.
+        OwnerStatus::Live(_) | OwnerStatus::Unreachable => RouteDecision::Forward {
             address: prefix.address,
             owner: prefix.incarnation,
         },
--- /dev/null
+++ b/crates/filbertpitch/src/serve/driver.rs
@@ -0,0 +1,149 @@
+//! Feeds the engine with events and carries out its actions.
+//!
+//! Everything runs on one thread. The engine is borrowed only while it handles an event, never
+//! across an await, so that tasks cannot interleave inside a decision.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use filbertpitch_dispatch::engine::{
+    CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineNotice,
+};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_types::prelude::*;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+use monoio::time::Instant;
+
+use super::clock::SystemClock;
+use super::targets::TargetClient;
+
+/// Runs the engine of this process.
+pub struct EngineDriver {
+    clock: SystemClock,
+    engine: RefCell<DispatchEngine>,
+    targets: TargetClient,
+    replies: RefCell<HashMap<CallerToken, oneshot::Sender<CallerReply>>>,
+    next_caller: Cell<u64>,
+    timer_due: Cell<Option<TimePoint>>,
+    timer_signal: mpsc::UnboundedSender<()>,
+    notices: RefCell<Vec<EngineNotice>>,
+}
+
+impl EngineDriver {
+    /// A driver for `engine`, and the receiver for [`Self::run_timer`].
+    pub fn new(
+        clock: SystemClock,
+        engine: DispatchEngine,
+        targets: TargetClient,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
+        let (timer_signal, timer_events) = mpsc::unbounded();
+        let driver = Self {
+            clock,
+            engine: RefCell::new(engine),
+            targets,
+            replies: RefCell::default(),
+            next_caller: Cell::new(0),
+            timer_due: Cell::new(None),
+            timer_signal,
+            notices: RefCell::default(),
+        };
+        (Rc::new(driver), timer_events)
+    }
+
+    /// The process's clocks.
+    pub fn clock(&self) -> SystemClock {
+        self.clock
+    }
+
+    /// Lets the engine react to an event and carries out what follows.
+    pub fn feed(self: &Rc<Self>, event: EngineEvent) {
+        let (actions, due) = {
+            let mut engine = self.engine.borrow_mut();
+            engine.handle(self.clock.read(), event);
+            (engine.take_actions(), engine.next_due())
+        };
+        for action in actions {
+            self.perform(action);
+        }
+        self.arm_timer(due);
+    }
+
+    /// Looks at the engine between events.
+    pub fn inspect<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&DispatchEngine) -> T,
+    {
+        look(&self.engine.borrow())
+    }
+
+    /// Takes the notices to log.
+    pub fn take_notices(&self) -> Vec<EngineNotice> {
+        self.notices.take()
+    }
+
+    /// Submits an event that the engine replies to, and waits for the reply.
+    pub async fn call<F>(self: &Rc<Self>, event: F) -> Option<CallerReply>
+    where
+        F: FnOnce(CallerToken) -> EngineEvent,
+    {
+        let caller = CallerToken(self.next_caller.get());
+        self.next_caller.set(caller.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.replies.borrow_mut().insert(caller, sender);
+        self.feed(event(caller));
+        receiver.await.ok()
+    }
+
+    fn perform(self: &Rc<Self>, action: EngineAction) {
+        match action {
+            EngineAction::Reply { caller, reply } => {
+                if let Some(sender) = self.replies.borrow_mut().remove(&caller) {
+                    // The caller may have closed its connection.
+                    let _ = sender.send(reply);
+                }
+            }
+            EngineAction::Notice(notice) => self.notices.borrow_mut().push(notice),
+            EngineAction::Trace(_) => {}
+            EngineAction::CloseConnection { attempt } => self.targets.close(attempt),
+            EngineAction::Start { .. }
+            | EngineAction::Check { .. }
+            | EngineAction::Change { .. } => self.targets.send(self, action),
+        }
+    }
+
+    fn arm_timer(&self, due: Option<TimePoint>) {
+        let armed = self.timer_due.get();
+        let earlier = match (due, armed) {
+            (Some(due), Some(armed)) => due < armed,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if earlier {
+            self.timer_due.set(due);
+            // The receiver lives as long as the timer task.
+            let _ = self.timer_signal.unbounded_send(());
+        }
+    }
+
+    /// Feeds [`EngineEvent::TimeAdvanced`] when the engine's timers are due. Runs forever.
+    pub async fn run_timer(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<()>) {
+        loop {
+            let Some(due) = self.timer_due.get() else {
+                if events.next().await.is_none() {
+                    return;
+                }
+                continue;
+            };
+            let deadline = Instant::from_std(self.clock.instant(due));
+            monoio::select! {
+                () = monoio::time::sleep_until(deadline) => {
+                    self.timer_due.set(None);
+                    self.feed(EngineEvent::TimeAdvanced);
+                }
+                _ = events.next() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/serve/forward.rs
@@ -0,0 +1,129 @@
+//! Requests for submissions that another process owns.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertpitch_dispatch::engine::CallerReply;
+use filbertpitch_types::caller::JobAnswer;
+use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand, ForwardRequest};
+use filbertpitch_types::prelude::*;
+use filbertpitch_wire::client::RequestOptions;
+use filbertpitch_wire::codec::BodyFormat;
+use filbertpitch_wire::message::{ClientRequest, ServerRequest, ServerResponse};
+use http::{StatusCode, Uri};
+use std::rc::Rc;
+
+use super::node::EntryNode;
+
+/// The time beyond a job's deadline in which its owner still answers.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(4);
+/// The time for a forwarded lookup or cancellation.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a forwarded request follows a handover.
+const HANDOVER_HOPS: usize = 4;
+
+/// What became of a forwarded request.
+#[derive(Clone, Debug)]
+pub enum ForwardOutcome {
+    /// The process at the address answered.
+    Answered(ForwardAnswer),
+    /// Nothing is known; the owner may act on the request.
+    Unreachable,
+}
+
+impl EntryNode {
+    /// Passes a request on to the process that owns its submission.
+    pub(super) async fn forward(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        owner: IncarnationId,
+        command: ForwardCommand,
+        traceparent: Option<Box<str>>,
+    ) -> ForwardOutcome {
+        let (mut address, mut owner) = (address, owner);
+        for _ in 0..HANDOVER_HOPS {
+            let request = ForwardRequest {
+                owner,
+                traceparent: traceparent.clone(),
+                command: command.clone(),
+            };
+            let answer = match self.exchange(address, &request).await {
+                Some(answer) => answer,
+                None => return ForwardOutcome::Unreachable,
+            };
+            match answer {
+                ForwardAnswer::HandedOver(notice) => {
+                    (address, owner) = (notice.address, notice.to);
+                }
+                answer => return ForwardOutcome::Answered(answer),
+            }
+        }
+        ForwardOutcome::Unreachable
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &ForwardRequest,
+    ) -> Option<ForwardAnswer> {
+        let options = RequestOptions {
+            timeout: forward_timeout(&request.command),
+            ..RequestOptions::default()
+        };
+        let target = Uri::from_static("/peer/forward");
+        let request = ClientRequest::post(target, BodyFormat::MessagePack, request).ok()?;
+        let response = self.pool(address).request(&request, &options).await.ok()?;
+        if response.status != StatusCode::OK {
+            return None;
+        }
+        response.decode(BodyFormat::MessagePack).ok()
+    }
+
+    /// Answers `POST /peer/forward`.
+    pub(super) async fn answer_forward(self: &Rc<Self>, request: ServerRequest) -> ServerResponse {
+        let request = match request.decode::<ForwardRequest>(BodyFormat::MessagePack) {
+            Ok(request) => request,
+            Err(error) => {
+                let message = error.to_string();
+                return ServerResponse::error(StatusCode::BAD_REQUEST, "bad_request", &message);
+            }
+        };
+        match self.decide_forwarded(request).await {
+            Some(answer) => {
+                ServerResponse::encoded(StatusCode::OK, BodyFormat::MessagePack, &answer)
+            }
+            None => ServerResponse::empty(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    async fn decide_forwarded(self: &Rc<Self>, request: ForwardRequest) -> Option<ForwardAnswer> {
+        if request.owner != self.incarnation() {
+            return Some(self.disown(request.owner));
+        }
+        let reply = self.decide(request.command, request.traceparent).await?;
+        Some(match reply {
+            CallerReply::Job(answer) => ForwardAnswer::Job(JobAnswer::clone(&answer)),
+            CallerReply::Pending => ForwardAnswer::Pending,
+            CallerReply::NotFound => ForwardAnswer::NotFound,
+            CallerReply::Conflict => ForwardAnswer::Conflict,
+        })
+    }
+
+    /// This address no longer belongs to `owner`.
+    fn disown(&self, owner: IncarnationId) -> ForwardAnswer {
+        let now = self.now().time;
+        match self.peers.borrow().handover_of(now, owner) {
+            Some(notice) => ForwardAnswer::HandedOver(notice),
+            None => ForwardAnswer::OwnerGone {
+                incarnation: self.incarnation(),
+            },
+        }
+    }
+}
+
+fn forward_timeout(command: &ForwardCommand) -> Duration {
+    match command {
+        ForwardCommand::Submit(request) => request.deadline + DEADLINE_MARGIN,
+        ForwardCommand::Lookup(_) | ForwardCommand::Cancel(_) => SHORT_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -0,0 +1,205 @@
+//! The life of an entry VM: starting, ready, draining, stopped.
+//!
+//! Each state is a type, so that a VM cannot take work before it has a configuration and cannot
+//! hand its outcomes over before its work has ended.
+
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_dispatch::engine::{DispatchEngine, EngineEvent};
+use filbertpitch_types::caller::JobAnswer;
+use filbertpitch_types::peer::{HandoverNotice, HandoverRequest, PeerHello};
+use filbertpitch_types::platform::HANDOVER_STREAM;
+use filbertpitch_types::prelude::*;
+use filbertpitch_wire::server::{HttpServer, StopHandle};
+use futures_channel::oneshot;
+
+use super::node::{EntryNode, LifeState};
+use super::platform::append_record;
+use super::router::NodeRouter;
+use super::settings::NodeSettings;
+
+/// How often a waiting state looks at the node.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How often idle connections are closed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+/// The most outcomes in one handover message.
+const HANDOVER_PART: usize = 200;
+
+/// It serves health checks and peers, and has no configuration yet.
+pub struct Starting;
+/// It takes new work.
+pub struct Ready;
+/// It finishes what it accepted.
+pub struct Draining;
+
+/// An entry VM in state `State`.
+pub struct EntryLife<State> {
+    node: Rc<EntryNode>,
+    server: RunningServer,
+    _state: State,
+}
+
+struct RunningServer {
+    stop: StopHandle,
+    done: oneshot::Receiver<()>,
+}
+
+impl EntryLife<Starting> {
+    /// Binds the server and starts the background tasks.
+    ///
+    /// # Errors
+    /// When the listen address cannot be bound.
+    pub fn start(settings: NodeSettings, incarnation: IncarnationId) -> io::Result<Self> {
+        let server = HttpServer::bind(settings.listen, settings.server.clone())?;
+        let (node, timer_events) = EntryNode::new(settings, incarnation);
+        let stop = server.stop_handle();
+        let (finished, done) = oneshot::channel();
+        let router = NodeRouter::new(Rc::clone(&node));
+        monoio::spawn(async move {
+            server.run(router).await;
+            // The receiver is gone when the process is already exiting.
+            let _ = finished.send(());
+        });
+        monoio::spawn(Rc::clone(node.driver()).run_timer(timer_events));
+        monoio::spawn(Rc::clone(&node).run_follower());
+        monoio::spawn(Rc::clone(&node).run_vm_list());
+        monoio::spawn(Rc::clone(&node).run_heartbeats());
+        monoio::spawn(Rc::clone(&node).run_handovers());
+        monoio::spawn(Rc::clone(&node).run_claim_appends());
+        monoio::spawn(Rc::clone(&node).run_claim_reads());
+        monoio::spawn(run_pruning(Rc::clone(&node)));
+        Ok(Self {
+            node,
+            server: RunningServer { stop, done },
+            _state: Starting,
+        })
+    }
+
+    /// Waits for a configuration, from the log or from a peer.
+    pub async fn load_configuration(self) -> EntryLife<Ready> {
+        while !self.node.has_configuration() {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+        self.node.publish_configuration();
+        self.node.set_life(LifeState::Ready);
+        EntryLife {
+            node: self.node,
+            server: self.server,
+            _state: Ready,
+        }
+    }
+}
+
+impl EntryLife<Ready> {
+    /// Serves until `stop` completes, then takes no new work.
+    pub async fn serve_until<F>(self, stop: F) -> EntryLife<Draining>
+    where
+        F: Future<Output = ()>,
+    {
+        stop.await;
+        self.node.set_life(LifeState::Draining);
+        EntryLife {
+            node: self.node,
+            server: self.server,
+            _state: Draining,
+        }
+    }
+}
+
+impl EntryLife<Draining> {
+    /// Finishes the work in progress, hands the outcomes over and closes the server.
+    ///
+    /// Returns whether all work ended within the time for draining.
+    pub async fn finish(self) -> bool {
+        let settings = self.node.settings();
+        // New work is still accepted for a moment, because the balancer learns late that the VM
+        // is no longer ready, and refusing that work would cut requests short.
+        monoio::time::sleep(settings.drain_notice).await;
+        self.node.driver().feed(EngineEvent::DrainStarted);
+        let drained = self.wait_until_idle(settings.drain_timeout).await;
+        self.hand_over().await;
+        self.server.stop.stop();
+        let closing = monoio::time::timeout(settings.peer_timeout, self.server.done).await;
+        drained && closing.is_ok()
+    }
+
+    async fn wait_until_idle(&self, limit: Duration) -> bool {
+        let end = self.node.now().time + limit;
+        while !self.node.driver().inspect(DispatchEngine::is_idle) {
+            if self.node.now().time >= end {
+                return false;
+            }
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+        true
+    }
+
+    /// Gives the finished outcomes to another VM, of this availability zone if possible.
+    async fn hand_over(&self) {
+        let answers = self.node.driver().inspect(|engine| {
+            let finished = engine.submissions().finished();
+            finished.map(|answer| JobAnswer::clone(answer)).collect::<Vec<_>>()
+        });
+        if answers.is_empty() {
+            return;
+        }
+        for peer in self.candidates() {
+            if self.send_outcomes(&peer, &answers).await {
+                self.announce(&peer).await;
+                return;
+            }
+        }
+    }
+
+    fn candidates(&self) -> Vec<PeerHello> {
+        let now = self.node.now().time;
+        let peers = self.node.peers.borrow();
+        let mut candidates = peers.live_peers(now).cloned().collect::<Vec<_>>();
+        candidates.retain(|peer| peer.ready && !peer.leaving);
+        let home = &self.node.settings().zone;
+        candidates.sort_by_key(|peer| (peer.zone != *home, peer.address));
+        candidates
+    }
+
+    async fn send_outcomes(&self, peer: &PeerHello, answers: &[JobAnswer]) -> bool {
+        let parts = answers.chunks(HANDOVER_PART);
+        let count = parts.len();
+        for (index, part) in parts.enumerate() {
+            let request = HandoverRequest {
+                from: self.node.incarnation(),
+                answers: part.to_vec(),
+                last: index + 1 == count,
+            };
+            let path = "/peer/handover";
+            let answer = self.node.ask_peer::<_, ()>(peer.address, path, &request);
+            if answer.await.is_none() {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn announce(&self, peer: &PeerHello) {
+        let notice = HandoverNotice {
+            from: self.node.incarnation(),
+            to: peer.incarnation,
+            address: peer.address,
+        };
+        self.node.note_handover(&notice, Duration::ZERO);
+        let body = serde_json::to_string(&notice).expect("a notice encodes as JSON");
+        let pool = self.node.pool(self.node.settings().log);
+        // While the log is down, the successor's heartbeats announce the handover.
+        append_record(&pool, HANDOVER_STREAM, body.into()).await;
+    }
+}
+
+async fn run_pruning(node: Rc<EntryNode>) {
+    loop {
+        monoio::time::sleep(PRUNE_INTERVAL).await;
+        node.prune_pools();
+        node.driver().prune_targets();
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/serve/platform.rs
@@ -0,0 +1,202 @@
+//! The platform's log and VM list.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_config::follower::ReadStep;
+use filbertpitch_config::read::LogRead;
+use filbertpitch_dispatch::engine::EngineEvent;
+use filbertpitch_types::platform::{
+    AppendAnswer, AppendRequest, HANDOVER_STREAM, ReadAnswer, TICKET_STREAM, VmList,
+};
+use filbertpitch_types::peer::HandoverNotice;
+use filbertpitch_types::prelude::*;
+use filbertpitch_wire::client::{ConnectionPool, RequestOptions};
+use filbertpitch_wire::codec::BodyFormat;
+use filbertpitch_wire::message::ClientRequest;
+use http::{Method, StatusCode, Uri};
+
+use super::node::EntryNode;
+
+/// The time beyond a read's own wait in which the log must answer.
+const READ_MARGIN: Duration = Duration::from_secs(2);
+/// The time for an append.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a read of a stream of ours waits for new records.
+const STREAM_WAIT: Duration = Duration::from_secs(5);
+/// The pause after a failed read of a stream of ours.
+const STREAM_RETRY: Duration = Duration::from_millis(500);
+/// The most records per read of a stream of ours.
+const STREAM_LIMIT: u32 = 256;
+
+/// The answer to a read of the log.
+pub enum ReadOutcome {
+    /// Records, possibly none.
+    Read(ReadAnswer),
+    /// The requested offset is no longer kept.
+    Expired(ReadAnswer),
+    /// The log did not answer.
+    Outage,
+}
+
+/// Reads a stream of the log.
+pub async fn read_stream(pool: &ConnectionPool, stream: &str, read: &LogRead) -> ReadOutcome {
+    let target = format!(
+        "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
+        read.from,
+        read.limit,
+        read.wait.as_millis()
+    );
+    let Ok(target) = target.parse::<Uri>() else {
+        return ReadOutcome::Outage;
+    };
+    let options = RequestOptions {
+        timeout: read.wait + READ_MARGIN,
+        ..RequestOptions::default()
+    };
+    let request = ClientRequest::new(Method::GET, target);
+    let Ok(response) = pool.request(&request, &options).await else {
+        return ReadOutcome::Outage;
+    };
+    let Ok(answer) = response.decode::<ReadAnswer>(BodyFormat::Json) else {
+        return ReadOutcome::Outage;
+    };
+    match response.status {
+        StatusCode::OK => ReadOutcome::Read(answer),
+        StatusCode::GONE => ReadOutcome::Expired(answer),
+        _ => ReadOutcome::Outage,
+    }
+}
+
+/// Appends a record to a stream of the log. `None` means that it is not known whether the append
+/// took effect.
+pub async fn append_record(
+    pool: &ConnectionPool,
+    stream: &str,
+    body: Box<str>,
+) -> Option<LogOffset> {
+    let target = format!("/v1/streams/{stream}/records").parse::<Uri>().ok()?;
+    let append = AppendRequest { body };
+    let request = ClientRequest::post(target, BodyFormat::Json, &append).ok()?;
+    let options = RequestOptions {
+        timeout: APPEND_TIMEOUT,
+        ..RequestOptions::default()
+    };
+    let response = pool.request(&request, &options).await.ok()?;
+    if response.status != StatusCode::OK {
+        return None;
+    }
+    let answer = response.decode::<AppendAnswer>(BodyFormat::Json).ok()?;
+    Some(answer.offset)
+}
+
+impl EntryNode {
+    /// Follows the ticket stream. Runs forever.
+    pub(super) async fn run_follower(self: Rc<Self>) {
+        let pool = self.pool(self.settings().log);
+        loop {
+            let step = self.follower.borrow_mut().next_read(self.now().time);
+            let read = match step {
+                ReadStep::Read(read) => read,
+                ReadStep::UnderWay => unreachable!("one task follows the stream"),
+                ReadStep::NotBefore(time) => {
+                    let pause = time.since(self.now().time);
+                    monoio::time::sleep(pause.max(Duration::from_millis(1))).await;
+                    continue;
+                }
+            };
+            let outcome = read_stream(&pool, TICKET_STREAM, &read).await;
+            let now = self.now().time;
+            match outcome {
+                ReadOutcome::Read(answer) => self.follower.borrow_mut().on_read(now, answer),
+                ReadOutcome::Expired(answer) => self.follower.borrow_mut().on_expired(now, answer),
+                ReadOutcome::Outage => self.follower.borrow_mut().on_outage(now),
+            }
+            self.publish_configuration();
+        }
+    }
+
+    /// Hands a changed configuration to the engine.
+    pub(super) fn publish_configuration(self: &Rc<Self>) {
+        let configuration = {
+            let follower = self.follower.borrow();
+            if !follower.has_state() {
+                return;
+            }
+            follower.configuration()
+        };
+        let known = self
+            .driver()
+            .inspect(|engine| Rc::clone(engine.catalog().configuration()));
+        if !Rc::ptr_eq(&known, &configuration) {
+            let event = EngineEvent::ConfigurationChanged(configuration);
+            self.driver().feed(event);
+        }
+    }
+
+    /// Reads the VM list. Runs forever.
+    pub(super) async fn run_vm_list(self: Rc<Self>) {
+        let Some(address) = self.settings().vm_list else {
+            return;
+        };
+        loop {
+            if let Some(list) = self.read_vm_list(address).await {
+                let now = self.now().time;
+                self.peers.borrow_mut().set_list(now, &list);
+                self.refresh_fleet();
+                self.driver().feed(EngineEvent::VmListRead(list));
+            }
+            monoio::time::sleep(self.settings().vm_list_interval).await;
+        }
+    }
+
+    async fn read_vm_list(&self, address: SocketAddr) -> Option<VmList> {
+        let request = ClientRequest::new(Method::GET, Uri::from_static("/v1/vms"));
+        let options = RequestOptions {
+            timeout: self.settings().peer_timeout,
+            ..RequestOptions::default()
+        };
+        let response = self.pool(address).request(&request, &options).await.ok()?;
+        if response.status != StatusCode::OK {
+            return None;
+        }
+        response.decode(BodyFormat::Json).ok()
+    }
+
+    /// Follows the announcements of handovers. Runs forever.
+    pub(super) async fn run_handovers(self: Rc<Self>) {
+        let pool = self.pool(self.settings().log);
+        let mut next = LogOffset(0);
+        loop {
+            let read = stream_read(next);
+            match read_stream(&pool, HANDOVER_STREAM, &read).await {
+                ReadOutcome::Read(answer) => {
+                    for record in &answer.records {
+                        next = record.offset.next();
+                        let age = answer.now.since(record.appended_at);
+                        if let Ok(notice) = serde_json::from_str::<HandoverNotice>(&record.body) {
+                            self.note_handover(&notice, age);
+                        }
+                    }
+                }
+                ReadOutcome::Expired(answer) => next = answer.first,
+                ReadOutcome::Outage => monoio::time::sleep(STREAM_RETRY).await,
+            }
+        }
+    }
+}
+
+/// A read of a stream of ours from `from` on.
+pub(super) fn stream_read(from: LogOffset) -> LogRead {
+    LogRead {
+        from,
+        limit: STREAM_LIMIT,
+        wait: STREAM_WAIT,
+    }
+}
+
+/// The pause after a failed read of a stream of ours.
+pub(super) async fn pause_after_outage() {
+    monoio::time::sleep(STREAM_RETRY).await;
+}
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -74,6 +74,10 @@
     HandedOver(HandoverNotice),
     /// The submission is not known and was not started.
     NotFound,
+    /// The job is running (answer to a lookup).
+    Pending,
+    /// The submission was used before for a different job.
+    Conflict,
 }
 
 /// The finished outcomes of a stopping incarnation.
