--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,9 @@
 //! same code, so a fault found by one is a fault of the other.
 
 pub mod catalog;
+pub mod check;
 pub mod entity;
+pub mod health;
+pub mod membership;
 pub mod placement;
 pub mod timer;
--- a/crates/dispatch/src/placement/mod.rs
+++ b/crates/dispatch/src/placement/mod.rs
@@ -4,8 +4,10 @@
 //! load reports. A VM uses its own share first, borrows slots that reports show to be free, and
 //! spills over to other zones when waiting takes longer than the extra network time.
 
+mod install;
 mod load;
 mod pool;
+mod search;
 mod settings;
 mod share;
 mod state;
--- a/crates/dispatch/src/placement/share.rs
+++ b/crates/dispatch/src/placement/share.rs
@@ -97,12 +97,13 @@
 
 /// Which VM is dealt the next unit.
 #[derive(Clone, Copy, Debug, Default)]
-struct DealCursor {
+pub(crate) struct DealCursor {
     next: u32,
 }
 
 impl DealCursor {
-    fn deal(&mut self, position: SharePosition, total: u16) -> u16 {
+    /// The part of `total` that falls to one VM; `position` must not be among zero VMs.
+    pub fn deal(&mut self, position: SharePosition, total: u16) -> u16 {
         let SharePosition { position, vms } = position;
         let total = u32::from(total);
         let rank = (position + vms - self.next) % vms;
--- a/crates/dispatch/src/placement/state.rs
+++ b/crates/dispatch/src/placement/state.rs
@@ -117,19 +117,33 @@
             && !self.is_contested(now, settings)
     }
 
+    /// Whether this VM's share has nothing for `class`, because there are more VMs than slots.
+    fn lacks_share(&self, class: SlotClass) -> bool {
+        match class {
+            SlotClass::Short => self.share.slots == 0,
+            SlotClass::Long => self.share.long == 0,
+        }
+    }
+
     /// Whether a fresh report shows a free slot beyond what the other VMs of the zone may need.
+    ///
+    /// A VM without a share would never get a report, so it tries one attempt at a time.
     pub fn may_borrow(
         &self,
         now: TimePoint,
         class: SlotClass,
         settings: &PlacementSettings,
     ) -> bool {
+        if self.borrow_pause.is_paused(now) {
+            return false;
+        }
+        if !self.load.is_fresh(now, settings.report_ttl) {
+            return self.lacks_share(class) && self.running == 0;
+        }
         let entitled = self.slots - self.share.slots;
         let needed = (self.load.peak() + settings.borrow_margin).min(entitled);
         let needed = needed.max(self.load.others());
-        self.load.is_fresh(now, settings.report_ttl)
-            && !self.borrow_pause.is_paused(now)
-            && self.running + needed < self.class_limit(class)
+        self.running + needed < self.class_limit(class)
     }
 
     /// Whether a slot of another zone's target may be used. Without a fresh report one attempt at
@@ -192,11 +206,13 @@
     /// When a set that excludes this target only for a time may include it again.
     pub fn next_wake(&self, now: TimePoint, settings: &PlacementSettings) -> Option<TimePoint> {
         let pauses = [self.own_pause.until(), self.borrow_pause.until()];
-        let contested = self.is_contested(now, settings);
+        let awaits_expiry = self.is_contested(now, settings)
+            || self.lacks_share(SlotClass::Long)
+            || self.reach == TargetReach::Remote;
         let expiry = self.load.expires(settings.report_ttl);
         pauses
             .into_iter()
-            .chain(expiry.filter(|_| contested))
+            .chain(expiry.filter(|_| awaits_expiry))
             .filter(|&wake| wake > now)
             .min()
     }
--- a/crates/dispatch/src/placement/table.rs
+++ b/crates/dispatch/src/placement/table.rs
@@ -1,4 +1,4 @@
-//! The table of all targets: placement and incremental bookkeeping.
+//! The table of all targets: the choice of a target and the incremental bookkeeping.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -6,76 +6,40 @@
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::target::LoadReport;
 use rand::Rng;
-use smallvec::SmallVec;
 use typed_index_collections::TiVec;
 
 use super::load::PauseTimer;
-use super::pool::{OpenKind, OpenSet, PoolIndex, PoolMap, PoolSeat, TargetPool};
+use super::pool::{OpenKind, PoolIndex, PoolMap};
+use super::search::{CANDIDATE_LIMIT, CandidateSearch};
 use super::settings::PlacementSettings;
-use super::share::{ShareDealer, SharePosition, TargetShare, long_slots, remote_connections};
+use super::share::{SharePosition, TargetShare};
 use super::state::{LeavingMark, TargetReach, TargetState, micros};
 use super::{
     CapacityView, HoldEnd, HoldSource, Placement, PlacementRequest, SlotClass, SlotHold, TargetGate,
 };
-use crate::catalog::ConfigCatalog;
 use crate::entity::{KindIndex, TargetIndex, ZoneIndex};
-use crate::timer::TimerService;
-
-/// The most targets compared for one placement.
-const CANDIDATE_LIMIT: usize = 16;
+use crate::timer::{TimerService, WakeTopic};
 
 /// The entry VMs of all zones, as far as they matter for targets in other zones.
 #[derive(Clone, Debug)]
-struct FleetShare {
-    position: SharePosition,
-    populated: Vec<ZoneIndex>,
-}
-
-/// One search for a target over several sets.
-struct CandidateSearch<'a, R> {
-    now: TimePoint,
-    pool: PoolIndex,
-    request: &'a PlacementRequest,
-    /// What is left of the sampling limit.
-    sample: usize,
-    rng: &'a mut R,
-}
-
-impl<R> CandidateSearch<'_, R>
-where
-    R: Rng,
-{
-    /// Draws seats from a set: all of them in a random rotation if the sampling limit allows.
-    fn draw(&mut self, set: &OpenSet) -> SmallVec<[u32; CANDIDATE_LIMIT]> {
-        let members = set.members();
-        let draws = members.len().min(self.sample);
-        self.sample -= draws;
-        if draws < members.len() {
-            let mut pick = || members[self.rng.random_range(0..members.len())];
-            return (0..draws).map(|_| pick()).collect();
-        }
-        let start = match draws {
-            0 => 0,
-            _ => self.rng.random_range(0..draws),
-        };
-        let (head, tail) = members.split_at(start);
-        tail.iter().chain(head).copied().collect()
-    }
+pub(super) struct FleetShare {
+    pub position: SharePosition,
+    pub populated: Vec<ZoneIndex>,
 }
 
 /// The targets, the slots in use on them, and the choice among them.
 #[derive(Debug)]
 pub struct TargetTable {
-    settings: PlacementSettings,
-    targets: TiVec<TargetIndex, TargetState>,
+    pub(super) settings: PlacementSettings,
+    pub(super) targets: TiVec<TargetIndex, TargetState>,
     /// The configured targets in the order of their names, which is the same on every VM.
-    order: Vec<TargetIndex>,
-    pools: PoolMap,
-    zones: HashMap<ZoneIndex, PauseTimer>,
-    home: Option<ZoneIndex>,
-    share: SharePosition,
-    fleet: FleetShare,
-    timers: TimerService<TargetIndex>,
+    pub(super) order: Vec<TargetIndex>,
+    pub(super) pools: PoolMap,
+    pub(super) zones: HashMap<ZoneIndex, PauseTimer>,
+    pub(super) home: Option<ZoneIndex>,
+    pub(super) share: SharePosition,
+    pub(super) fleet: FleetShare,
+    pub(super) timers: TimerService<WakeTopic>,
 }
 
 impl TargetTable {
@@ -101,144 +65,6 @@
         }
     }
 
-    /// Takes over a configuration. Attempts on targets that left it stay in the books.
-    pub fn install(&mut self, now: TimePoint, catalog: &ConfigCatalog, home: ZoneIndex) {
-        self.home = Some(home);
-        self.order.clear();
-        for state in &mut self.targets {
-            state.reach = TargetReach::Absent;
-            state.seats.clear();
-            state.open = Default::default();
-            state.counted = 0;
-        }
-        for name in catalog.configuration().targets.keys() {
-            if let Some(target) = catalog.target_index(name) {
-                self.install_target(catalog, target);
-            }
-        }
-        self.install_pools(catalog);
-        self.divide(now);
-    }
-
-    fn install_target(&mut self, catalog: &ConfigCatalog, target: TargetIndex) {
-        let Some(entry) = catalog.target(target) else {
-            return;
-        };
-        let length = usize::from(target) + 1;
-        if self.targets.len() < length {
-            self.targets.resize(length, TargetState::default());
-        }
-        let state = &mut self.targets[target];
-        state.zone = Some(entry.zone);
-        state.slots = entry.spec.slots;
-        state.connections = entry.spec.connections;
-        // `divide` replaces this by the reach that follows from the zone.
-        state.reach = TargetReach::Remote;
-        self.order.push(target);
-    }
-
-    fn install_pools(&mut self, catalog: &ConfigCatalog) {
-        self.pools = PoolMap::default();
-        let mut known: HashMap<Vec<TargetIndex>, PoolIndex> = HashMap::new();
-        for (service, spec) in &catalog.configuration().services {
-            for kind in spec.kinds.keys() {
-                let Some(index) = catalog.kind_index(service, kind) else {
-                    continue;
-                };
-                let Some(entry) = catalog.kind(index) else {
-                    continue;
-                };
-                let pool = match known.get(&entry.targets) {
-                    Some(&pool) => pool,
-                    None => {
-                        let pool = self.add_pool(&entry.targets);
-                        known.insert(entry.targets.clone(), pool);
-                        pool
-                    }
-                };
-                self.pools.assign(index, pool);
-            }
-        }
-    }
-
-    fn add_pool(&mut self, targets: &[TargetIndex]) -> PoolIndex {
-        let pools = &mut self.pools.pools;
-        let pool = pools.push_and_get_key(TargetPool::new(targets.to_vec()));
-        for (seat, &target) in (0..).zip(targets) {
-            let state = &mut self.targets[target];
-            state.seats.push(PoolSeat { pool, seat });
-            pools[pool].running += u32::from(state.running);
-        }
-        pool
-    }
-
-    /// Sets this VM's place among the live, ready entry VMs of its zone.
-    pub fn set_share(&mut self, now: TimePoint, position: u32, zone_vms: u32) {
-        let share = SharePosition {
-            position,
-            vms: zone_vms,
-        };
-        if self.share != share {
-            self.share = share;
-            self.divide(now);
-        }
-    }
-
-    /// Sets this VM's place among the live, ready entry VMs of all zones, and the zones that have
-    /// any. The VMs of other zones divide the targets of the remaining zones among themselves.
-    pub fn set_fleet(
-        &mut self,
-        now: TimePoint,
-        position: SharePosition,
-        populated: Vec<ZoneIndex>,
-    ) {
-        if self.fleet.position != position || self.fleet.populated != populated {
-            self.fleet = FleetShare {
-                position,
-                populated,
-            };
-            self.divide(now);
-        }
-    }
-
-    /// Divides the targets anew; linear in their number, so only for changes of the environment.
-    fn divide(&mut self, now: TimePoint) {
-        let mut home_dealer = ShareDealer::new(self.share);
-        let mut adopted_dealers = HashMap::new();
-        let order = std::mem::take(&mut self.order);
-        for &target in &order {
-            let reach = self.reach(self.targets[target].zone);
-            let state = &mut self.targets[target];
-            state.reach = reach;
-            state.share = match reach {
-                TargetReach::Home => home_dealer.deal(state.slots, state.connections),
-                TargetReach::Adopted => adopted_dealers
-                    .entry(state.zone)
-                    .or_insert_with(|| ShareDealer::new(self.fleet.position))
-                    .deal(state.slots, state.connections),
-                TargetReach::Remote | TargetReach::Absent => spill_share(
-                    state.slots,
-                    state.connections,
-                    self.fleet.position.vms,
-                    self.settings.spill_divisor,
-                ),
-            };
-        }
-        self.order = order;
-        for target in self.targets.keys() {
-            self.refresh(now, target);
-        }
-    }
-
-    fn reach(&self, zone: Option<ZoneIndex>) -> TargetReach {
-        match zone {
-            None => TargetReach::Absent,
-            Some(zone) if Some(zone) == self.home => TargetReach::Home,
-            Some(zone) if self.fleet.populated.contains(&zone) => TargetReach::Remote,
-            Some(_) => TargetReach::Adopted,
-        }
-    }
-
     /// Chooses the target of an attempt. [`Self::started`] must follow before the next call when
     /// the attempt starts.
     pub fn place<R>(&mut self, now: TimePoint, request: &PlacementRequest, rng: &mut R) -> Placement
@@ -343,9 +169,14 @@
 
     /// Whether the zone refused attempts that were sent there without a fresh report.
     fn is_zone_paused(&self, now: TimePoint, state: &TargetState) -> bool {
-        let pause = state.zone.and_then(|zone| self.zones.get(&zone));
+        let pause = self.zone_pause(state);
         !state.load.is_fresh(now, self.settings.report_ttl)
-            && pause.is_some_and(|pause| pause.is_paused(now))
+            && pause.is_some_and(|until| now < until)
+    }
+
+    fn zone_pause(&self, state: &TargetState) -> Option<TimePoint> {
+        let zone = state.zone.filter(|_| state.reach == TargetReach::Remote)?;
+        self.zones.get(&zone).map(PauseTimer::until)
     }
 
     /// Records that an attempt starts on `target`.
@@ -568,14 +399,18 @@
 
     /// Ends pauses that are over. [`Self::place`] includes this.
     pub fn advance(&mut self, now: TimePoint) {
-        while let Some(target) = self.timers.pop_due(now) {
-            self.targets[target].wake = None;
-            self.refresh(now, target);
+        while let Some(WakeTopic { target, wake }) = self.timers.pop_due(now) {
+            // Otherwise an earlier timer has replaced this one.
+            if self.targets[target].wake == Some(wake) {
+                self.targets[target].wake = None;
+                self.refresh(now, target);
+            }
         }
     }
 
     /// Brings the sets and sums of the target's pools up to date.
-    fn refresh(&mut self, now: TimePoint, target: TargetIndex) {
+    pub(super) fn refresh(&mut self, now: TimePoint, target: TargetIndex) {
+        let zone_pause = self.zone_pause(&self.targets[target]);
         let state = &mut self.targets[target];
         let open = state.open_mask(now, &self.settings);
         let counted = state.usable_share();
@@ -594,22 +429,13 @@
             state.open = open;
             state.counted = counted;
         }
-        if let Some(wake) = state.next_wake(now, &self.settings)
+        let zone_wake = zone_pause.filter(|&until| until > now);
+        let wake = state.next_wake(now, &self.settings).into_iter();
+        if let Some(wake) = wake.chain(zone_wake).min()
             && state.wake.is_none_or(|pending| wake < pending)
         {
             state.wake = Some(wake);
-            self.timers.subscribe(wake, target);
+            self.timers.subscribe(wake, WakeTopic { target, wake });
         }
     }
 }
-
-/// What this VM may use of a target in a zone with entry VMs of its own.
-fn spill_share(slots: u16, connections: u16, vms: u32, divisor: u16) -> TargetShare {
-    let slots = (slots / divisor.max(1)).max(1).min(slots);
-    let connections = u32::from(remote_connections(connections)) / vms.max(1);
-    TargetShare {
-        slots,
-        long: long_slots(slots),
-        connections: u16::try_from(connections).unwrap_or(u16::MAX),
-    }
-}
--- a/crates/dispatch/src/timer.rs
+++ b/crates/dispatch/src/timer.rs
@@ -8,6 +8,8 @@
 
 use filbertpitch_types::prelude::*;
 
+use crate::entity::TargetIndex;
+
 /// Timers ordered by due time; equal times fire in order of subscription.
 #[derive(Debug)]
 pub struct TimerService<Topic> {
@@ -15,6 +17,15 @@
     next_sequence: u64,
 }
 
+/// The topic of a timer of one target, for subscribers that keep one timer per target.
+///
+/// A timer whose `wake` is not the one that the subscriber last asked for has been replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WakeTopic {
+    pub target: TargetIndex,
+    pub wake: TimePoint,
+}
+
 #[derive(Debug)]
 struct TimerEntry<Topic> {
     due: TimePoint,
--- /dev/null
+++ b/crates/dispatch/tests/placement_cases.rs
@@ -0,0 +1,178 @@
+//! Guards the order in which slots are used and the ways back from a pause.
+
+mod support;
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::placement::{
+    HoldEnd, HoldSource, Placement, PlacementRequest, PlacementSettings, SharePosition, SlotClass,
+    SlotHold, TargetTable,
+};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::LoadReport;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(millis * 1000)
+}
+
+fn report(running: u16) -> LoadReport {
+    LoadReport {
+        slots: 8,
+        running,
+        parked: 0,
+        leaving: false,
+    }
+}
+
+/// A table for the first of `zone_vms` VMs in zone 0, where zone 1 has entry VMs too.
+fn table_of(targets: &[(usize, u16, u16)], zone_vms: u32) -> TargetTable {
+    let mut catalog = support::catalog_of(targets);
+    let zones = ["zone0", "zone1"].map(|zone| catalog.intern_zone(&support::name(zone.into())));
+    let mut table = TargetTable::new(PlacementSettings::default());
+    table.install(at(0), &catalog, zones[0]);
+    table.set_share(at(0), 0, zone_vms);
+    let fleet = SharePosition {
+        position: 0,
+        vms: zone_vms + 1,
+    };
+    table.set_fleet(at(0), fleet, zones.to_vec());
+    table
+}
+
+fn try_start(table: &mut TargetTable, now: TimePoint, wait_ms: u64) -> Option<SlotHold> {
+    let request = PlacementRequest {
+        kind: 0.into(),
+        class: SlotClass::Short,
+        expected: Duration::from_millis(50),
+        exclude: SmallVec::new(),
+        repeatable: false,
+        wait_estimate: Duration::from_millis(wait_ms),
+    };
+    match table.place(now, &request, &mut ChaCha8Rng::seed_from_u64(0)) {
+        Placement::Start(target) => {
+            Some(table.started(now, target, request.class, request.expected))
+        }
+        Placement::Wait => None,
+        Placement::Impossible => panic!("a target takes the kind"),
+    }
+}
+
+/// Guards against borrowing without a report, beyond what the others need, or after a refusal.
+#[test]
+fn slots_are_borrowed_only_by_a_fresh_report() {
+    let mut table = table_of(&[(0, 8, 64)], 2);
+    let own = std::iter::from_fn(|| try_start(&mut table, at(0), 0)).collect::<Vec<_>>();
+    assert!(own.len() == 4 && own.iter().all(|hold| hold.source() == HoldSource::Own));
+    table.report_load(at(1), 0.into(), &report(5));
+    let borrowed = std::iter::from_fn(|| try_start(&mut table, at(1), 0)).collect::<Vec<_>>();
+    assert!(
+        borrowed
+            .iter()
+            .all(|hold| hold.source() == HoldSource::Borrowed)
+    );
+    assert_eq!(
+        borrowed.len(),
+        2,
+        "one used by the other VM and one of margin"
+    );
+    for hold in borrowed {
+        table.ended(at(2), hold, HoldEnd::RefusedBusy);
+    }
+    table.report_load(at(3), 0.into(), &report(5));
+    assert_eq!(
+        try_start(&mut table, at(3), 0),
+        None,
+        "borrowing pauses after a refusal"
+    );
+    assert_eq!(
+        try_start(&mut table, at(102), 0).unwrap().source(),
+        HoldSource::Borrowed
+    );
+    assert_eq!(
+        try_start(&mut table, at(253), 0),
+        None,
+        "the report is stale"
+    );
+}
+
+/// Guards against spill-over while waiting is cheaper than the network.
+#[test]
+fn work_spills_over_only_when_waiting_takes_longer() {
+    let mut table = table_of(&[(0, 8, 64), (1, 8, 64)], 1);
+    let own = std::iter::from_fn(|| try_start(&mut table, at(0), 2)).count();
+    assert_eq!(own, 8);
+    let spilled = try_start(&mut table, at(0), 3).unwrap();
+    assert_eq!(spilled.source(), HoldSource::Spilled);
+    assert_eq!(
+        try_start(&mut table, at(0), 3),
+        None,
+        "one attempt at a time without a report"
+    );
+    table.report_load(at(1), 1.into(), &report(1));
+    assert!(try_start(&mut table, at(1), 3).is_some());
+    assert_eq!(
+        try_start(&mut table, at(1), 3),
+        None,
+        "the share in another zone is a quarter"
+    );
+    assert_eq!(table.capacity(0.into()).slots, 8);
+}
+
+/// Guards against work for a target that is back by a stale list or a delayed report alone.
+#[test]
+fn a_leaving_target_returns_by_list_and_report_together() {
+    let mut table = table_of(&[(0, 8, 64)], 1);
+    let leave = |table: &mut TargetTable| {
+        let leaving = LoadReport {
+            leaving: true,
+            ..report(0)
+        };
+        table.report_load(at(0), 0.into(), &leaving);
+    };
+    leave(&mut table);
+    table.mark_live(at(1_000), 0.into());
+    table.report_load(at(1_000), 0.into(), &report(0));
+    assert!(
+        table.is_leaving(0.into()),
+        "both may be older than the leaving report"
+    );
+    table.mark_live(at(4_000), 0.into());
+    assert!(table.is_leaving(0.into()) && table.awaits_report(0.into()));
+    assert_eq!(try_start(&mut table, at(4_000), 9), None);
+    table.report_load(at(5_000), 0.into(), &report(0));
+    assert!(!table.is_leaving(0.into()));
+    assert!(try_start(&mut table, at(5_000), 0).is_some());
+}
+
+/// Guards against a VM that never gets a slot because there are more VMs than slots, and against
+/// requests that nothing wakes after a pause.
+#[test]
+fn a_vm_without_a_share_is_served_eventually() {
+    let mut table = table_of(&[(0, 1, 64)], 2);
+    table.set_share(at(0), 1, 2);
+    assert_eq!(table.share(0.into()).slots, 0);
+    let mut now = at(0);
+    for _ in 0..20 {
+        let hold = try_start(&mut table, now, 0).expect("one attempt is tried");
+        table.ended(now, hold, HoldEnd::RefusedBusy);
+        table.report_load(
+            now,
+            0.into(),
+            &LoadReport {
+                slots: 1,
+                ..report(1)
+            },
+        );
+        assert_eq!(try_start(&mut table, now, 0), None);
+        while try_start(&mut table, now, 0)
+            .map(|hold| table.ended(now, hold, HoldEnd::Other))
+            .is_none()
+        {
+            now = table.next_due().expect("a timer wakes the request");
+            assert!(now < at(120_000));
+        }
+    }
+}
