Test the client, the codecs and arbitrary input

The tests cover refused, stalled, truncated, malformed and oversized responses, dropped and timed-out requests, stale connections, the absence of io_uring, and arbitrary input divided at arbitrary points at both ends.

The codec test found that rmp_serde::from_slice ignores bytes after a MessagePack message; they are now refused as they are for JSON. Server and client tests share one binary.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -11,6 +11,8 @@
 
 use crate::message::{ClientRequest, ClientResponse, ServerRequest, ServerResponse};
 
+const TRAILING_BYTES: &str = "there are bytes after the message";
+
 /// The format of a typed body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFormat {
@@ -65,15 +67,28 @@
     {
         match self {
             Self::Json => serde_json::from_slice(body).map_err(|_| json_error::<T>(body)),
-            Self::MessagePack => rmp_serde::from_slice(body).map_err(|error| CodecError {
+            Self::MessagePack => decode_message_pack(body).map_err(|message| CodecError {
                 format: self,
                 field: "".into(),
-                message: error.to_string().into(),
+                message,
             }),
         }
     }
 }
 
+/// `rmp_serde::from_slice` ignores bytes after the message, which hides a framing error.
+fn decode_message_pack<T>(body: &[u8]) -> Result<T, Box<str>>
+where
+    T: DeserializeOwned,
+{
+    let mut deserializer = rmp_serde::Deserializer::new(body);
+    let message = T::deserialize(&mut deserializer).map_err(|error| error.to_string())?;
+    if !deserializer.get_ref().is_empty() {
+        return Err(TRAILING_BYTES.into());
+    }
+    Ok(message)
+}
+
 /// Decodes again while tracking the path, which is too slow for bodies that are valid.
 fn json_error<T>(body: &[u8]) -> CodecError
 where
@@ -88,7 +103,7 @@
             };
             (field, error.into_inner().to_string())
         }
-        Ok(_) => (String::new(), "there is text after the message".to_string()),
+        Ok(_) => (String::new(), TRAILING_BYTES.to_string()),
     };
     CodecError {
         format: BodyFormat::Json,
--- /dev/null
+++ b/crates/wire/tests/http/main.rs
@@ -0,0 +1,6 @@
+//! The server and the client over real connections on loopback.
+
+mod arbitrary_input;
+mod client;
+mod common;
+mod server;
--- a/crates/wire/tests/server.rs
+++ b/crates/wire/tests/http/server.rs
@@ -1,10 +1,8 @@
 //! Requests in every shape that a client may send them.
 
-mod common;
-
 use std::time::{Duration, Instant};
 
-use common::{send_parts, short_limits, start, statuses};
+use crate::common::{self, send_parts, short_limits, start, statuses};
 use filbertpitch_wire::client::{ConnectionPool, PoolLimits, RequestOptions};
 use filbertpitch_wire::message::ClientRequest;
 use filbertpitch_wire::runtime::run;
