Serve the models over HTTP

The wire server now closes the connection when a handler returns an interim status. Such a status cannot end a request, and simulated crashes and lost log answers need a way to close a connection without a response.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,8 +5,11 @@
 //! crate is not shipped.
 
 pub mod audit;
+pub mod http;
 pub mod ledger;
+pub mod load;
 pub mod log_model;
 pub mod plan;
 pub mod target_model;
 pub mod vm_model;
+pub mod world;
--- a/crates/standins/src/load/measure.rs
+++ b/crates/standins/src/load/measure.rs
@@ -43,7 +43,9 @@
         let mut histogram = Histogram::<u64>::new(4).expect("a valid precision");
         for value in values {
             let scaled = (value.max(0.0) * RATIO_SCALE).round() as u64;
-            histogram.record(scaled).expect("the histogram resizes itself");
+            histogram
+                .record(scaled)
+                .expect("the histogram resizes itself");
         }
         let quantile = |quantile| histogram.value_at_quantile(quantile) as f64 / RATIO_SCALE;
         Self {
@@ -80,7 +82,9 @@
 where
     Include: Fn(&JobRecord) -> bool,
 {
-    let complete = records.iter().filter(|record| record.result == JobResult::Complete);
+    let complete = records
+        .iter()
+        .filter(|record| record.result == JobResult::Complete);
     let included = complete.filter(|record| include(record));
     QuantileSet::of(included.map(|record| response_ratio(record, network)))
 }
@@ -88,7 +92,10 @@
 /// The run time of completed jobs, by the second of their answer.
 pub fn work_per_second(records: &[JobRecord], length: Duration) -> Vec<Duration> {
     let mut seconds = vec![Duration::ZERO; length.as_secs() as usize];
-    for record in records.iter().filter(|record| record.result == JobResult::Complete) {
+    for record in records
+        .iter()
+        .filter(|record| record.result == JobResult::Complete)
+    {
         let second = (record.at + record.latency).as_secs() as usize;
         if let Some(work) = seconds.get_mut(second) {
             *work += record.work;
@@ -124,7 +131,9 @@
 }
 
 fn is_normal(jobs: &[JobRecord], threshold: f64, network: Duration) -> bool {
-    let rejected = jobs.iter().filter(|record| record.result != JobResult::Complete);
+    let rejected = jobs
+        .iter()
+        .filter(|record| record.result != JobResult::Complete);
     let rejected = rejected.count() as f64 / jobs.len().max(1) as f64;
     let ratios = ratio_quantiles(jobs, network, |_| true);
     rejected <= RECOVERY_REJECTED && ratios.p50 <= threshold
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -3,6 +3,5 @@
 pub mod fairness;
 pub mod measure;
 pub mod record;
-pub mod report;
 pub mod schedule;
 pub mod verify;
--- a/crates/standins/src/load/schedule.rs
+++ b/crates/standins/src/load/schedule.rs
@@ -163,7 +163,10 @@
         let (min, max) = (range.min.as_micros() as u64, range.max.as_micros() as u64);
         let declared = Duration::from_micros(self.rng.random_range(min..=max));
         let stragglers = self.world.stragglers;
-        let run = match self.rng.random_bool(stragglers.probability().clamp(0.0, 1.0)) {
+        let run = match self
+            .rng
+            .random_bool(stragglers.probability().clamp(0.0, 1.0))
+        {
             true => declared * stragglers.factor,
             false => declared,
         };
--- a/crates/standins/src/load/verify.rs
+++ b/crates/standins/src/load/verify.rs
@@ -59,7 +59,9 @@
 /// Collects what an answer claims about the tasks of its request.
 pub fn collect_claims(request: &JobRequest, answer: &JobAnswer, claims: &mut TaskClaims) {
     if answer.tasks.is_empty() && answer.outcome == JobOutcome::NotRun {
-        claims.not_run.extend(request.tasks.iter().filter_map(key_digest));
+        claims
+            .not_run
+            .extend(request.tasks.iter().filter_map(key_digest));
     }
     for (spec, task) in request.tasks.iter().zip(&answer.tasks) {
         match task.outcome {
@@ -72,5 +74,7 @@
 
 fn key_digest(spec: &TaskSpec) -> Option<u64> {
     let mut words = spec.input.split_ascii_whitespace();
-    words.find_map(|word| word.strip_prefix("key=")).map(text_digest)
+    words
+        .find_map(|word| word.strip_prefix("key="))
+        .map(text_digest)
 }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -40,7 +40,11 @@
         let DurationText(min) = min.parse()?;
         let DurationText(max) = max.parse()?;
         if max < min {
-            return Err(ParseError::new("run time range", text, "it ends before it starts"));
+            return Err(ParseError::new(
+                "run time range",
+                text,
+                "it ends before it starts",
+            ));
         }
         Ok(Self { min, max })
     }
@@ -67,7 +71,9 @@
         let mut parts = text.split(':');
         let mut part = || parts.next();
         let name = part().unwrap_or_default().parse()?;
-        let run = part().ok_or_else(|| error("the run time is missing"))?.parse()?;
+        let run = part()
+            .ok_or_else(|| error("the run time is missing"))?
+            .parse()?;
         let mut kind = Self {
             name,
             run,
@@ -149,7 +155,11 @@
         match text {
             "sajha" => Ok(Self::Sajha),
             "glacis" => Ok(Self::Glacis),
-            _ => Err(ParseError::new("profile", text, "expected `sajha` or `glacis`")),
+            _ => Err(ParseError::new(
+                "profile",
+                text,
+                "expected `sajha` or `glacis`",
+            )),
         }
     }
 }
@@ -225,8 +235,13 @@
     /// The mean run time of a task, without stragglers.
     pub fn mean_run(&self) -> Duration {
         let shares = self.kinds.iter().map(|kind| kind.share).sum::<f64>();
-        let weighted = self.kinds.iter().map(|kind| kind.run.mean().mul_f64(kind.share));
-        weighted.sum::<Duration>().div_f64(shares.max(f64::MIN_POSITIVE))
+        let weighted = self
+            .kinds
+            .iter()
+            .map(|kind| kind.run.mean().mul_f64(kind.share));
+        weighted
+            .sum::<Duration>()
+            .div_f64(shares.max(f64::MIN_POSITIVE))
     }
 }
 
--- a/crates/wire/src/server/connection.rs
+++ b/crates/wire/src/server/connection.rs
@@ -190,6 +190,10 @@
     async fn answer(&mut self, request: ServerRequest, keep_alive: bool) -> bool {
         let bodiless = request.method == Method::HEAD;
         let mut response = self.state.handler.handle(request).await;
+        // An interim status cannot end a request. Simulated crashes use it to close connections.
+        if response.status.is_informational() {
+            return false;
+        }
         if bodiless {
             response.body = bytes::Bytes::new();
         }
