--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -65,6 +65,8 @@
     JobFailed,
     /// The deadline of the job passed.
     DeadlinePassed,
+    /// The time for draining a stopping VM passed.
+    VmStopping,
 }
 
 impl AbandonReason {
@@ -74,6 +76,7 @@
             Self::Cancelled => FailureReason::Cancelled,
             Self::JobFailed => FailureReason::JobFailed,
             Self::DeadlinePassed => FailureReason::DeadlinePassed,
+            Self::VmStopping => FailureReason::VmStopping,
         };
         TaskOutcome::Failed { reason }
     }
@@ -84,6 +87,7 @@
             Self::Cancelled => NotRunReason::Cancelled,
             Self::JobFailed => NotRunReason::JobFailed,
             Self::DeadlinePassed => NotRunReason::DeadlineUnreachable,
+            Self::VmStopping => NotRunReason::Draining,
         };
         TaskOutcome::NotRun { reason }
     }
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -87,6 +87,8 @@
     FleetChanged(FleetView),
     /// A planned stop began; nothing new is accepted.
     DrainStarted,
+    /// The time for draining passed; what is left is stopped and answered.
+    DrainExpired,
     /// Time passed.
     TimeAdvanced,
 }
@@ -242,3 +244,25 @@
     /// Attempts that were throttled.
     pub throttled: u64,
 }
+
+impl EngineCounters {
+    /// All counters with their names, for status and metrics.
+    pub fn named(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        [
+            ("jobs_accepted", self.jobs_accepted),
+            ("jobs_rejected", self.jobs_rejected),
+            ("jobs_complete", self.jobs_complete),
+            ("jobs_failed", self.jobs_failed),
+            ("jobs_unknown", self.jobs_unknown),
+            ("jobs_joined", self.jobs_joined),
+            ("starts", self.starts),
+            ("retries", self.retries),
+            ("refusals", self.refusals),
+            ("state_requests", self.state_requests),
+            ("late_answers", self.late_answers),
+            ("uncertain", self.uncertain),
+            ("throttled", self.throttled),
+        ]
+        .into_iter()
+    }
+}
--- a/crates/dispatch/src/engine/jobs.rs
+++ b/crates/dispatch/src/engine/jobs.rs
@@ -213,6 +213,14 @@
         }
     }
 
+    pub(super) fn fail_all_jobs(&mut self) {
+        let mut live = self.jobs.keys().copied().collect::<Vec<_>>();
+        live.sort_unstable();
+        for job in live {
+            self.fail_job(job, AbandonReason::VmStopping);
+        }
+    }
+
     /// Makes a job fail: nothing more is started, what runs is stopped.
     pub(super) fn fail_job(&mut self, number: JobNumber, reason: AbandonReason) {
         let job = self.jobs.get_mut(&number).expect("the job is live");
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -208,6 +208,7 @@
             EngineEvent::VmListRead(list) => self.read_vm_list(&list),
             EngineEvent::FleetChanged(fleet) => self.change_fleet(&fleet),
             EngineEvent::DrainStarted => self.draining = true,
+            EngineEvent::DrainExpired => self.fail_all_jobs(),
             EngineEvent::TimeAdvanced => {}
         }
     }
--- a/crates/dispatch/src/engine/view.rs
+++ b/crates/dispatch/src/engine/view.rs
@@ -26,6 +26,8 @@
     pub zone: ZoneName,
     /// This VM's attempts that hold one of its slots.
     pub running: u16,
+    /// The slots that belong to this VM.
+    pub share: u16,
     /// Whether it is leaving.
     pub leaving: bool,
     /// Whether the last check got no answer.
@@ -57,6 +59,7 @@
             target: self.catalog.target_name(target).clone(),
             zone: self.catalog.zone_name(entry.zone).clone(),
             running: self.targets.running(target),
+            share: self.targets.share(target).slots,
             leaving: self.targets.is_leaving(target),
             unreachable: self.links[target].unreachable,
         });
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,16 +5,15 @@
 
 pub mod attempt;
 pub mod catalog;
+pub mod check;
 pub mod claim;
 pub mod engine;
 pub mod entity;
 pub mod estimate;
+pub mod health;
 pub mod histogram;
 pub mod job;
 mod lane;
-pub mod check;
-pub mod entity;
-pub mod health;
 pub mod membership;
 pub mod placement;
 pub mod queue;
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -142,6 +142,19 @@
     passed_on: bool,
 }
 
+/// What is known about one other entry VM.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerView<'a> {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its last heartbeat.
+    pub hello: Option<&'a PeerHello>,
+    /// How long ago that was.
+    pub age: Duration,
+    /// Whether it missed too many heartbeats.
+    pub suspected: bool,
+}
+
 /// The entry VMs.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -183,6 +196,16 @@
         Some(peer.or_insert_with(|| PeerState::new(now)))
     }
 
+    /// Updates how far this VM has read the ticket stream.
+    pub fn set_config_next(&mut self, config_next: LogOffset) {
+        self.own.config_next = config_next;
+    }
+
+    /// The last known process that took over from `from`.
+    pub fn handover_of(&self, now: TimePoint, from: IncarnationId) -> Option<HandoverNotice> {
+        self.successor(now, from).cloned()
+    }
+
     /// Updates what this VM says about itself.
     pub fn set_own(&mut self, ready: bool, leaving: bool, config_next: LogOffset) {
         self.own.ready = ready;
@@ -481,6 +504,16 @@
         u32::try_from(live).expect("fewer than 2^32 VMs")
     }
 
+    /// All known peers in the order of their addresses.
+    pub fn views(&self, now: TimePoint) -> impl Iterator<Item = PeerView<'_>> {
+        self.peers.iter().map(move |(&address, peer)| PeerView {
+            address,
+            hello: peer.hello.as_ref(),
+            age: now.since(peer.heard),
+            suspected: peer.is_suspected(now, &self.settings),
+        })
+    }
+
     /// The live peers with their states, for example to load the configuration from.
     pub fn live_peers(&self, now: TimePoint) -> impl Iterator<Item = &PeerHello> {
         let live = move |peer: &&PeerState| !peer.is_suspected(now, &self.settings);
--- /dev/null
+++ b/crates/filbertpitch/src/lib.rs
@@ -0,0 +1,3 @@
+//! The filbertpitch process.
+
+pub mod serve;
--- a/crates/filbertpitch/src/serve/driver.rs
+++ b/crates/filbertpitch/src/serve/driver.rs
@@ -83,6 +83,11 @@
         self.notices.take()
     }
 
+    /// Closes target connections that have been idle for too long.
+    pub fn prune_targets(&self) {
+        self.targets.prune();
+    }
+
     /// Submits an event that the engine replies to, and waits for the reply.
     pub async fn call<F>(self: &Rc<Self>, event: F) -> Option<CallerReply>
     where
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -13,10 +13,11 @@
 use filbertpitch_types::peer::{HandoverNotice, HandoverRequest, PeerHello};
 use filbertpitch_types::platform::HANDOVER_STREAM;
 use filbertpitch_types::prelude::*;
+use filbertpitch_types::status::LifeState;
 use filbertpitch_wire::server::{HttpServer, StopHandle};
 use futures_channel::oneshot;
 
-use super::node::{EntryNode, LifeState};
+use super::node::EntryNode;
 use super::platform::append_record;
 use super::router::NodeRouter;
 use super::settings::NodeSettings;
@@ -25,6 +26,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How often idle connections are closed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+/// How long stopped work is awaited after the time for draining.
+const EXPIRY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most outcomes in one handover message.
 const HANDOVER_PART: usize = 200;
 
@@ -120,6 +123,10 @@
         monoio::time::sleep(settings.drain_notice).await;
         self.node.driver().feed(EngineEvent::DrainStarted);
         let drained = self.wait_until_idle(settings.drain_timeout).await;
+        if !drained {
+            self.node.driver().feed(EngineEvent::DrainExpired);
+            self.wait_until_idle(EXPIRY_TIMEOUT).await;
+        }
         self.hand_over().await;
         self.server.stop.stop();
         let closing = monoio::time::timeout(settings.peer_timeout, self.server.done).await;
@@ -141,7 +148,9 @@
     async fn hand_over(&self) {
         let answers = self.node.driver().inspect(|engine| {
             let finished = engine.submissions().finished();
-            finished.map(|answer| JobAnswer::clone(answer)).collect::<Vec<_>>()
+            finished
+                .map(|answer| JobAnswer::clone(answer))
+                .collect::<Vec<_>>()
         });
         if answers.is_empty() {
             return;
--- a/crates/filbertpitch/src/serve/mod.rs
+++ b/crates/filbertpitch/src/serve/mod.rs
@@ -16,5 +16,4 @@
 mod targets;
 
 pub use self::lifecycle::{EntryLife, Starting};
-pub use self::node::LifeState;
 pub use self::settings::NodeSettings;
--- a/crates/filbertpitch/src/serve/node.rs
+++ b/crates/filbertpitch/src/serve/node.rs
@@ -12,6 +12,7 @@
 use filbertpitch_dispatch::membership::{OwnerStatus, PeerTable};
 use filbertpitch_types::peer::PeerHello;
 use filbertpitch_types::prelude::*;
+use filbertpitch_types::status::LifeState;
 use filbertpitch_types::time::ClockReading;
 use filbertpitch_wire::client::{ConnectionPool, PoolLimits};
 use futures_channel::mpsc;
@@ -22,17 +23,6 @@
 use super::settings::NodeSettings;
 use super::targets::TargetClient;
 
-/// Where an entry VM is in its life, as its handlers see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LifeState {
-    /// It has no configuration yet.
-    Starting,
-    /// It takes new work.
-    Ready,
-    /// It finishes what it accepted.
-    Draining,
-}
-
 /// One entry VM.
 pub struct EntryNode {
     settings: NodeSettings,
@@ -194,9 +184,14 @@
         let now = self.now().time;
         let view = {
             let peers = self.peers.borrow();
+            // A VM that is not ready has no share. A draining one keeps its last share for the
+            // work in its queue; targets refuse what exceeds their slots.
+            let (Some(zone), Some(fleet)) = (peers.zone_share(now), peers.fleet_share(now)) else {
+                return;
+            };
             FleetView {
-                zone: peers.zone_share(now),
-                fleet: peers.fleet_share(now),
+                zone,
+                fleet,
                 live_vms: peers.live_vms(now),
                 populated: peers.populated_zones(now),
             }
--- a/crates/filbertpitch/src/serve/peers.rs
+++ b/crates/filbertpitch/src/serve/peers.rs
@@ -51,7 +51,9 @@
         let now = self.now().time;
         match answer {
             Some(answer) => {
-                self.peers.borrow_mut().hello_answered(now, address, &answer);
+                self.peers
+                    .borrow_mut()
+                    .hello_answered(now, address, &answer);
                 self.catch_up_from(&answer).await;
             }
             None => self.peers.borrow_mut().hello_failed(address),
--- a/crates/filbertpitch/src/serve/platform.rs
+++ b/crates/filbertpitch/src/serve/platform.rs
@@ -7,10 +7,10 @@
 use filbertpitch_config::follower::ReadStep;
 use filbertpitch_config::read::LogRead;
 use filbertpitch_dispatch::engine::EngineEvent;
+use filbertpitch_types::peer::HandoverNotice;
 use filbertpitch_types::platform::{
     AppendAnswer, AppendRequest, HANDOVER_STREAM, ReadAnswer, TICKET_STREAM, VmList,
 };
-use filbertpitch_types::peer::HandoverNotice;
 use filbertpitch_types::prelude::*;
 use filbertpitch_wire::client::{ConnectionPool, RequestOptions};
 use filbertpitch_wire::codec::BodyFormat;
@@ -76,7 +76,9 @@
     stream: &str,
     body: Box<str>,
 ) -> Option<LogOffset> {
-    let target = format!("/v1/streams/{stream}/records").parse::<Uri>().ok()?;
+    let target = format!("/v1/streams/{stream}/records")
+        .parse::<Uri>()
+        .ok()?;
     let append = AppendRequest { body };
     let request = ClientRequest::post(target, BodyFormat::Json, &append).ok()?;
     let options = RequestOptions {
@@ -109,8 +111,8 @@
             let outcome = read_stream(&pool, TICKET_STREAM, &read).await;
             let now = self.now().time;
             match outcome {
-                ReadOutcome::Read(answer) => self.follower.borrow_mut().on_read(now, answer),
-                ReadOutcome::Expired(answer) => self.follower.borrow_mut().on_expired(now, answer),
+                ReadOutcome::Read(answer) => self.follower.borrow_mut().on_read(now, &answer),
+                ReadOutcome::Expired(answer) => self.follower.borrow_mut().on_expired(now, &answer),
                 ReadOutcome::Outage => self.follower.borrow_mut().on_outage(now),
             }
             self.publish_configuration();
--- a/crates/filbertpitch/src/serve/request.rs
+++ b/crates/filbertpitch/src/serve/request.rs
@@ -44,7 +44,10 @@
         return Err(problem("deadline", "it must be above zero".into()));
     }
     if request.deadline > limits.job_deadline {
-        let message = format!("it exceeds the limit of {} s", limits.job_deadline.as_secs());
+        let message = format!(
+            "it exceeds the limit of {} s",
+            limits.job_deadline.as_secs()
+        );
         return Err(problem("deadline", message));
     }
     for (index, task) in request.tasks.iter().enumerate() {
--- a/crates/filbertpitch/src/serve/router.rs
+++ b/crates/filbertpitch/src/serve/router.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 
 use filbertpitch_types::peer::ForwardCommand;
+use filbertpitch_types::status::LifeState;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::server::RequestHandler;
 use http::{Method, StatusCode};
 
-use super::node::{EntryNode, LifeState};
+use super::node::EntryNode;
 
 /// The path prefix of requests about one submission.
 const JOB_PATH: &str = "/v1/jobs/";
@@ -62,7 +63,7 @@
                 "starting",
                 "no configuration has been read yet",
             ),
-            LifeState::Draining => ServerResponse::error(
+            LifeState::Draining | LifeState::Stopped => ServerResponse::error(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "draining",
                 "the VM finishes its work and takes no new work",
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -44,6 +44,8 @@
     DeadlinePassed,
     /// The target ended it because its lease ran out.
     LeaseLapsed,
+    /// The entry VM stopped before it ended.
+    VmStopping,
 }
 
 /// Why it is not known whether work ran.
@@ -118,6 +120,7 @@
             Self::JobFailed => f.write_str("job_failed"),
             Self::DeadlinePassed => f.write_str("deadline_passed"),
             Self::LeaseLapsed => f.write_str("lease_lapsed"),
+            Self::VmStopping => f.write_str("vm_stopping"),
         }
     }
 }
