Check, eject and probe targets from the engine

A check covers all attempts of a target; an answered one renews the leases, an unanswered one does not lengthen them, so that attempts on a dead target lapse. Ejection closes the target's gate in placement.

--- a/crates/dispatch/src/engine/attempts.rs
+++ b/crates/dispatch/src/engine/attempts.rs
@@ -5,12 +5,15 @@
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::target::{AttemptVerdict, RefusalReason, StartAnswer};
 
+use super::health::health_result;
 use super::schedule::QueueEnd;
 use super::{AttemptTrace, DispatchEngine, EngineAction, EngineNotice, TaskRef};
 use crate::attempt::{AbandonReason, AnswerSource, AttemptEnd, AttemptPhase, StopCause};
+use crate::check::AttemptWatch;
 use crate::entity::TargetIndex;
+use crate::health::ResultRecord;
 use crate::job::{JobPhase, LiveTask, TaskState};
-use crate::placement::HoldEnd;
+use crate::placement::{HoldEnd, HoldSource};
 
 /// Refusals in a row after which a task waits before it is queued again.
 const REFUSALS_BEFORE_DELAY: u8 = 3;
@@ -64,7 +67,15 @@
         };
         task.state = TaskState::Running(AttemptPhase::Uncertain(attempt.lose_connection()));
         let target = task.target.expect("a running task has a target");
-        self.schedule_check(target, self.clock.time);
+        // From now on only checks tell the outcome.
+        let now = self.clock.time;
+        self.checks.unwatch(target, id);
+        let watch = AttemptWatch {
+            key: id,
+            overdue_at: now,
+            renew_at: now,
+        };
+        self.checks.watch(target, watch);
     }
 
     /// Ends an attempt by what the target says about it.
@@ -127,8 +138,18 @@
         };
         let record = phase.record();
         let hold = task.hold.take().expect("a running task holds a slot");
+        let hold_source = hold.source();
         self.targets.ended(now, hold, hold_end);
+        let probe = hold_source == HoldSource::Probe;
         self.links[record.target].attempts.remove(&id);
+        self.checks.unwatch(record.target, id);
+        let result = ResultRecord {
+            target: record.target,
+            service: job.service,
+            result: health_result(&end, record.stop),
+            probe,
+        };
+        self.health.record(now, result);
         if let AttemptEnd::Done { run_time, .. } = &end {
             self.estimator
                 .observe(task.kind, task.spec.declared, *run_time);
@@ -146,12 +167,14 @@
                 end: end.word(),
             }));
         }
-        EndedAttempt {
+        let ended = EndedAttempt {
             task_ref,
             target: record.target,
             stop: record.stop,
             end,
-        }
+        };
+        self.apply_health();
+        ended
     }
 
     fn settle_task(&mut self, ended: EndedAttempt) {
--- a/crates/dispatch/src/engine/checks.rs
+++ b/crates/dispatch/src/engine/checks.rs
@@ -8,34 +8,20 @@
     AttemptReport, AttemptState, AttemptsRequest, CheckRequest, StateAnswer,
 };
 
-use super::{DispatchEngine, EngineAction, EngineNotice, StateCommand, TaskRef, TimerTopic};
+use super::{DispatchEngine, EngineAction, EngineNotice, StateCommand, TaskRef};
 use crate::attempt::{AnswerSource, StopCause};
+use crate::check::CheckResult;
 use crate::entity::TargetIndex;
 
 impl DispatchEngine {
-    /// Makes sure that `target` is checked at `due` or earlier.
-    pub(super) fn schedule_check(&mut self, target: TargetIndex, due: TimePoint) {
-        let link = &mut self.links[target];
-        let earlier = link.check_due.is_some_and(|planned| planned <= due);
-        if earlier || link.check_pending {
-            return;
-        }
-        link.check_due = Some(due);
-        self.timers.subscribe(due, TimerTopic::TargetCheck(target));
-    }
-
     /// An attempt exceeded its expected run time.
     pub(super) fn reach_overdue(&mut self, id: AttemptId) {
         let Some(phase) = self.current_attempt(id) else {
             return;
         };
-        let record = phase.record();
-        let (target, sent_at, throttled) = (record.target, record.sent_at, record.throttled);
-        if !throttled {
+        if !phase.record().throttled {
             self.consider_throttle(id);
         }
-        let due = sent_at + self.settings.check_floor;
-        self.schedule_check(target, due.max(self.clock.time));
     }
 
     /// Moves a long attempt out of the way of waiting short work.
@@ -63,21 +49,22 @@
         throttles.push(id);
     }
 
-    pub(super) fn check_target(&mut self, target: TargetIndex) {
-        let link = &mut self.links[target];
-        let due = link.check_due.is_some_and(|due| due <= self.clock.time);
-        if !due || link.check_pending {
-            return;
+    /// Sends the checks that are due.
+    pub(super) fn check_targets(&mut self) {
+        while let Some(target) = self.checks.check_due(self.clock.time) {
+            self.check_target(target);
         }
-        link.check_due = None;
+    }
+
+    fn check_target(&mut self, target: TargetIndex) {
         self.lapse_attempts(target);
-        let attempts = self.links[target]
-            .attempts
-            .iter()
-            .copied()
-            .collect::<Vec<_>>();
-        if attempts.is_empty() {
-            return;
+        let attempts = self.links[target].attempts.iter().copied();
+        let attempts = attempts.collect::<Vec<_>>();
+        let in_force = self.catalog.target(target).is_some();
+        if attempts.is_empty() || !in_force {
+            let renew_at = self.clock.time;
+            let result = CheckResult::Answered { renew_at };
+            return self.checks.check_ended(self.clock.time, target, result);
         }
         self.send_check(target, attempts);
     }
@@ -115,7 +102,6 @@
                 phase.record_mut().extend_lease(lease_until);
             }
         }
-        self.links[target].check_pending = true;
         self.counters.state_requests += 1;
         let request = CheckRequest {
             holder: self.incarnation,
@@ -146,14 +132,15 @@
         command: StateCommand,
         answer: StateAnswer,
     ) {
-        if command == StateCommand::Check {
-            self.links[target].check_pending = false;
-        }
         self.note_load(target, &answer.load);
         for report in answer.reports {
             self.receive_report(target, command, report, answer.load.boot);
         }
-        self.plan_next_check(target);
+        if command == StateCommand::Check {
+            let renew_at = self.clock.time + self.settings.lease_floor / 2;
+            let result = CheckResult::Answered { renew_at };
+            self.checks.check_ended(self.clock.time, target, result);
+        }
     }
 
     fn receive_report(
@@ -217,66 +204,13 @@
     }
 
     pub(super) fn fail_states(&mut self, target: TargetIndex, command: StateCommand) {
-        if command == StateCommand::Check {
-            self.links[target].check_pending = false;
-        }
         self.note_unreachable(target);
-        self.plan_next_check(target);
-    }
-
-    /// Records that the target could not be reached.
-    pub(super) fn note_unreachable(&mut self, target: TargetIndex) {
-        let link = &mut self.links[target];
-        link.unreachable = true;
-        link.failed_checks = link.failed_checks.saturating_add(1);
-    }
-
-    /// Keeps checking while attempts are overdue, uncertain or about to lose their lease.
-    fn plan_next_check(&mut self, target: TargetIndex) {
-        let link = &self.links[target];
-        if link.attempts.is_empty() {
-            return;
-        }
-        let doublings = link.failed_checks.min(4);
-        let interval = self.settings.check_interval * (1 << doublings);
-        let interval = interval.min(self.settings.check_interval_limit);
-        let suspect = link.unreachable || self.has_uncertain(target);
-        let due = if suspect {
-            self.clock.time + interval
+        if command == StateCommand::Check {
+            let result = CheckResult::Failed;
+            self.checks.check_ended(self.clock.time, target, result);
         } else {
-            match self.oldest_attempt(target) {
-                Some(sent_at) => self.next_lease_check(target).max(sent_at),
-                None => return,
-            }
-        };
-        self.schedule_check(target, due);
-    }
-
-    fn has_uncertain(&self, target: TargetIndex) -> bool {
-        let attempts = self.links[target].attempts.iter();
-        attempts
-            .filter_map(|id| self.current_attempt(*id))
-            .any(|phase| phase.is_uncertain())
-    }
-
-    fn oldest_attempt(&self, target: TargetIndex) -> Option<TimePoint> {
-        let attempts = self.links[target].attempts.iter();
-        attempts
-            .filter_map(|id| self.current_attempt(*id))
-            .map(|phase| phase.record().sent_at)
-            .min()
-    }
-
-    /// When the shortest lease on the target has half of the floor left.
-    fn next_lease_check(&self, target: TargetIndex) -> TimePoint {
-        let attempts = self.links[target].attempts.iter();
-        let leases = attempts.filter_map(|id| self.current_attempt(*id));
-        let shortest = leases.map(|phase| phase.record().lease_until).min();
-        let left = shortest.map_or(self.settings.lease_floor, |until| {
-            until.since(self.clock.wall)
-        });
-        let wait = left.saturating_sub(self.settings.lease_floor / 2);
-        self.clock.time + wait.max(self.settings.check_interval)
+            self.checks.request(target);
+        }
     }
 
     /// Sends the stops and throttles that were collected.
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::entity::TargetIndex;
+use crate::health::HealthEvent;
 use crate::job::CallerToken;
 use crate::placement::SharePosition;
 
@@ -206,8 +207,8 @@
 /// Something an operator may want to know.
 #[derive(Clone, Debug)]
 pub enum EngineNotice {
-    /// A target is leaving.
-    TargetLeaving(TargetIndex),
+    /// A target's health changed, or it is leaving.
+    Health(HealthEvent),
     /// An attempt's outcome is not known.
     OutcomeUnknown(AttemptId),
     /// A target answered about an attempt in a way the protocol does not allow.
--- /dev/null
+++ b/crates/dispatch/src/engine/health.rs
@@ -0,0 +1,71 @@
+//! What the ends of attempts and checks say about the health of targets.
+
+use filbertpitch_types::target::RefusalReason;
+
+use super::{DispatchEngine, EngineAction, EngineNotice};
+use crate::attempt::{AttemptEnd, StopCause};
+use crate::entity::{ServiceIndex, TargetIndex};
+use crate::health::{HealthEvent, HealthResult, ResultRecord};
+
+/// What the end of an attempt says about its target.
+pub(super) fn health_result(end: &AttemptEnd, stop: Option<StopCause>) -> HealthResult {
+    match end {
+        AttemptEnd::Done { .. } => HealthResult::Succeeded,
+        AttemptEnd::Failed { .. } => HealthResult::Failed,
+        AttemptEnd::Stopped if stop.is_none() => HealthResult::Failed,
+        AttemptEnd::NotStarted {
+            refusal: Some(RefusalReason::UnknownKind),
+        } => HealthResult::Failed,
+        // A lease also lapses when this VM was paused, and unanswered checks count on their own.
+        AttemptEnd::Lapsed
+        | AttemptEnd::Vanished
+        | AttemptEnd::Stopped
+        | AttemptEnd::NotStarted { .. }
+        | AttemptEnd::Checkpointed { .. } => HealthResult::Neutral,
+    }
+}
+
+impl DispatchEngine {
+    /// Records that the target could not be reached.
+    pub(super) fn note_unreachable(&mut self, target: TargetIndex) {
+        self.links[target].unreachable = true;
+        let services = self.services_of(target);
+        let Some(&service) = services.first() else {
+            return;
+        };
+        let record = ResultRecord {
+            target,
+            service,
+            result: HealthResult::Unreachable,
+            probe: false,
+        };
+        self.health.record(self.clock.time, record);
+        self.apply_health();
+    }
+
+    fn services_of(&self, target: TargetIndex) -> Vec<ServiceIndex> {
+        let Some(entry) = self.catalog.target(target) else {
+            return Vec::new();
+        };
+        let names = entry.spec.takes.keys();
+        names
+            .filter_map(|name| self.catalog.service_index(name))
+            .collect()
+    }
+
+    /// Carries changes of health over to placement and to the log.
+    pub(super) fn apply_health(&mut self) {
+        for event in self.health.events() {
+            let target = match event {
+                HealthEvent::Ejected { target, .. }
+                | HealthEvent::Probing { target }
+                | HealthEvent::Reinstated { target }
+                | HealthEvent::Leaving { target } => target,
+            };
+            let gate = self.health.gate(target);
+            self.targets.set_gate(self.clock.time, target, gate);
+            let notice = EngineNotice::Health(event);
+            self.actions.push(EngineAction::Notice(notice));
+        }
+    }
+}
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod checks;
 mod event;
+mod health;
 mod jobs;
 mod schedule;
 mod settings;
@@ -25,8 +26,10 @@
 use typed_index_collections::TiVec;
 
 use crate::catalog::ConfigCatalog;
+use crate::check::CheckSchedule;
 use crate::entity::{TargetIndex, TaskKey};
 use crate::estimate::RunEstimator;
+use crate::health::HealthTable;
 use crate::job::LiveJob;
 use crate::placement::TargetTable;
 use crate::queue::{FairQueue, SchedulingRound};
@@ -49,8 +52,6 @@
     JobEnding(JobNumber),
     /// An attempt exceeded its expected run time.
     AttemptOverdue(AttemptId),
-    /// A target may be due for a check.
-    TargetCheck(TargetIndex),
     /// A delayed task is queued again.
     TaskRequeue(TaskKey),
     /// Waiting tasks are offered again.
@@ -90,12 +91,6 @@
     parked: u16,
     /// Whether the last check got no answer.
     unreachable: bool,
-    /// Whether a check is on its way.
-    check_pending: bool,
-    /// When the next check timer is set for.
-    check_due: Option<TimePoint>,
-    /// How many checks in a row got no answer.
-    failed_checks: u32,
 }
 
 /// The dispatcher of one incarnation.
@@ -115,6 +110,8 @@
     targets: TargetTable,
     links: TiVec<TargetIndex, TargetLink>,
     estimator: RunEstimator,
+    health: HealthTable,
+    checks: CheckSchedule<AttemptId>,
     timers: TimerService<TimerTopic>,
     queue_retry_due: Option<TimePoint>,
     pending_stops: BTreeMap<TargetIndex, Vec<AttemptId>>,
@@ -144,6 +141,8 @@
             ),
             targets: TargetTable::new(settings.placement.clone()),
             estimator: RunEstimator::new(settings.estimates),
+            health: HealthTable::new(settings.health.clone()),
+            checks: CheckSchedule::new(settings.checks.clone()),
             settings,
             incarnation,
             zone,
@@ -174,6 +173,7 @@
         };
         self.fire_timers();
         self.react(event);
+        self.check_targets();
         self.schedule();
     }
 
@@ -222,7 +222,12 @@
 
     /// When [`Self::handle`] must be called at the latest.
     pub fn next_due(&self) -> Option<TimePoint> {
-        self.timers.next_due()
+        let dues = [
+            self.timers.next_due(),
+            self.checks.next_due(),
+            self.health.next_due(),
+        ];
+        dues.into_iter().flatten().min()
     }
 
     /// Whether no job is live, so that a draining process may stop.
@@ -251,12 +256,13 @@
     }
 
     fn fire_timers(&mut self) {
+        self.health.advance(self.clock.time);
+        self.apply_health();
         while let Some(topic) = self.timers.pop_due(self.clock.time) {
             match topic {
                 TimerTopic::JobDeadline(job) => self.reach_deadline(job),
                 TimerTopic::JobEnding(job) => self.reach_ending(job),
                 TimerTopic::AttemptOverdue(attempt) => self.reach_overdue(attempt),
-                TimerTopic::TargetCheck(target) => self.check_target(target),
                 TimerTopic::TaskRequeue(key) => self.requeue_delayed(key),
                 TimerTopic::QueueRetry => self.queue_retry_due = None,
                 TimerTopic::Housekeeping => self.keep_house(),
@@ -279,6 +285,8 @@
                 self.links.push(TargetLink::default());
             }
         }
+        self.health.install(&self.catalog);
+        self.apply_health();
         for (kind, entry) in self.catalog.kinds() {
             self.estimator.configure(kind, entry.service, entry.typical);
         }
@@ -294,17 +302,19 @@
             };
             match vm.state {
                 VmState::Leaving => self.mark_leaving(target),
-                VmState::Live => self.targets.mark_live(self.clock.time, target),
+                VmState::Live => {
+                    self.targets.mark_live(self.clock.time, target);
+                    let leaving = self.targets.is_leaving(target);
+                    self.health.note_leaving(target, leaving);
+                }
             }
         }
     }
 
     fn mark_leaving(&mut self, target: TargetIndex) {
-        if !self.targets.is_leaving(target) {
-            let notice = EngineNotice::TargetLeaving(target);
-            self.actions.push(EngineAction::Notice(notice));
-        }
         self.targets.mark_leaving(self.clock.time, target);
+        self.health.note_leaving(target, true);
+        self.apply_health();
     }
 
     fn change_fleet(&mut self, fleet: &FleetView) {
@@ -328,10 +338,9 @@
         let link = &mut self.links[target];
         link.parked = load.parked;
         link.unreachable = false;
-        link.failed_checks = 0;
         if link.boot.is_some_and(|boot| boot != load.boot) {
             // The former process took its attempts with it; a check settles each of them.
-            self.schedule_check(target, self.clock.time);
+            self.checks.request(target);
         }
         self.links[target].boot = Some(load.boot);
     }
--- a/crates/dispatch/src/engine/schedule.rs
+++ b/crates/dispatch/src/engine/schedule.rs
@@ -4,7 +4,8 @@
 use filbertpitch_types::target::StartRequest;
 
 use super::{DispatchEngine, EngineAction, TaskRef, TimerTopic};
-use crate::attempt::{AttemptPhase, AttemptRecord, TaskAttempt};
+use crate::attempt::{AbandonReason, AttemptPhase, AttemptRecord, TaskAttempt};
+use crate::check::AttemptWatch;
 use crate::entity::{TargetIndex, TaskKey};
 use crate::estimate::SizeClass;
 use crate::job::TaskState;
@@ -24,8 +25,8 @@
     pub(super) fn enqueue(&mut self, task_ref: TaskRef, end: QueueEnd) {
         let now = self.clock.time;
         let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
-        let task = &mut job.tasks[task_ref.position()];
-        task.state = TaskState::Queued;
+        job.tasks[task_ref.position()].state = TaskState::Queued;
+        let task = &job.tasks[task_ref.position()];
         let entry = QueueEntry {
             task: task.key,
             team: job.team,
@@ -34,7 +35,7 @@
                 size: task.prediction.size,
             },
             predicted: task.prediction.expected,
-            deadline: job.deadline,
+            deadline: job.latest_start(&task.prediction),
             repeatable: task.spec.repeatable,
         };
         match end {
@@ -68,6 +69,7 @@
         if self.queue.is_empty() {
             return;
         }
+        self.drop_hopeless();
         self.round.reset();
         while let Some((entry, target)) = self.pop_placeable() {
             self.start_attempt(self.task_refs[entry.task], target);
@@ -75,6 +77,15 @@
         self.arm_queue_retry();
     }
 
+    /// Fails the jobs whose waiting tasks can no longer meet the deadline.
+    fn drop_hopeless(&mut self) {
+        for entry in self.queue.expire(self.clock.time) {
+            if let Some(task_ref) = self.task_refs.get(entry.task) {
+                self.fail_job(task_ref.job, AbandonReason::DeadlinePassed);
+            }
+        }
+    }
+
     fn pop_placeable(&mut self) -> Option<(QueueEntry, TargetIndex)> {
         let now = self.clock.time;
         let (jobs, task_refs) = (&self.jobs, &self.task_refs);
@@ -150,6 +161,13 @@
         self.timers
             .subscribe(overdue, TimerTopic::AttemptOverdue(id));
         self.links[target].attempts.insert(id);
+        let check_after = overdue.max(clock.time + self.settings.check_floor);
+        let watch = AttemptWatch {
+            key: id,
+            overdue_at: check_after,
+            renew_at: clock.time + lease / 2,
+        };
+        self.checks.watch(target, watch);
         self.counters.starts += 1;
         let entry = self
             .catalog
--- a/crates/dispatch/src/engine/settings.rs
+++ b/crates/dispatch/src/engine/settings.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use crate::check::CheckSettings;
 use crate::estimate::EstimateSettings;
+use crate::health::HealthSettings;
 use crate::placement::PlacementSettings;
 use crate::submission::SubmissionSettings;
 
@@ -15,6 +17,10 @@
     pub placement: PlacementSettings,
     /// Run-time estimates.
     pub estimates: EstimateSettings,
+    /// Ejection of failing targets.
+    pub health: HealthSettings,
+    /// Checks of targets.
+    pub checks: CheckSettings,
     /// The least lease of an attempt. Longer than most tasks run, so that they need no renewal.
     pub lease_floor: Duration,
     /// The lease as a multiple of the expected run time.
@@ -26,10 +32,6 @@
     pub ending_timeout: Duration,
     /// The least age of an attempt before its target is checked.
     pub check_floor: Duration,
-    /// The least time between two checks of a target, doubled after each failed one.
-    pub check_interval: Duration,
-    /// The longest time between two checks of an unreachable target.
-    pub check_interval_limit: Duration,
     /// The delay before a task that was refused several times in a row is queued again.
     pub refusal_delay: Duration,
     /// How often waiting tasks are offered without any other event.
@@ -44,13 +46,13 @@
             submissions: SubmissionSettings::default(),
             placement: PlacementSettings::default(),
             estimates: EstimateSettings::default(),
+            health: HealthSettings::default(),
+            checks: CheckSettings::default(),
             lease_floor: Duration::from_secs(5),
             lease_factor: 4,
             lease_margin: Duration::from_secs(1),
             ending_timeout: Duration::from_secs(2),
             check_floor: Duration::from_secs(1),
-            check_interval: Duration::from_millis(500),
-            check_interval_limit: Duration::from_secs(4),
             refusal_delay: Duration::from_millis(5),
             queue_retry_interval: Duration::from_millis(10),
             housekeeping_interval: Duration::from_millis(500),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -217,6 +217,13 @@
         matches!(self.phase, JobPhase::Failing(_))
     }
 
+    /// When a task must start at the latest. Predictions may be far off, so at most half of the
+    /// job's time is reserved for the run.
+    pub fn latest_start(&self, prediction: &RunPrediction) -> TimePoint {
+        let half = self.deadline.since(self.accepted_at) / 2;
+        self.deadline - prediction.expected.min(half)
+    }
+
     /// Decides the outcome of a task.
     pub fn end_task(&mut self, index: TaskIndex, outcome: TaskOutcome) {
         self.tasks[usize::from(index.0)].end(outcome);
