Add the seeded fault run

Simulates several entry VMs, targets, the log, the VM list and clients in one process on a virtual clock, so that rare orders of events can be produced and repeated from a seed. A VM is composed as in the serve loop; each await is a continuation.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod log_model;
 pub mod plan;
 pub mod target_model;
+pub mod trial;
 pub mod vm_model;
 pub mod world;
--- /dev/null
+++ b/crates/standins/src/trial/vm/forward.rs
@@ -0,0 +1,82 @@
+//! Requests for submissions that another process owns; follows `serve/forward.rs`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand, ForwardRequest};
+use filbertpitch_types::prelude::*;
+
+use super::super::message::{
+    ExchangeId, Failure, ForwardCall, Request, Response, VmCall, submission_of,
+};
+use super::{EntryVm, ReplyTo};
+
+/// The time beyond a job's deadline in which its owner still answers.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(4);
+/// The time for a forwarded lookup or cancellation.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a forwarded request follows a handover.
+const HANDOVER_HOPS: usize = 4;
+
+impl EntryVm {
+    pub(super) fn forward(
+        &mut self,
+        caller: ExchangeId,
+        address: SocketAddr,
+        owner: IncarnationId,
+        command: ForwardCommand,
+    ) {
+        let call = ForwardCall {
+            caller,
+            command,
+            hops: HANDOVER_HOPS,
+        };
+        self.ask_owner(address, owner, call);
+    }
+
+    fn ask_owner(&mut self, address: SocketAddr, owner: IncarnationId, mut call: ForwardCall) {
+        if call.hops == 0 {
+            let submission = submission_of(&call.command).clone();
+            return self.answer_forwarded(call.caller, submission, None);
+        }
+        call.hops -= 1;
+        let timeout = match &call.command {
+            ForwardCommand::Submit(request) => request.deadline + DEADLINE_MARGIN,
+            ForwardCommand::Lookup(_) | ForwardCommand::Cancel(_) => SHORT_TIMEOUT,
+        };
+        let request = Request::Forward(Box::new(ForwardRequest {
+            owner,
+            traceparent: None,
+            command: call.command.clone(),
+        }));
+        self.send(address, request, timeout, VmCall::Forward(Box::new(call)));
+    }
+
+    pub(super) fn end_forward(&mut self, call: ForwardCall, result: Result<Response, Failure>) {
+        let submission = submission_of(&call.command).clone();
+        match result {
+            Ok(Response::Forward(answer)) => match *answer {
+                ForwardAnswer::HandedOver(notice) => {
+                    self.ask_owner(notice.address, notice.to, call);
+                }
+                answer => self.answer_forwarded(call.caller, submission, Some(answer)),
+            },
+            _ => self.answer_forwarded(call.caller, submission, None),
+        }
+    }
+
+    pub(super) fn answer_forward(&mut self, exchange: ExchangeId, request: ForwardRequest) {
+        if request.owner == self.incarnation {
+            return self.call_engine(ReplyTo::Peer(exchange), request.command);
+        }
+        let successor = self.peers.handover_of(self.clock.time, request.owner);
+        let answer = match successor {
+            Some(notice) => ForwardAnswer::HandedOver(notice),
+            None => ForwardAnswer::OwnerGone {
+                incarnation: self.incarnation,
+            },
+        };
+        self.open_calls.remove(&exchange);
+        self.reply(exchange, Response::Forward(Box::new(answer)));
+    }
+}
--- a/crates/standins/src/vm_model.rs
+++ b/crates/standins/src/vm_model.rs
@@ -57,6 +57,11 @@
         self.pending.push_back((due, change));
     }
 
+    /// When every change made so far is visible.
+    pub fn settled_at(&self, now: TimePoint) -> TimePoint {
+        self.pending.back().map_or(now, |&(due, _)| due.max(now))
+    }
+
     /// The list as visible at `now`.
     ///
     /// # Errors
