Test fair queueing and estimates, and cut the cost of a round

Purpose: show the properties of the queue and the estimator, and keep the cost per task flat.

Changes: a round records blocked lanes by number instead of hashing, and work rates use integers. The queue reports backlog and service per team and kind for admission. QueueSettings::resume_allowance (default zero, as designed) lets a team that used less than its share precede the others by a bounded amount of work when it resumes.

--- a/crates/dispatch/src/lane.rs
+++ b/crates/dispatch/src/lane.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use filbertpitch_types::prelude::*;
 use slotmap::SecondaryMap;
 
 use crate::entity::{KindIndex, TaskKey};
-use crate::queue::{LaneKey, QueueNode};
+use crate::queue::{LaneKey, QueueNode, TeamLoad};
+use crate::work_rate::WorkRate;
 
 pub(crate) type NodeMap = SecondaryMap<TaskKey, QueueNode>;
 
@@ -81,11 +83,15 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct TaskLane {
     again: TaskList,
     fresh: TaskList,
     work: Duration,
+    /// When the lane last became non-empty, if it is non-empty.
+    since: Option<TimePoint>,
+    /// Expected run times of the tasks that were popped.
+    rate: WorkRate,
 }
 
 impl TaskLane {
@@ -102,7 +108,7 @@
     }
 }
 
-/// The lanes of one team that hold tasks.
+/// The lanes that a team has used.
 #[derive(Debug, Default)]
 pub(crate) struct LaneTable {
     lanes: BTreeMap<LaneKey, TaskLane>,
@@ -111,39 +117,31 @@
 
 impl LaneTable {
     /// Adds a task to its lane and tells whether the lane was empty.
-    pub(crate) fn append(
-        &mut self,
-        nodes: &mut NodeMap,
-        key: LaneKey,
-        task: TaskKey,
-        work: Duration,
-    ) -> bool {
+    pub(crate) fn append(&mut self, now: TimePoint, nodes: &mut NodeMap, task: TaskKey) -> bool {
+        let node = nodes[task];
+        let key = node.entry().lane;
         let lane = self.lanes.entry(key).or_default();
         let before = lane.head();
-        lane.list(nodes[task].place()).append(nodes, task);
-        lane.work += work;
+        lane.list(node.place()).append(nodes, task);
+        lane.work += node.entry().predicted;
+        lane.since = lane.since.or(Some(now));
         let after = lane.head();
         self.replace_head(nodes, key, before, after);
         before.is_none()
     }
 
     /// Removes a task from its lane and tells whether the lane is empty now.
-    pub(crate) fn unlink(
-        &mut self,
-        nodes: &mut NodeMap,
-        key: LaneKey,
-        node: &QueueNode,
-        work: Duration,
-    ) -> bool {
+    pub(crate) fn unlink(&mut self, nodes: &mut NodeMap, node: &QueueNode) -> bool {
+        let key = node.entry().lane;
         let lane = self.lanes.get_mut(&key).expect("a queued task has a lane");
         let before = lane.head();
         lane.list(node.place()).unlink(nodes, node);
-        lane.work -= work;
+        lane.work -= node.entry().predicted;
         let after = lane.head();
-        self.replace_head(nodes, key, before, after);
         if after.is_none() {
-            self.lanes.remove(&key);
+            lane.since = None;
         }
+        self.replace_head(nodes, key, before, after);
         after.is_none()
     }
 
@@ -170,6 +168,31 @@
         self.heads.values().copied()
     }
 
+    /// Counts work that was popped from a lane.
+    pub(crate) fn record_served(&mut self, now: TimePoint, key: LaneKey, work: Duration) {
+        if let Some(lane) = self.lanes.get_mut(&key) {
+            lane.rate.record(now, work);
+        }
+    }
+
+    /// Backlog and service of the kinds that `competes` selects.
+    pub(crate) fn load_among<F>(&self, now: TimePoint, competes: F) -> TeamLoad
+    where
+        F: Fn(KindIndex) -> bool,
+    {
+        let mut load = TeamLoad::default();
+        for (_, lane) in self.lanes.iter().filter(|(key, _)| competes(key.kind)) {
+            let mut rate = lane.rate;
+            rate.advance(now);
+            load.work += lane.work;
+            load.served_per_second += rate.per_second();
+            load.samples += rate.samples();
+            let waiting = lane.since.map_or(Duration::ZERO, |since| now.since(since));
+            load.backlogged_for = load.backlogged_for.max(waiting);
+        }
+        load
+    }
+
     /// The queued work of the kinds that `competes` selects.
     pub(crate) fn work_among<F>(&self, competes: F) -> Duration
     where
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod histogram;
 mod lane;
 pub mod queue;
+mod round;
 pub mod timer;
 pub mod virtual_time;
 pub mod work_rate;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -8,7 +8,7 @@
 //! A task is charged when it is first popped. Whoever pops it settles it exactly once, when it
 //! ends, with the total run time of its attempts; zero if it never ran.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use filbertpitch_types::prelude::*;
@@ -18,6 +18,8 @@
 use crate::entity::{KindIndex, TaskKey, TeamIndex};
 use crate::estimate::SizeClass;
 use crate::lane::{LaneTable, QueuePlace};
+use crate::round::LaneCensus;
+pub use crate::round::SchedulingRound;
 use crate::virtual_time::{VirtualSpan, VirtualTime};
 use crate::work_rate::WorkRate;
 
@@ -29,6 +31,16 @@
 /// before a service rate has been measured.
 const LAG_FLOOR: Duration = Duration::from_secs(10);
 
+/// How teams share the queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// The most work per unit of weight by which a team that used less than its share may precede
+    /// the others when it resumes. Zero means that it resumes at the system's virtual time. With
+    /// zero, jobs of a light team that arrive close together share the slots with a flooding team,
+    /// although the light team is below its share over any longer time.
+    pub resume_allowance: Duration,
+}
+
 /// Tasks of one kind and size class: those that compete for the same slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LaneKey {
@@ -66,24 +78,17 @@
     Skip,
 }
 
-/// What one scheduling round has found out. A round is valid until a slot becomes free.
-#[derive(Clone, Debug, Default)]
-pub struct SchedulingRound {
-    blocked: HashSet<LaneKey>,
-    skipped: HashSet<(TeamIndex, LaneKey)>,
-}
-
-impl SchedulingRound {
-    /// Forgets all answers, keeping the memory for the next round.
-    pub fn reset(&mut self) {
-        self.blocked.clear();
-        self.skipped.clear();
-    }
-
-    fn is_open(&self, team: TeamIndex, lane: LaneKey) -> bool {
-        !self.blocked.contains(&lane)
-            && (self.skipped.is_empty() || !self.skipped.contains(&(team, lane)))
-    }
+/// Backlog and service of one team.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TeamLoad {
+    /// The expected run time of the queued tasks.
+    pub work: Duration,
+    /// The expected run time of the tasks popped in the last second.
+    pub served_per_second: Duration,
+    /// How many popped tasks that rests on.
+    pub samples: u32,
+    /// How long at least one of the team's lanes has been non-empty without a break.
+    pub backlogged_for: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -104,14 +109,14 @@
 /// Queued tasks of all teams.
 #[derive(Debug, Default)]
 pub struct FairQueue {
+    settings: QueueSettings,
     nodes: SecondaryMap<TaskKey, QueueNode>,
     teams: TiVec<TeamIndex, TeamBacklog>,
     /// The backlogged teams by virtual time.
     order: BTreeSet<(VirtualTime, TeamIndex)>,
     /// The total weight of the teams in `order`.
     order_weight: u64,
-    /// How many teams have tasks in a lane.
-    lane_teams: BTreeMap<LaneKey, u32>,
+    census: LaneCensus,
     deadlines: BTreeSet<(TimePoint, TaskKey)>,
     /// Entries found past their deadline and not yet taken through `expire`.
     expired: Vec<QueueEntry>,
@@ -136,9 +141,21 @@
     pub(crate) fn place(&self) -> QueuePlace {
         self.place
     }
+
+    pub(crate) fn entry(&self) -> &QueueEntry {
+        &self.entry
+    }
 }
 
 impl FairQueue {
+    /// An empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
     /// Sets a team's weight; work it started so far stays charged as it was.
     pub fn set_weight(&mut self, team: TeamIndex, weight: TeamWeight) {
         self.ensure_team(team);
@@ -188,7 +205,7 @@
         let place = self.nodes[task].place;
         let entry = self.unlink(task);
         if !place.is_again() {
-            self.charge(now, entry.team, entry.predicted);
+            self.charge(now, &entry);
         }
         self.settle_idle();
         Some((entry, placement))
@@ -262,31 +279,42 @@
 
     /// The work that is served before a new task of this team under fair shares.
     pub fn work_ahead(&self, team: TeamIndex) -> Duration {
-        self.sum_ahead(team, |backlog| backlog.work)
+        self.sum_ahead(team, Duration::ZERO, |backlog| backlog.work)
     }
 
-    /// Like [`Self::work_ahead`], counting only kinds that compete for the same slots.
-    pub fn work_ahead_among<F>(&self, team: TeamIndex, competes: F) -> Duration
+    /// The work that is served before `added` more work of this team has been, under fair shares
+    /// and without `added` itself, counting only kinds that compete for the same slots.
+    pub fn work_ahead_among<F>(&self, team: TeamIndex, added: Duration, competes: F) -> Duration
     where
         F: Fn(KindIndex) -> bool,
     {
-        self.sum_ahead(team, |backlog| backlog.lanes.work_among(&competes))
+        self.sum_ahead(team, added, |backlog| backlog.lanes.work_among(&competes))
     }
 
-    fn sum_ahead<F>(&self, team: TeamIndex, work_of: F) -> Duration
+    /// Backlog and service of a team, counting only the kinds that `competes` selects.
+    pub fn team_load<F>(&self, now: TimePoint, team: TeamIndex, competes: F) -> TeamLoad
+    where
+        F: Fn(KindIndex) -> bool,
+    {
+        let backlog = self.teams.get(team);
+        backlog.map_or_else(TeamLoad::default, |it| it.lanes.load_among(now, competes))
+    }
+
+    fn sum_ahead<F>(&self, team: TeamIndex, added: Duration, work_of: F) -> Duration
     where
         F: Fn(&TeamBacklog) -> Duration,
     {
         let idle = TeamBacklog::default();
         let own = self.teams.get(team).unwrap_or(&idle);
-        let start = own.virtual_time.max(self.system_time) + own.span(work_of(own));
+        let queued = work_of(own);
+        let start = self.resume_time(own) + own.span(queued + added);
         let others = self.order.iter().take_while(|&&(time, _)| time < start);
         let others = others.filter(|&&(_, other)| other != team);
         let served = others.map(|&(time, other)| {
             let other = &self.teams[other];
             work_of(other).min((start - time).work(other.weight))
         });
-        work_of(own) + served.sum::<Duration>()
+        queued + served.sum::<Duration>()
     }
 
     fn ensure_team(&mut self, team: TeamIndex) {
@@ -320,25 +348,33 @@
         };
         self.nodes.insert(entry.task, node);
         let backlog = &mut self.teams[entry.team];
-        let opened = backlog
-            .lanes
-            .append(&mut self.nodes, entry.lane, entry.task, entry.predicted);
+        let opened = backlog.lanes.append(now, &mut self.nodes, entry.task);
         if opened {
-            *self.lane_teams.entry(entry.lane).or_default() += 1;
+            self.census.open(entry.lane);
         }
         backlog.depth += 1;
         backlog.work += entry.predicted;
         self.deadlines.insert((entry.deadline, entry.task));
     }
 
-    /// Makes an idle team backlogged. It resumes at the system's virtual time, so that idling
-    /// accumulates no credit.
-    fn activate(&mut self, team: TeamIndex) {
-        let backlog = &mut self.teams[team];
+    /// Where a team continues. An idle one resumes at the system's virtual time less the allowance,
+    /// so that idling accumulates no further credit.
+    fn resume_time(&self, backlog: &TeamBacklog) -> VirtualTime {
         if backlog.depth > 0 {
+            return backlog.virtual_time;
+        }
+        let allowance = backlog.span(self.settings.resume_allowance);
+        backlog.virtual_time.max(self.system_time - allowance)
+    }
+
+    /// Makes an idle team backlogged.
+    fn activate(&mut self, team: TeamIndex) {
+        if self.teams[team].depth > 0 {
             return;
         }
-        backlog.virtual_time = backlog.virtual_time.max(self.system_time);
+        let resumed = self.resume_time(&self.teams[team]);
+        let backlog = &mut self.teams[team];
+        backlog.virtual_time = resumed;
         self.order.insert((backlog.virtual_time, team));
         self.order_weight += u64::from(backlog.weight.0.get());
     }
@@ -347,9 +383,7 @@
         let node = self.nodes[task];
         let entry = node.entry;
         let backlog = &mut self.teams[entry.team];
-        let closed = backlog
-            .lanes
-            .unlink(&mut self.nodes, entry.lane, &node, entry.predicted);
+        let closed = backlog.lanes.unlink(&mut self.nodes, &node);
         self.nodes.remove(task);
         backlog.depth -= 1;
         backlog.work -= entry.predicted;
@@ -359,20 +393,11 @@
         }
         self.deadlines.remove(&(entry.deadline, task));
         if closed {
-            self.close_lane(entry.lane);
+            self.census.close(entry.lane);
         }
         entry
     }
 
-    fn close_lane(&mut self, lane: LaneKey) {
-        if let Some(teams) = self.lane_teams.get_mut(&lane) {
-            *teams -= 1;
-            if *teams == 0 {
-                self.lane_teams.remove(&lane);
-            }
-        }
-    }
-
     fn collect_expired(&mut self, now: TimePoint) {
         while let Some(&(deadline, task)) = self.deadlines.first() {
             if deadline > now {
@@ -391,7 +416,7 @@
     where
         F: FnMut(&QueueEntry) -> LaneChoice<P>,
     {
-        if self.all_blocked(round) {
+        if self.census.all_blocked(round) {
             return None;
         }
         for &(_, team) in &self.order {
@@ -401,12 +426,10 @@
                 }
                 match try_place(&self.nodes[task].entry) {
                     LaneChoice::Start(placement) => return Some((task, placement)),
-                    LaneChoice::Skip => {
-                        round.skipped.insert((team, lane));
-                    }
+                    LaneChoice::Skip => round.skip(team, lane),
                     LaneChoice::Blocked => {
-                        round.blocked.insert(lane);
-                        if self.all_blocked(round) {
+                        round.block(lane);
+                        if self.census.all_blocked(round) {
                             return None;
                         }
                     }
@@ -416,21 +439,17 @@
         None
     }
 
-    /// Ends a round without a scan over all teams once no lane with tasks is open.
-    fn all_blocked(&self, round: &SchedulingRound) -> bool {
-        self.lane_teams
-            .keys()
-            .all(|lane| round.blocked.contains(lane))
-    }
-
-    fn charge(&mut self, now: TimePoint, team: TeamIndex, predicted: Duration) {
-        self.rate.record(now, predicted);
+    fn charge(&mut self, now: TimePoint, entry: &QueueEntry) {
+        self.rate.record(now, entry.predicted);
         let (lowest, _) = self.lag_bounds();
-        let backlog = &self.teams[team];
+        let backlog = &mut self.teams[entry.team];
+        backlog
+            .lanes
+            .record_served(now, entry.lane, entry.predicted);
         let start = backlog.virtual_time.max(lowest);
-        let finish = start + backlog.span(predicted);
+        let finish = start + backlog.span(entry.predicted);
         self.system_time = self.system_time.max(start);
-        self.move_team(team, finish);
+        self.move_team(entry.team, finish);
     }
 
     fn move_team(&mut self, team: TeamIndex, time: VirtualTime) {
@@ -445,9 +464,9 @@
 
     /// How far a team's virtual time may lie before and behind the system's.
     fn lag_bounds(&self) -> (VirtualTime, VirtualTime) {
-        let served = self.rate.per_second().mul_f64(LAG_WINDOW.as_secs_f64());
-        let share = served.div_f64(self.order_weight.max(1) as f64);
-        let bound = VirtualSpan::new(share.max(LAG_FLOOR), TeamWeight::default());
+        let served = self.rate.per_second() * LAG_WINDOW.as_secs() as u32;
+        let teams = u32::try_from(self.order_weight.max(1)).unwrap_or(u32::MAX);
+        let bound = VirtualSpan::new((served / teams).max(LAG_FLOOR), TeamWeight::default());
         (self.system_time - bound, self.system_time + bound)
     }
 
--- a/crates/dispatch/src/work_rate.rs
+++ b/crates/dispatch/src/work_rate.rs
@@ -1,46 +1,66 @@
-//! Work per second over the last one to two seconds.
+//! Work per second over the last second.
 
 use std::time::Duration;
 
 use filbertpitch_types::prelude::*;
 
-/// The length of one counting interval.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// The length of one counting interval, in microseconds.
+const INTERVAL_US: u64 = 1_000_000;
 
-/// Counts work in two intervals: the current one and the one before it.
-#[derive(Clone, Debug, Default)]
+/// Work and number of records in one interval.
+#[derive(Clone, Copy, Debug, Default)]
+struct IntervalCount {
+    work_us: u64,
+    records: u32,
+}
+
+/// Counts work in two intervals, the current one and the one before it, and weights the latter by
+/// the part of it that lies within the last second.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct WorkRate {
     interval_start: TimePoint,
     latest: TimePoint,
-    current: Duration,
-    previous: Duration,
+    current: IntervalCount,
+    previous: IntervalCount,
 }
 
 impl WorkRate {
     /// Counts work at `now`.
     pub fn record(&mut self, now: TimePoint, work: Duration) {
         self.advance(now);
-        self.current += work;
+        let micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+        self.current.work_us = self.current.work_us.saturating_add(micros);
+        self.current.records += 1;
     }
 
     /// Moves the measurement to `now`, so that a pause lowers the rate.
     pub fn advance(&mut self, now: TimePoint) {
         self.latest = self.latest.max(now);
-        let elapsed = self.latest.since(self.interval_start);
-        if elapsed >= INTERVAL * 2 {
-            self.previous = Duration::ZERO;
-            self.current = Duration::ZERO;
+        let elapsed = self.elapsed_us();
+        if elapsed >= 2 * INTERVAL_US {
+            self.previous = IntervalCount::default();
+            self.current = IntervalCount::default();
             self.interval_start = self.latest;
-        } else if elapsed >= INTERVAL {
+        } else if elapsed >= INTERVAL_US {
             self.previous = std::mem::take(&mut self.current);
-            self.interval_start = self.interval_start + INTERVAL;
+            self.interval_start = TimePoint(self.interval_start.0 + INTERVAL_US);
         }
     }
 
+    fn elapsed_us(&self) -> u64 {
+        self.latest.0.saturating_sub(self.interval_start.0)
+    }
+
     /// The work per second as of the latest `record` or `advance`.
     pub fn per_second(&self) -> Duration {
-        let elapsed = self.latest.since(self.interval_start).as_secs_f64();
-        let remaining = (INTERVAL.as_secs_f64() - elapsed).max(0.0);
-        self.current + self.previous.mul_f64(remaining / INTERVAL.as_secs_f64())
+        let remaining = INTERVAL_US.saturating_sub(self.elapsed_us());
+        let previous = u128::from(self.previous.work_us) * u128::from(remaining);
+        let previous = (previous / u128::from(INTERVAL_US)) as u64;
+        Duration::from_micros(self.current.work_us.saturating_add(previous))
+    }
+
+    /// How many records the rate rests on.
+    pub fn samples(&self) -> u32 {
+        self.current.records + self.previous.records
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/estimate_learning.rs
@@ -0,0 +1,168 @@
+//! Guards against predictions that follow wrong declared times or forget what was measured.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{KindIndex, ServiceIndex};
+use filbertpitch_dispatch::estimate::{EstimateSettings, RunEstimator, SizeClass};
+use filbertpitch_dispatch::histogram::{LogHistogram, LogValue};
+use test_case::test_case;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn kind(index: usize) -> KindIndex {
+    KindIndex::from(index)
+}
+
+fn service() -> ServiceIndex {
+    ServiceIndex::from(0)
+}
+
+fn estimator(typical: &[u64]) -> RunEstimator {
+    let mut estimator = RunEstimator::new(EstimateSettings::default());
+    for (index, &typical) in typical.iter().enumerate() {
+        estimator.configure(kind(index), service(), ms(typical));
+    }
+    estimator
+}
+
+fn assert_near(actual: Duration, expected: Duration, factor: f64) {
+    let ratio = actual.as_secs_f64() / expected.as_secs_f64();
+    assert!(
+        ratio <= factor && ratio >= 1.0 / factor,
+        "{actual:?} is not near {expected:?}"
+    );
+}
+
+#[test_case(1; "100 times too short")]
+#[test_case(10_000; "100 times too long")]
+#[test_case(100; "right")]
+fn wrong_declared_time_fades(declared: u64) {
+    let mut estimator = estimator(&[100]);
+    for sample in 0..30 {
+        estimator.observe(kind(0), ms(declared), ms(95 + sample % 10));
+    }
+    let prediction = estimator.predict(kind(0), ms(declared));
+    assert!(prediction.learned);
+    assert_near(prediction.expected, ms(100), 1.5);
+}
+
+#[test]
+fn declared_time_is_used_while_it_is_informative() {
+    let mut estimator = estimator(&[100]);
+    for sample in 0..200 {
+        let declared = if sample % 2 == 0 { 20 } else { 1000 };
+        // Declared times are off by a factor of 3, but in proportion.
+        estimator.observe(kind(0), ms(declared), ms(declared * 3));
+    }
+    assert_near(estimator.predict(kind(0), ms(20)).expected, ms(60), 1.2);
+    assert_near(estimator.predict(kind(0), ms(1000)).expected, ms(3000), 1.2);
+    assert_near(estimator.predict(kind(0), ms(200)).expected, ms(600), 1.2);
+}
+
+#[test]
+fn lying_declared_time_is_ignored() {
+    let mut estimator = estimator(&[100]);
+    for sample in 0..300_u64 {
+        let declared = [1, 30, 900, 10_000][sample as usize % 4];
+        estimator.observe(kind(0), ms(declared), ms(95 + sample * 7 % 10));
+    }
+    for declared in [1, 100, 10_000] {
+        assert_near(
+            estimator.predict(kind(0), ms(declared)).expected,
+            ms(100),
+            1.2,
+        );
+    }
+}
+
+#[test]
+fn stragglers_do_not_move_the_expectation() {
+    let mut estimator = estimator(&[100]);
+    for sample in 0..500 {
+        let measured = if sample % 10 == 9 { 10_000 } else { 100 };
+        estimator.observe(kind(0), ms(100), ms(measured));
+    }
+    let prediction = estimator.predict(kind(0), ms(100));
+    assert_near(prediction.expected, ms(100), 1.2);
+    assert_eq!(prediction.size, SizeClass::Short);
+    assert!(
+        prediction.overdue_after >= ms(10_000),
+        "{:?}",
+        prediction.overdue_after
+    );
+}
+
+#[test]
+fn changed_run_time_is_learned_again() {
+    let mut estimator = estimator(&[100]);
+    for _ in 0..5000 {
+        estimator.observe(kind(0), ms(100), ms(100));
+    }
+    for _ in 0..600 {
+        estimator.observe(kind(0), ms(100), ms(400));
+    }
+    assert_near(estimator.predict(kind(0), ms(100)).expected, ms(400), 1.2);
+}
+
+#[test]
+fn priors_apply_before_any_sample() {
+    let estimator = estimator(&[100]);
+    let prediction = estimator.predict(kind(0), ms(100));
+    assert_eq!(prediction.size, SizeClass::Short);
+    assert!(!prediction.learned);
+    assert_near(prediction.expected, ms(100), 1.01);
+    assert!(prediction.overdue_after >= ms(400));
+    let unknown = estimator.predict(kind(7), ms(30));
+    assert_near(unknown.expected, ms(30), 1.01);
+}
+
+#[test]
+fn kind_far_above_the_typical_run_time_is_long() {
+    let mut estimator = estimator(&[100, 100, 100]);
+    for sample in 0..300 {
+        estimator.observe(kind(0), ms(100), ms(50));
+        estimator.observe(kind(1), ms(100), ms(60));
+        if sample % 10 == 0 {
+            estimator.observe(kind(2), ms(100), ms(3000));
+        }
+    }
+    let size = |index| estimator.predict(kind(index), ms(100)).size;
+    assert_eq!(
+        [size(0), size(1), size(2)],
+        [SizeClass::Short, SizeClass::Short, SizeClass::Long]
+    );
+    assert_near(estimator.typical(service()).unwrap(), ms(55), 1.3);
+}
+
+#[test]
+fn changed_configuration_keeps_measurements() {
+    let mut estimator = estimator(&[100]);
+    for _ in 0..100 {
+        estimator.observe(kind(0), ms(100), ms(20));
+    }
+    estimator.configure(kind(0), service(), ms(9000));
+    assert_near(estimator.predict(kind(0), ms(100)).expected, ms(20), 1.3);
+}
+
+/// Guards against sample weights that overflow; without scaling they do after 213,000 samples.
+#[test]
+fn histogram_still_learns_after_many_samples() {
+    let mut histogram = LogHistogram::for_durations();
+    (0..300_000).for_each(|_| histogram.record(LogValue::from_duration(ms(10))));
+    (0..2000).for_each(|_| histogram.record(LogValue::from_duration(ms(80))));
+    assert_near(histogram.quantile(0.5).unwrap().to_duration(), ms(80), 1.1);
+}
+
+#[test]
+fn extreme_values_do_not_overflow() {
+    let mut estimator = estimator(&[0]);
+    for sample in 0..50_000_u64 {
+        let measured = [Duration::ZERO, Duration::MAX][sample as usize % 2];
+        estimator.observe(kind(0), Duration::MAX, measured);
+        estimator.observe(kind(0), Duration::ZERO, measured);
+    }
+    let prediction = estimator.predict(kind(0), Duration::MAX);
+    assert!(prediction.overdue_after >= prediction.expected);
+}
