Add admission, team quotas and retry budgets

Purpose: reject what cannot be served in time before any of it runs, and keep one team's flood from rejecting the work of others.

Admission judges a whole job by the work served before it under fair shares, by the slots, and by the rate at which the team was served while backlogged; the rate covers demand of other teams, missing slots and wrong predictions. Declared run times alone reject nothing, and idle slots accept one job per second whose learned run time speaks against it, so that wrong values are corrected.

Ruled out: a fixed queue share per team, which leaves most of the queue unused with 140 teams. A team may instead use twice the room left.

Mutations that the tests caught: no rate forecast, no wait limit, deadline ignored, no margin, declared times rejecting, no probe, no threshold per team, quota rounded down, start bucket unlimited, retry burst unlimited, retries at half price. The unlimited bucket survived at first; the test now starts after a pause.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,12 +3,15 @@
 //! Events and the time go in, actions come out. The serve loop and the seeded fault run drive the
 //! same code, so a fault found by one is a fault of the other.
 
+pub mod admission;
 pub mod catalog;
 pub mod entity;
 pub mod estimate;
 pub mod histogram;
 mod lane;
 pub mod queue;
+pub mod quota;
+pub mod retry;
 mod round;
 pub mod timer;
 pub mod virtual_time;
