--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! same code, so a fault found by one is a fault of the other.
 
 pub mod attempt;
+pub mod admission;
 pub mod catalog;
 pub mod check;
 pub mod claim;
@@ -19,6 +20,9 @@
 pub mod queue;
 pub mod route;
 pub mod submission;
+pub mod quota;
+pub mod retry;
+mod round;
 pub mod timer;
 pub mod virtual_time;
 pub mod work_rate;
