Admit jobs by queue, quota and deadline, and bound retries

A job is judged as a whole before any of its tasks is queued. Each popped task is settled once with the time of all its attempts.

--- a/crates/dispatch/examples/placement_cost.rs
+++ b/crates/dispatch/examples/placement_cost.rs
@@ -108,6 +108,7 @@
             running,
             parked: 0,
             leaving: false,
+            boot: 0,
         };
         table.report_load(now, target, &load);
         holds.extend(start(&mut table, now));
--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -1,7 +1,7 @@
 //! The configuration compiled for the hot path: names become indices, and capabilities become
 //! a list of targets per kind.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,7 +49,7 @@
     target_names: NameInterner<TargetIndex, TargetName>,
     zone_names: NameInterner<ZoneIndex, ZoneName>,
     kinds: TiVec<KindIndex, Option<KindEntry>>,
-    services: HashMap<ServiceIndex, ServiceSpec>,
+    services: BTreeMap<ServiceIndex, ServiceSpec>,
     teams: TiVec<TeamIndex, Option<TeamSpec>>,
     targets: TiVec<TargetIndex, Option<TargetEntry>>,
     configuration: Rc<Configuration>,
@@ -215,6 +215,11 @@
             .filter_map(|(index, entry)| Some((index, entry.as_ref()?)))
     }
 
+    /// The services in force, in ascending order of index.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceIndex, &ServiceSpec)> {
+        self.services.iter().map(|(&index, spec)| (index, spec))
+    }
+
     /// The teams in force, in ascending order of index.
     pub fn teams(&self) -> impl Iterator<Item = (TeamIndex, &TeamSpec)> {
         self.teams
--- a/crates/dispatch/src/engine/attempts.rs
+++ b/crates/dispatch/src/engine/attempts.rs
@@ -150,10 +150,15 @@
             probe,
         };
         self.health.record(now, result);
+        self.quota.ended(job.team);
+        task.used += match &end {
+            AttemptEnd::Done { run_time, .. } => *run_time,
+            AttemptEnd::NotStarted { .. } => Duration::ZERO,
+            _ => now.since(record.sent_at),
+        };
         if let AttemptEnd::Done { run_time, .. } = &end {
             self.estimator
                 .observe(task.kind, task.spec.declared, *run_time);
-            self.queue.settle(job.team, record.predicted, *run_time);
         }
         if let Some(traceparent) = &job.traceparent {
             self.actions.push(EngineAction::Trace(AttemptTrace {
@@ -262,7 +267,7 @@
         task.refusals = 0;
         task.exclude(target);
         task.last_end = Some(outcome);
-        self.enqueue(task_ref, QueueEnd::Back);
+        self.enqueue(task_ref, QueueEnd::Front);
     }
 
     fn may_retry(&mut self, task_ref: TaskRef) -> bool {
@@ -275,7 +280,8 @@
             && !job.is_failing()
             && task.starts < service.max_attempts
             && task.next_attempt < ATTEMPT_NUMBER_LIMIT;
-        allowed && self.clock.time < job.deadline
+        let in_time = self.clock.time < job.deadline;
+        allowed && in_time && self.retries.try_retry(job.service)
     }
 
     fn abandon_task(&mut self, task_ref: TaskRef, reason: AbandonReason) {
@@ -287,8 +293,13 @@
     /// Decides a task's outcome. The job fails with its first task that is not done.
     fn end_task(&mut self, task_ref: TaskRef, outcome: TaskOutcome) {
         let done = matches!(outcome, TaskOutcome::Done { .. });
-        let job = self.job_mut(task_ref.job);
+        let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
         job.end_task(task_ref.task, outcome);
+        let task = &job.tasks[task_ref.position()];
+        if task.charged {
+            let predicted = task.prediction.expected;
+            self.queue.settle(job.team, predicted, task.used);
+        }
         if !done {
             self.fail_job(task_ref.job, AbandonReason::JobFailed);
         }
--- a/crates/dispatch/src/engine/jobs.rs
+++ b/crates/dispatch/src/engine/jobs.rs
@@ -6,6 +6,7 @@
 use filbertpitch_types::caller::{JobAnswer, JobRequest};
 use filbertpitch_types::prelude::*;
 
+use super::admit::JobRejection;
 use super::{CallerReply, DispatchEngine, EngineAction, EngineNotice, TaskRef, TimerTopic};
 use crate::attempt::{AbandonReason, StopCause};
 use crate::entity::{KindIndex, ServiceIndex, TeamIndex};
@@ -15,10 +16,10 @@
 use crate::submission::{ContentDigest, SubmissionVerdict};
 
 /// A job whose names were found in the configuration.
-struct ResolvedJob {
-    team: TeamIndex,
-    service: ServiceIndex,
-    kinds: Vec<KindIndex>,
+pub(super) struct ResolvedJob {
+    pub(super) team: TeamIndex,
+    pub(super) service: ServiceIndex,
+    pub(super) kinds: Vec<KindIndex>,
 }
 
 /// The digest that tells a resubmission from a different job under the same id. The deadline is
@@ -118,6 +119,13 @@
             let reason = NotRunReason::Draining;
             return self.reject_job(caller, request, digest, reason, None);
         }
+        if let Err(rejection) = self.judge_job(&request, &resolved) {
+            let JobRejection {
+                reason,
+                retry_after,
+            } = rejection;
+            return self.reject_job(caller, request, digest, reason, retry_after);
+        }
         self.accept_job(caller, &request, digest, resolved, traceparent);
     }
 
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! The engine owns the live jobs and composes the queue, placement, health and submission parts.
 //! It reads no clock and does no I/O; [`DispatchEngine::handle`] gets the time with each event.
 
+mod admit;
 mod attempts;
 mod checks;
 mod event;
@@ -25,6 +26,7 @@
 use slotmap::SlotMap;
 use typed_index_collections::TiVec;
 
+use crate::admission::AdmissionPolicy;
 use crate::catalog::ConfigCatalog;
 use crate::check::CheckSchedule;
 use crate::entity::{TargetIndex, TaskKey};
@@ -33,6 +35,8 @@
 use crate::job::LiveJob;
 use crate::placement::TargetTable;
 use crate::queue::{FairQueue, SchedulingRound};
+use crate::quota::TeamQuota;
+use crate::retry::RetryBudget;
 use crate::submission::SubmissionTable;
 use crate::timer::TimerService;
 
@@ -106,6 +110,9 @@
     task_refs: SlotMap<TaskKey, TaskRef>,
     next_job: JobNumber,
     queue: FairQueue,
+    admission: AdmissionPolicy,
+    quota: TeamQuota,
+    retries: RetryBudget,
     round: SchedulingRound,
     targets: TargetTable,
     links: TiVec<TargetIndex, TargetLink>,
@@ -143,6 +150,8 @@
             estimator: RunEstimator::new(settings.estimates),
             health: HealthTable::new(settings.health.clone()),
             checks: CheckSchedule::new(settings.checks.clone()),
+            queue: FairQueue::new(settings.queue),
+            admission: AdmissionPolicy::new(settings.admission),
             settings,
             incarnation,
             zone,
@@ -151,7 +160,8 @@
             jobs: HashMap::new(),
             task_refs: SlotMap::with_key(),
             next_job: JobNumber(0),
-            queue: FairQueue::default(),
+            quota: TeamQuota::default(),
+            retries: RetryBudget::default(),
             round: SchedulingRound::default(),
             links: TiVec::new(),
             timers,
@@ -292,7 +302,12 @@
         }
         for (team, spec) in self.catalog.teams() {
             self.queue.set_weight(team, spec.weight);
+            self.quota.configure(self.clock.time, team, spec);
         }
+        for (service, spec) in self.catalog.services() {
+            self.retries.configure(service, spec.retry_percent);
+        }
+        self.configure_admission();
     }
 
     fn read_vm_list(&mut self, list: &VmList) {
@@ -319,6 +334,7 @@
 
     fn change_fleet(&mut self, fleet: &FleetView) {
         let now = self.clock.time;
+        self.quota.set_entry_vms(now, fleet.live_vms);
         let zone = fleet.zone;
         self.targets.set_share(now, zone.position, zone.vms);
         let populated = fleet
--- a/crates/dispatch/src/engine/schedule.rs
+++ b/crates/dispatch/src/engine/schedule.rs
@@ -90,7 +90,11 @@
         let now = self.clock.time;
         let (jobs, task_refs) = (&self.jobs, &self.task_refs);
         let (targets, rng) = (&mut self.targets, &mut self.rng);
+        let quota = &self.quota;
         let try_place = |entry: &QueueEntry| {
+            if !quota.may_start(now, entry.team) {
+                return LaneChoice::Skip;
+            }
             let task_ref = task_refs[entry.task];
             let task = &jobs[&task_ref.job].tasks[task_ref.position()];
             let request = PlacementRequest {
@@ -133,6 +137,7 @@
         task.next_attempt = task.next_attempt.next();
         task.starts = task.starts.saturating_add(1);
         task.target = Some(target);
+        task.charged = true;
         let expected = task.prediction.expected;
         let lease = (expected * self.settings.lease_factor).max(self.settings.lease_floor);
         let record = AttemptRecord {
@@ -158,6 +163,7 @@
         task.state = TaskState::Running(AttemptPhase::Sent(TaskAttempt::sent(record)));
         let overdue = clock.time + task.prediction.overdue_after;
         let traceparent = job.traceparent.clone();
+        let (team, service) = (job.team, job.service);
         self.timers
             .subscribe(overdue, TimerTopic::AttemptOverdue(id));
         self.links[target].attempts.insert(id);
@@ -169,6 +175,10 @@
         };
         self.checks.watch(target, watch);
         self.counters.starts += 1;
+        self.quota.started(clock.time, team);
+        if id.attempt == AttemptNumber(0) {
+            self.retries.started(service);
+        }
         let entry = self
             .catalog
             .target(target)
--- a/crates/dispatch/src/engine/settings.rs
+++ b/crates/dispatch/src/engine/settings.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use crate::admission::AdmissionSettings;
 use crate::check::CheckSettings;
 use crate::estimate::EstimateSettings;
 use crate::health::HealthSettings;
 use crate::placement::PlacementSettings;
+use crate::queue::QueueSettings;
 use crate::submission::SubmissionSettings;
 
 /// Bounds and intervals of the engine.
@@ -17,6 +19,10 @@
     pub placement: PlacementSettings,
     /// Run-time estimates.
     pub estimates: EstimateSettings,
+    /// Fair queueing.
+    pub queue: QueueSettings,
+    /// Admission; the limit on queued tasks comes from the configuration.
+    pub admission: AdmissionSettings,
     /// Ejection of failing targets.
     pub health: HealthSettings,
     /// Checks of targets.
@@ -46,6 +52,8 @@
             submissions: SubmissionSettings::default(),
             placement: PlacementSettings::default(),
             estimates: EstimateSettings::default(),
+            queue: QueueSettings::default(),
+            admission: AdmissionSettings::default(),
             health: HealthSettings::default(),
             checks: CheckSettings::default(),
             lease_floor: Duration::from_secs(5),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -59,6 +59,10 @@
     pub run_time: Duration,
     /// The outcome if the task is not started again, when an earlier attempt ran.
     pub last_end: Option<TaskOutcome>,
+    /// Whether it was taken out of the queue and charged to its team.
+    pub charged: bool,
+    /// The time that its attempts took so far.
+    pub used: Duration,
     /// The slot that the running attempt holds.
     pub hold: Option<SlotHold>,
     /// When it was queued first.
@@ -92,6 +96,8 @@
             target: None,
             run_time: Duration::ZERO,
             last_end: None,
+            charged: false,
+            used: Duration::ZERO,
             hold: None,
             queued_at: now,
             prediction,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,8 +3,8 @@
 //! Events and the time go in, actions come out. The serve loop and the seeded fault run drive the
 //! same code, so a fault found by one is a fault of the other.
 
-pub mod attempt;
 pub mod admission;
+pub mod attempt;
 pub mod catalog;
 pub mod check;
 pub mod claim;
@@ -18,11 +18,11 @@
 pub mod membership;
 pub mod placement;
 pub mod queue;
-pub mod route;
-pub mod submission;
 pub mod quota;
 pub mod retry;
 mod round;
+pub mod route;
+pub mod submission;
 pub mod timer;
 pub mod virtual_time;
 pub mod work_rate;
--- a/crates/dispatch/src/placement/table.rs
+++ b/crates/dispatch/src/placement/table.rs
@@ -348,6 +348,12 @@
         self.refresh(now, target);
     }
 
+    /// Whether two kinds can run on exactly the same targets, and so compete for the same slots.
+    pub fn same_pool(&self, left: KindIndex, right: KindIndex) -> bool {
+        let pool = self.pools.pool_of(left);
+        pool.is_some() && pool == self.pools.pool_of(right)
+    }
+
     /// The slots for a kind; none if no target can run it.
     pub fn capacity(&self, kind: KindIndex) -> CapacityView {
         let pool = self.pools.pool_of(kind);
--- a/crates/dispatch/tests/placement_cases.rs
+++ b/crates/dispatch/tests/placement_cases.rs
@@ -24,6 +24,7 @@
         running,
         parked: 0,
         leaving: false,
+        boot: 0,
     }
 }
 
@@ -129,6 +130,7 @@
         let leaving = LoadReport {
             leaving: true,
             ..report(0)
+            boot: 0,
         };
         table.report_load(at(0), 0.into(), &leaving);
     };
@@ -164,6 +166,7 @@
             &LoadReport {
                 slots: 1,
                 ..report(1)
+                boot: 0,
             },
         );
         assert_eq!(try_start(&mut table, now, 0), None);
--- a/crates/dispatch/tests/placement_fleet.rs
+++ b/crates/dispatch/tests/placement_fleet.rs
@@ -208,6 +208,7 @@
             running,
             parked: 0,
             leaving: false,
+            boot: 0,
         };
         if let Some(hold) = hold {
             let end = if busy {
