--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod status;
 pub mod target;
 pub mod text;
 pub mod time;
