Add settings, log events and termination signals

An operator who corrects a settings file should see every error at once with its place, but deserialization stops at the first error and YAML values carry no positions. The loader removes the offending node and reads the rest again, and finds lines by parsing the text a second time and failing on purpose at the field. Ruled out: a YAML parser with positions next to serde_norway, because two parsers may disagree.

Log events have numbers from one table, which is also the source of docs/EVENTS.md; a test holds both together. Lines are written from another thread and dropped when the consumer is too slow, so that a stalled pipe does not stop the loop. SIGTERM and SIGINT reach the loop through a socket.

--- /dev/null
+++ b/crates/filbertpitch/examples/events_page.rs
@@ -0,0 +1,5 @@
+//! Prints docs/EVENTS.md.
+
+fn main() {
+    print!("{}", filbertpitch::events::events_page());
+}
--- /dev/null
+++ b/crates/filbertpitch/src/events/table.rs
@@ -0,0 +1,148 @@
+//! The table of events.
+
+use slog::Level;
+
+/// What the catalogue says about an event.
+#[derive(Clone, Copy, Debug)]
+pub struct EventSpec {
+    /// The number, unique for ever.
+    pub number: u16,
+    /// The name in log lines.
+    pub name: &'static str,
+    /// How severe it is.
+    pub level: Level,
+    /// What has happened.
+    pub meaning: &'static str,
+    /// What an operator does about it.
+    pub action: &'static str,
+}
+
+macro_rules! log_events {
+    ($($number:literal $variant:ident $name:literal $level:ident $meaning:literal $action:literal;)+) => {
+        /// An event that can be logged.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum LogEvent {
+            $(#[doc = $meaning] $variant,)+
+        }
+
+        impl LogEvent {
+            /// All events in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$variant,)+];
+
+            /// What the catalogue says about the event.
+            pub fn spec(self) -> EventSpec {
+                match self {
+                    $(Self::$variant => EventSpec {
+                        number: $number,
+                        name: $name,
+                        level: Level::$level,
+                        meaning: $meaning,
+                        action: $action,
+                    },)+
+                }
+            }
+        }
+    };
+}
+
+log_events! {
+    100 ProcessStarting "process_starting" Info
+        "The process has read its settings and starts."
+        "None.";
+    101 ProcessReady "process_ready" Info
+        "The VM has loaded a configuration and takes new work."
+        "None.";
+    102 ProcessDraining "process_draining" Info
+        "The VM was told to stop; it takes no new work and finishes work in progress."
+        "None.";
+    103 ProcessStopped "process_stopped" Info
+        "Work in progress has ended, outcomes are handed over, and the process exits."
+        "None.";
+    104 DrainTimedOut "drain_timed_out" Warning
+        "Work in progress did not end within the drain time-out; its callers get no response."
+        "Raise `lifecycle.drain_timeout` if tasks regularly run longer.";
+    105 StartFailed "start_failed" Critical
+        "The process cannot start, for example because its address is in use."
+        "Correct what the event names and start the process again.";
+    200 ConfigurationLoaded "configuration_loaded" Info
+        "A configuration was loaded from the log or from a peer."
+        "None.";
+    201 TicketApplied "ticket_applied" Info
+        "A ticket is in effect on this VM."
+        "None.";
+    202 TicketRejected "ticket_rejected" Warning
+        "A ticket in the log is not valid; every VM rejects it for the same reason."
+        "Tell its author the reason; `ticket show` repeats it.";
+    203 LogUnreachable "log_unreachable" Warning
+        "The log cannot be read; tickets wait and bare keys are not accepted."
+        "Check the log service if the state lasts for longer than a minute.";
+    204 LogReachable "log_reachable" Info
+        "The log can be read again."
+        "None.";
+    205 RecordsLost "records_lost" Error
+        "Records were removed from the log before this VM read them; it asks its peers."
+        "Raise the retention of the log if this repeats.";
+    206 SnapshotPublished "snapshot_published" Info
+        "This VM has appended a snapshot of the configuration to the log."
+        "None.";
+    207 ListUnreachable "list_unreachable" Warning
+        "The platform's list of VMs cannot be read; the last list stays in use."
+        "Check the platform if the state lasts for longer than a minute.";
+    208 ListReachable "list_reachable" Info
+        "The platform's list of VMs can be read again."
+        "None.";
+    300 PeerLive "peer_live" Info
+        "Another entry VM responds to heartbeats."
+        "None.";
+    301 PeerSilent "peer_silent" Warning
+        "Another entry VM does not respond; its slot shares go to the remaining VMs."
+        "None if the VM was replaced; otherwise check it and the network.";
+    302 PeerReplaced "peer_replaced" Info
+        "Another incarnation responds at the address of an entry VM."
+        "None.";
+    303 HandoverSent "handover_sent" Info
+        "The outcomes of this VM were handed over to another one."
+        "None.";
+    304 HandoverReceived "handover_received" Info
+        "This VM keeps the outcomes of another one that stops."
+        "None.";
+    305 HandoverFailed "handover_failed" Error
+        "No VM took the outcomes; resubmissions get the response that the outcome is unknown."
+        "Check why the other VMs of the availability zone were not reachable.";
+    400 TargetEjected "target_ejected" Warning
+        "A target fails far more often than its peers and gets no tasks."
+        "Check the target; it is probed and returns by itself when it works.";
+    401 TargetReinstated "target_reinstated" Info
+        "A target that was ejected works again."
+        "None.";
+    402 TargetLeaving "target_leaving" Info
+        "A target leaves and gets no new tasks."
+        "None.";
+    403 TargetUnreachable "target_unreachable" Warning
+        "A target does not respond to checks on new connections."
+        "Check the target and the network.";
+    404 ConnectionStalled "connection_stalled" Warning
+        "An established connection does not respond although a new one works; it was closed."
+        "Check the network path if this repeats for one target.";
+    405 ProtocolViolated "protocol_violated" Error
+        "A target or another VM sent a response that the protocol does not allow."
+        "Check the version of the software that the event names.";
+    500 SubmissionRefused "submission_refused" Warning
+        "A submission was refused because its epoch is closed or its prefix is not from this VM."
+        "None; the client has waited for too long before it resubmitted.";
+    501 OutcomesDiscarded "outcomes_discarded" Warning
+        "An epoch was closed early because the outcomes reached their memory limit."
+        "Raise `outcomes.byte_limit`, or reduce the size of outputs.";
+    600 OverloadStarted "overload_started" Warning
+        "The VM rejects work because its queues are full."
+        "Add targets if the state lasts for longer than a burst.";
+    601 OverloadEnded "overload_ended" Info
+        "The VM accepts all work again."
+        "None.";
+    602 RetriesExhausted "retries_exhausted" Warning
+        "The retry budget of a service is used up; failed tasks are not tried again."
+        "Look for targets that fail.";
+    700 MetricsFailed "metrics_failed" Warning
+        "Metrics cannot be sent."
+        "Check `observability.metrics`.";
+}
--- /dev/null
+++ b/crates/filbertpitch/src/settings/load.rs
@@ -0,0 +1,116 @@
+//! Reads settings and collects everything that is wrong with them.
+
+use std::fs;
+use std::mem;
+use std::path::Path;
+
+use serde_norway::Value;
+use serde_path_to_error::Segment;
+
+use super::findings::{SettingsFinding, SettingsFindings};
+use super::locate::{FieldStep, locate};
+use super::rules::{check_rules, complete};
+use super::sections::{Settings, SettingsFile};
+
+/// Reads a settings file.
+///
+/// # Errors
+/// Everything that is wrong with the file.
+pub fn load_settings(path: &Path) -> Result<Settings, SettingsFindings> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => parse_settings(&file, &text),
+        Err(error) => {
+            let finding = SettingsFinding {
+                line: None,
+                field: "".into(),
+                message: format!("cannot be read: {error}").into(),
+            };
+            Err(SettingsFindings::new(&file, vec![finding]))
+        }
+    }
+}
+
+/// Reads settings from text; `file` is its name in findings.
+///
+/// # Errors
+/// Everything that is wrong with the text.
+pub fn parse_settings(file: &str, text: &str) -> Result<Settings, SettingsFindings> {
+    let value = serde_norway::from_str::<Value>(text).map_err(|error| {
+        let finding = SettingsFinding {
+            line: error.location().map(|location| location.line()),
+            field: "".into(),
+            message: error.to_string().into(),
+        };
+        SettingsFindings::new(file, vec![finding])
+    })?;
+    let mut findings = Vec::new();
+    let parsed = collect_fields(text, value, &mut findings);
+    check_rules(text, &parsed, &mut findings);
+    match complete(parsed, &mut findings) {
+        Some(settings) if findings.is_empty() => Ok(settings),
+        _ => Err(SettingsFindings::new(file, findings)),
+    }
+}
+
+/// Reads the fields. Deserialization stops at the first error, so the offending node is removed
+/// and the rest is read again until no error is left.
+fn collect_fields(
+    text: &str,
+    mut value: Value,
+    findings: &mut Vec<SettingsFinding>,
+) -> SettingsFile {
+    if value.is_null() {
+        return SettingsFile::default();
+    }
+    loop {
+        let error = match serde_path_to_error::deserialize::<_, SettingsFile>(value.clone()) {
+            Ok(settings) => return settings,
+            Err(error) => error,
+        };
+        let path = steps(error.path());
+        findings.push(SettingsFinding {
+            line: locate(text, &path),
+            field: field_name(error.path()),
+            message: error.inner().to_string().into(),
+        });
+        if !remove(&mut value, &path) {
+            return SettingsFile::default();
+        }
+    }
+}
+
+fn field_name(path: &serde_path_to_error::Path) -> Box<str> {
+    match path.to_string() {
+        path if path == "." => "".into(),
+        path => path.into(),
+    }
+}
+
+fn steps(path: &serde_path_to_error::Path) -> Vec<FieldStep> {
+    path.iter()
+        .filter_map(|segment| match segment {
+            Segment::Map { key } => Some(FieldStep::Key(key.as_str().into())),
+            Segment::Seq { index } => Some(FieldStep::Index(*index)),
+            Segment::Enum { .. } | Segment::Unknown => None,
+        })
+        .collect()
+}
+
+/// Removes the node at `path`, or makes it null in a sequence. False if there is none.
+fn remove(value: &mut Value, path: &[FieldStep]) -> bool {
+    match (value, path) {
+        (Value::Mapping(mapping), [FieldStep::Key(key)]) => mapping.remove(&**key).is_some(),
+        // Sequences keep their length, so that the positions of further elements stay right.
+        (Value::Sequence(sequence), [FieldStep::Index(index)]) => sequence
+            .get_mut(*index)
+            .is_some_and(|element| !mem::replace(element, Value::Null).is_null()),
+        (Value::Mapping(mapping), [FieldStep::Key(key), rest @ ..]) => mapping
+            .get_mut(&**key)
+            .is_some_and(|inner| remove(inner, rest)),
+        (Value::Sequence(sequence), [FieldStep::Index(index), rest @ ..]) => sequence
+            .get_mut(*index)
+            .is_some_and(|inner| remove(inner, rest)),
+        _ => false,
+    }
+}
