Add the command line

The commands serve, check, ticket, submit and status have help texts, JSON output and exit codes that tell scripts whether work failed, certainly did not run, or may have run. serve and ticket end with a "not implemented yet" error until their parts land.

submit prints the submission identifier before it sends the job and uses the same identifier for every VM that it tries, so neither a retry nor an interruption can start a task twice. Text from targets is printed without control characters.

--- /dev/null
+++ b/crates/filbertpitch/src/cli/arguments.rs
@@ -0,0 +1,160 @@
+//! The arguments of every command.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use filbertpitch_types::prelude::*;
+
+/// Dispatches short tasks to the targets that can run them.
+#[derive(Debug, FromArgs)]
+#[argh(error_code(0, "The command did what was asked."))]
+#[argh(error_code(1, "The command was carried out and failed."))]
+#[argh(error_code(2, "The arguments or a file are not valid; nothing was done."))]
+#[argh(error_code(3, "No VM or log could be reached."))]
+#[argh(error_code(4, "The work certainly did not run and may be submitted again."))]
+#[argh(error_code(5, "It is not known whether the work ran."))]
+pub struct Arguments {
+    /// the command
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// A command.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Runs an entry VM.
+    Serve(ServeCommand),
+    /// Checks a settings file.
+    Check(CheckCommand),
+    /// Applies and shows tickets.
+    Ticket(TicketCommand),
+    /// Submits a job.
+    Submit(SubmitCommand),
+    /// Shows the state of a VM.
+    Status(StatusCommand),
+}
+
+/// Run an entry VM until SIGTERM or SIGINT.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeCommand {
+    /// the settings file
+    #[argh(option, arg_name = "FILE")]
+    pub settings: PathBuf,
+}
+
+/// Check a settings file and report everything that is wrong with it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// the settings file
+    #[argh(option, arg_name = "FILE")]
+    pub settings: PathBuf,
+    /// print the result as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Apply and show the numbered tickets that configure services, targets, teams and limits.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ticket")]
+pub struct TicketCommand {
+    /// the action
+    #[argh(subcommand)]
+    pub action: TicketAction,
+}
+
+/// What to do with tickets.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum TicketAction {
+    /// Applies a ticket.
+    Apply(TicketApplyCommand),
+    /// Lists tickets.
+    List(TicketListCommand),
+    /// Shows a ticket.
+    Show(TicketShowCommand),
+}
+
+/// Append a ticket to the log and wait until it is in effect.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct TicketApplyCommand {
+    /// the ticket file
+    #[argh(positional, arg_name = "FILE")]
+    pub file: PathBuf,
+    /// the address of the log
+    #[argh(option, arg_name = "ADDRESS")]
+    pub log: SocketAddr,
+    /// the address of an entry VM whose state is reported; may be repeated
+    #[argh(option, arg_name = "ADDRESS")]
+    pub via: Vec<SocketAddr>,
+    /// print the result as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// List the tickets in the log and whether they were accepted.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct TicketListCommand {
+    /// the address of the log
+    #[argh(option, arg_name = "ADDRESS")]
+    pub log: SocketAddr,
+    /// print the result as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show a ticket and why it was accepted or rejected.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct TicketShowCommand {
+    /// the number of the ticket
+    #[argh(positional, arg_name = "NUMBER")]
+    pub number: TicketNumber,
+    /// the address of the log
+    #[argh(option, arg_name = "ADDRESS")]
+    pub log: SocketAddr,
+    /// print the result as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Submit a job and wait for its outcome.
+///
+/// The identifier of the submission is printed first. Submitting again with the same identifier
+/// never starts a task twice.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitCommand {
+    /// the job as YAML or JSON: team, service, deadline and tasks
+    #[argh(positional, arg_name = "FILE")]
+    pub file: PathBuf,
+    /// the address of an entry VM; further ones are tried when it does not respond
+    #[argh(option, arg_name = "ADDRESS")]
+    pub via: Vec<SocketAddr>,
+    /// the client's part of the identifier, random if absent
+    #[argh(option, arg_name = "KEY")]
+    pub key: Option<String>,
+    /// the identifier of an earlier submission of the same job
+    #[argh(option, arg_name = "SUBMISSION")]
+    pub submission: Option<SubmissionId>,
+    /// print the response as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Show the state of an entry VM: configuration, peers, targets, queues and counters.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusCommand {
+    /// the address of the VM
+    #[argh(option, arg_name = "ADDRESS")]
+    pub via: SocketAddr,
+    /// print the state as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
--- a/crates/filbertpitch/src/main.rs
+++ b/crates/filbertpitch/src/main.rs
@@ -1,5 +1,7 @@
 //! The filbertpitch command.
 
-fn main() {
-    println!("Hello, world!");
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    filbertpitch::cli::main()
 }
--- /dev/null
+++ b/crates/filbertpitch/tests/command.rs
@@ -0,0 +1,342 @@
+//! The command against a stand-in for an entry VM.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use filbertpitch_types::caller::{JobAnswer, JobRequest, PrefixAnswer, TaskAnswer};
+use filbertpitch_types::outcome::{FailureReason, JobOutcome};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::status::{
+    ConfigStatus, LifeState, PeerState, PeerStatus, QueueStatus, TargetState, TargetStatus,
+    VmStatus,
+};
+use filbertpitch_wire::codec::BodyFormat;
+use filbertpitch_wire::message::{ServerRequest, ServerResponse};
+use filbertpitch_wire::runtime;
+use filbertpitch_wire::server::{HttpServer, RequestHandler, ServerLimits};
+use http::StatusCode;
+use test_case::test_case;
+
+/// How a stand-in responds to a job.
+#[derive(Clone, Copy)]
+enum JobBehaviour {
+    Answer(JobOutcome),
+    Invalid,
+    Unreachable,
+    OtherSubmission,
+}
+
+/// An entry VM that runs no tasks.
+struct StandInVm {
+    address: SocketAddr,
+    behaviour: JobBehaviour,
+    submissions: Arc<Mutex<Vec<SubmissionId>>>,
+}
+
+impl RequestHandler for StandInVm {
+    async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        match request.path() {
+            "/v1/prefix" => ServerResponse::json(StatusCode::OK, &self.prefix()),
+            "/v1/status" => ServerResponse::json(StatusCode::OK, &status(self.address)),
+            "/v1/jobs" => self.answer(request.decode(BodyFormat::Json).unwrap()),
+            _ => ServerResponse::error(StatusCode::NOT_FOUND, "not_found", "no such path"),
+        }
+    }
+}
+
+impl StandInVm {
+    fn prefix(&self) -> PrefixAnswer {
+        let prefix = format!("dharan~{}~00000000000000aa~3", self.address);
+        PrefixAnswer {
+            prefix: prefix.parse().unwrap(),
+        }
+    }
+
+    fn answer(&self, job: JobRequest) -> ServerResponse {
+        self.submissions
+            .lock()
+            .unwrap()
+            .push(job.submission.clone());
+        match self.behaviour {
+            JobBehaviour::Answer(outcome) => {
+                let code = if outcome == JobOutcome::NotRun {
+                    429
+                } else {
+                    200
+                };
+                let status = StatusCode::from_u16(code).unwrap();
+                ServerResponse::json(status, &job_answer(job, outcome))
+            }
+            JobBehaviour::Invalid => {
+                ServerResponse::error(StatusCode::BAD_REQUEST, "bad_request", "team: no such team")
+            }
+            JobBehaviour::Unreachable => {
+                ServerResponse::error(StatusCode::GATEWAY_TIMEOUT, "unreachable", "owner")
+            }
+            JobBehaviour::OtherSubmission => {
+                let mut answer = job_answer(job, JobOutcome::Complete);
+                answer.submission = "other@1".parse().unwrap();
+                ServerResponse::json(StatusCode::OK, &answer)
+            }
+        }
+    }
+}
+
+fn job_answer(job: JobRequest, outcome: JobOutcome) -> JobAnswer {
+    let task_outcome = match outcome {
+        JobOutcome::Complete => TaskOutcome::Done {
+            output: "in stock\u{1b}[2J".into(),
+        },
+        JobOutcome::NotRun => TaskOutcome::NotRun {
+            reason: NotRunReason::QueueFull,
+        },
+        JobOutcome::Unknown => TaskOutcome::Unknown {
+            reason: UnknownReason::TargetUnreachable,
+        },
+        JobOutcome::Failed => TaskOutcome::Failed {
+            reason: FailureReason::TargetError("no sheet".into()),
+        },
+    };
+    let tasks = (0..job.tasks.len()).map(|task| TaskAnswer {
+        task: TaskIndex(task as u16),
+        outcome: task_outcome.clone(),
+        attempts: 1,
+        target: Some("worker-1".parse().unwrap()),
+        run_time: Duration::from_millis(50),
+    });
+    JobAnswer {
+        submission: job.submission,
+        outcome,
+        tasks: tasks.collect(),
+        not_run: (outcome == JobOutcome::NotRun).then_some(NotRunReason::QueueFull),
+        unknown: None,
+        retry_after: None,
+        prefix: None,
+    }
+}
+
+fn status(address: SocketAddr) -> VmStatus {
+    VmStatus {
+        incarnation: IncarnationId(0xaa),
+        address,
+        zone: "dharan".parse().unwrap(),
+        state: LifeState::Ready,
+        config: ConfigStatus {
+            ticket: Some(TicketNumber(7)),
+            next: LogOffset(12),
+            log_age: Some(Duration::from_millis(250)),
+        },
+        peers: vec![PeerStatus {
+            address,
+            incarnation: None,
+            zone: None,
+            state: PeerState::Silent,
+            heartbeat_age: None,
+        }],
+        targets: vec![TargetStatus {
+            target: "worker-1".parse().unwrap(),
+            state: TargetState::Ejected,
+            reason: Some("9 of 10 attempts failed".into()),
+            running: 2,
+            share: 3,
+        }],
+        queues: vec![QueueStatus {
+            team: "koshi-mill".parse().unwrap(),
+            depth: 5,
+            work: Duration::from_secs(2),
+        }],
+        counters: [("tasks_done".into(), 4)].into(),
+    }
+}
+
+/// The address and the submissions of a stand-in that runs until the test process ends.
+fn start(behaviour: JobBehaviour) -> (String, Arc<Mutex<Vec<SubmissionId>>>) {
+    let submissions = Arc::<Mutex<Vec<SubmissionId>>>::default();
+    let (sender, receiver) = mpsc::channel();
+    let shared = submissions.clone();
+    thread::spawn(move || {
+        runtime::run(async move {
+            let any = "127.0.0.1:0".parse().unwrap();
+            let server = HttpServer::bind(any, ServerLimits::default()).unwrap();
+            let address = server.local_addr().unwrap();
+            sender.send(address).unwrap();
+            server
+                .run(StandInVm {
+                    address,
+                    behaviour,
+                    submissions: shared,
+                })
+                .await;
+        })
+    });
+    (receiver.recv().unwrap().to_string(), submissions)
+}
+
+/// An address on which nothing listens.
+fn nobody() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().to_string()
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+fn filbertpitch(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_filbertpitch"));
+    command.args(arguments).output().unwrap()
+}
+
+fn submit(arguments: &[&str]) -> Output {
+    let file = example("jobs/stock-check.yaml");
+    filbertpitch(&[&["submit", file.to_str().unwrap()], arguments].concat())
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+/// Guards against exit codes that scripts cannot rely on.
+#[test_case(JobBehaviour::Answer(JobOutcome::Complete), 0; "complete")]
+#[test_case(JobBehaviour::Answer(JobOutcome::Failed), 1; "failed")]
+#[test_case(JobBehaviour::Answer(JobOutcome::NotRun), 4; "not run")]
+#[test_case(JobBehaviour::Answer(JobOutcome::Unknown), 5; "unknown")]
+#[test_case(JobBehaviour::Invalid, 2; "bad request")]
+#[test_case(JobBehaviour::Unreachable, 3; "owner unreachable")]
+#[test_case(JobBehaviour::OtherSubmission, 1; "response to another submission")]
+fn submit_exit_code(behaviour: JobBehaviour, code: i32) {
+    let (address, _) = start(behaviour);
+    for output_form in [&["--json"][..], &[]] {
+        let output = submit(&[&["--via", &address], output_form].concat());
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+        assert!(text(&output.stderr).contains("submission: dharan~"));
+    }
+}
+
+/// Guards against a table without the times, and against outputs that control the terminal.
+#[test]
+fn submit_prints_a_table_or_json() {
+    let (address, _) = start(JobBehaviour::Answer(JobOutcome::Complete));
+    let table = text(&submit(&["--via", &address, "--key", "order-1"]).stdout);
+    for word in [
+        "~order-1",
+        "complete",
+        "response time",
+        "worker-1",
+        "50ms",
+        "in stock",
+    ] {
+        assert!(table.contains(word), "{word} is missing: {table}");
+    }
+    assert!(!table.contains('\u{1b}'));
+    let json = submit(&["--via", &address, "--json"]).stdout;
+    let answer: JobAnswer = serde_json::from_slice(&json).unwrap();
+    assert_eq!(answer.tasks.len(), 2);
+}
+
+/// Guards against a second identifier on a retry, which could start the tasks twice.
+#[test]
+fn submit_retries_with_the_same_submission() {
+    let (first, seen_first) = start(JobBehaviour::Unreachable);
+    let (second, seen_second) = start(JobBehaviour::Answer(JobOutcome::Complete));
+    let down = nobody();
+    let output = submit(&["--via", &down, "--via", &first, "--via", &second]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let (seen_first, seen_second) = (seen_first.lock().unwrap(), seen_second.lock().unwrap());
+    assert_eq!(seen_first.len(), 1);
+    assert_eq!(*seen_first, *seen_second);
+    let submission = seen_first[0].to_string();
+    drop((seen_first, seen_second));
+    let output = submit(&["--via", &second, "--submission", &submission]);
+    assert!(text(&output.stdout).contains(&submission));
+}
+
+/// Guards against a missing column, and against a state that scripts cannot parse.
+#[test]
+fn status_prints_tables_or_json() {
+    let (address, _) = start(JobBehaviour::Invalid);
+    let table = text(&filbertpitch(&["status", "--via", &address]).stdout);
+    for word in [
+        "00000000000000aa",
+        "dharan",
+        "ready",
+        "7",
+        "12",
+        "250ms",
+        "silent",
+        "worker-1",
+        "ejected",
+        "9 of 10 attempts failed",
+        "koshi-mill",
+        "tasks_done",
+    ] {
+        assert!(table.contains(word), "{word} is missing: {table}");
+    }
+    let json = filbertpitch(&["status", "--via", &address, "--json"]).stdout;
+    let parsed: VmStatus = serde_json::from_slice(&json).unwrap();
+    assert_eq!(parsed, status(address.parse().unwrap()));
+}
+
+/// Guards against wrong codes for wrong arguments, and against commands without help.
+#[test_case(&[], 2; "no command")]
+#[test_case(&["sing"], 2; "unknown command")]
+#[test_case(&["submit", "/nonexistent", "--via", "127.0.0.1:1"], 2; "no job file")]
+#[test_case(&["submit", "Cargo.toml", "--via", "127.0.0.1:1"], 2; "not a job file")]
+#[test_case(&["status", "--via", "nowhere"], 2; "invalid address")]
+#[test_case(&["check", "--settings", "/nonexistent"], 2; "no settings file")]
+#[test_case(&["serve", "--settings", "/nonexistent"], 2; "serve without settings")]
+#[test_case(&["--help"], 0; "help")]
+#[test_case(&["serve", "--help"], 0; "help of serve")]
+#[test_case(&["check", "--help"], 0; "help of check")]
+#[test_case(&["ticket", "--help"], 0; "help of ticket")]
+#[test_case(&["ticket", "apply", "--help"], 0; "help of ticket apply")]
+#[test_case(&["ticket", "list", "--help"], 0; "help of ticket list")]
+#[test_case(&["ticket", "show", "--help"], 0; "help of ticket show")]
+#[test_case(&["submit", "--help"], 0; "help of submit")]
+#[test_case(&["status", "--help"], 0; "help of status")]
+fn usage_exit_code(arguments: &[&str], code: i32) {
+    let output = filbertpitch(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let printed = if code == 0 {
+        output.stdout
+    } else {
+        output.stderr
+    };
+    assert!(!printed.is_empty());
+}
+
+/// Guards against reporting an unreachable VM as a failure of the job.
+#[test]
+fn unreachable_vm_has_its_own_exit_code() {
+    let down = nobody();
+    assert_eq!(submit(&["--via", &down]).status.code(), Some(3));
+    assert_eq!(
+        filbertpitch(&["status", "--via", &down]).status.code(),
+        Some(3)
+    );
+    assert_eq!(submit(&[]).status.code(), Some(2), "no VM was named");
+}
+
+/// Guards against a check whose result a script cannot use.
+#[test]
+fn check_reports_findings() {
+    let valid = example("settings/glacis/mu-north-1.yaml");
+    let output = filbertpitch(&["check", "--settings", valid.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let invalid = example("jobs/stock-check.yaml");
+    let invalid = invalid.to_str().unwrap();
+    let output = filbertpitch(&["check", "--settings", invalid]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains(&format!("{invalid}:2: team: unknown field")));
+    let output = filbertpitch(&["check", "--settings", invalid, "--json"]);
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(report["valid"], false);
+    assert!(report["findings"].as_array().unwrap().len() > 4);
+}
