--- a/crates/dispatch/tests/placement_cases.rs
+++ b/crates/dispatch/tests/placement_cases.rs
@@ -130,7 +130,6 @@
         let leaving = LoadReport {
             leaving: true,
             ..report(0)
-            boot: 0,
         };
         table.report_load(at(0), 0.into(), &leaving);
     };
@@ -166,7 +165,6 @@
             &LoadReport {
                 slots: 1,
                 ..report(1)
-                boot: 0,
             },
         );
         assert_eq!(try_start(&mut table, now, 0), None);
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -1,11 +1,10 @@
-//! The filbertpitch process.
-
-pub mod serve;
-//! The parts of the filbertpitch command: settings, command line, log events and signals.
+//! The parts of the filbertpitch command: settings, command line, log events, signals and the
+//! entry VM itself.
 //!
 //! They are a library so that the tests reach them.
 
 pub mod cli;
 pub mod events;
+pub mod serve;
 pub mod settings;
 pub mod signals;
