--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -21,6 +21,7 @@
 use super::platform::append_record;
 use super::router::NodeRouter;
 use super::settings::NodeSettings;
+use crate::events::EventLog;
 
 /// How often a waiting state looks at the node.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -55,9 +56,13 @@
     ///
     /// # Errors
     /// When the listen address cannot be bound.
-    pub fn start(settings: NodeSettings, incarnation: IncarnationId) -> io::Result<Self> {
+    pub fn start(
+        settings: NodeSettings,
+        incarnation: IncarnationId,
+        log: EventLog,
+    ) -> io::Result<Self> {
         let server = HttpServer::bind(settings.listen, settings.server.clone())?;
-        let (node, timer_events) = EntryNode::new(settings, incarnation);
+        let (node, timer_events) = EntryNode::new(settings, incarnation, log);
         let stop = server.stop_handle();
         let (finished, done) = oneshot::channel();
         let router = NodeRouter::new(Rc::clone(&node));
--- a/crates/filbertpitch/src/serve/node.rs
+++ b/crates/filbertpitch/src/serve/node.rs
@@ -22,6 +22,7 @@
 use super::driver::EngineDriver;
 use super::settings::NodeSettings;
 use super::targets::TargetClient;
+use crate::events::EventLog;
 
 /// One entry VM.
 pub struct EntryNode {
@@ -34,6 +35,7 @@
     pub(super) claims: ClaimDesk,
     pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
     fleet: RefCell<Option<FleetView>>,
+    pub(super) log: EventLog,
 }
 
 impl EntryNode {
@@ -41,6 +43,7 @@
     pub fn new(
         settings: NodeSettings,
         incarnation: IncarnationId,
+        log: EventLog,
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
         let clock = SystemClock::start();
         let reading = clock.read();
@@ -78,6 +81,7 @@
             claims: ClaimDesk::new(claims),
             pools: RefCell::default(),
             fleet: RefCell::default(),
+            log,
             settings,
         };
         (Rc::new(node), timer_events)
