--- a/crates/standins/src/load/starts.rs
+++ b/crates/standins/src/load/starts.rs
@@ -100,8 +100,13 @@
     for address in own {
         let pool = Rc::new(pool_of(address));
         for _ in 0..args.slots {
+            // Lanes in step would measure the time to serve one burst.
+            let delay = args.run_time.0.mul_f64(rand::random());
             let lane = drive_lane(pool.clone(), args.clone(), incarnation, end, counts.clone());
-            lanes.push(monoio::spawn(lane));
+            lanes.push(monoio::spawn(async move {
+                monoio::time::sleep(delay).await;
+                lane.await
+            }));
         }
     }
     let mut overheads = Vec::new();
