--- a/crates/dispatch/tests/health_check.rs
+++ b/crates/dispatch/tests/health_check.rs
@@ -51,8 +51,14 @@
     let (mut schedule, target) = schedule_with(&[(1, 100, 900), (2, 100, 900), (3, 500, 900)]);
     assert_eq!(schedule.check_due(at(99)), None);
     assert_eq!(schedule.check_due(at(100)), Some(target));
-    assert_eq!(schedule.check_due(at(100)), None);
-    assert_eq!(schedule.watched(target).collect::<Vec<_>>(), [1, 2, 3]);
+    let watch = AttemptWatch {
+        key: 4,
+        overdue_at: at(101),
+        renew_at: at(900),
+    };
+    schedule.watch(target, watch);
+    assert_eq!(schedule.check_due(at(300)), None);
+    assert_eq!(schedule.watched(target).collect::<Vec<_>>(), [1, 2, 3, 4]);
 }
 
 /// Guards against leases that run out while their attempts are healthy.
@@ -61,13 +67,11 @@
     let (mut schedule, target) = schedule_with(&[(1, 60_000, 5_000)]);
     assert_eq!(schedule.check_due(at(4_999)), None);
     for renewal in 1..=3 {
-        assert_eq!(schedule.check_due(at(5_000 * renewal)), Some(target));
+        let now = at(5_000 * renewal);
+        assert_eq!(schedule.check_due(now), Some(target));
         let renew_at = at(5_000 * (renewal + 1));
-        schedule.check_ended(
-            at(5_000 * renewal),
-            target,
-            CheckResult::Answered { renew_at },
-        );
+        schedule.check_ended(now, target, CheckResult::Answered { renew_at });
+        assert_eq!(schedule.check_due(renew_at - MILLI), None);
     }
 }
 
--- a/crates/dispatch/tests/placement_cases.rs
+++ b/crates/dispatch/tests/placement_cases.rs
@@ -98,6 +98,19 @@
     );
 }
 
+/// Guards against short work that joins long work while another target has less to do.
+#[test]
+fn the_target_with_the_least_expected_work_is_chosen() {
+    let mut table = table_of(&[(0, 8, 64); 3], 1);
+    let mut start = |target: usize, millis| {
+        let expected = Duration::from_millis(millis);
+        table.started(at(0), target.into(), SlotClass::Short, expected)
+    };
+    let _holds = [start(0, 500), start(1, 40), start(1, 40), start(2, 90)];
+    let next = try_start(&mut table, at(0), 0).map(|hold| hold.target());
+    assert_eq!(next, Some(1.into()));
+}
+
 /// Guards against spill-over while waiting is cheaper than the network.
 #[test]
 fn work_spills_over_only_when_waiting_takes_longer() {
