Answer for owners that were removed before a VM started

Cause: a VM that never had an owner's address in its table answered 504 for its submissions for ever, so after a full replacement of the VMs a client could not learn the end of its jobs. Ruled out: forwarding to unlisted addresses, because a caller could then make a VM connect anywhere.

--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -163,6 +163,8 @@
     peers: BTreeMap<SocketAddr, PeerState>,
     handovers: BTreeMap<IncarnationId, HandoverRecord>,
     last_advance: TimePoint,
+    /// When a usable list was read first and last.
+    list_reads: Option<(TimePoint, TimePoint)>,
 }
 
 impl PeerTable {
@@ -179,6 +181,7 @@
             peers: BTreeMap::new(),
             handovers: BTreeMap::new(),
             last_advance: now,
+            list_reads: None,
         };
         for &seed in seeds {
             if let Some(peer) = table.peer_mut(now, seed) {
@@ -348,6 +351,8 @@
         if entries().next().is_none() {
             return;
         }
+        let first = self.list_reads.map_or(now, |(first, _)| first);
+        self.list_reads = Some((first, now));
         let listed = entries().map(|vm| vm.address).collect::<Vec<_>>();
         for &address in &listed {
             if let Some(peer) = self.peer_mut(now, address) {
@@ -427,7 +432,13 @@
             return OwnerStatus::Gone;
         }
         let Some(peer) = self.peers.get(&prefix.address) else {
-            return OwnerStatus::Unreachable;
+            // A VM that started after the owner was removed never had it in its table. The list
+            // shows new VMs well within the margin, so an address that it lacked for that long
+            // belongs to no VM.
+            return match self.is_unlisted_for_long(now) {
+                true => OwnerStatus::Gone,
+                false => OwnerStatus::Unreachable,
+            };
         };
         if peer.superseded.contains(&prefix.incarnation) {
             return OwnerStatus::Gone;
@@ -441,6 +452,13 @@
         }
     }
 
+    /// Whether an address outside the table has been missing from the list for the margin.
+    fn is_unlisted_for_long(&self, now: TimePoint) -> bool {
+        let margin = self.settings.drop_margin;
+        self.list_reads
+            .is_some_and(|(first, last)| last.since(first) >= margin && now.since(last) < margin)
+    }
+
     /// The last handover of a chain.
     fn successor(&self, now: TimePoint, from: IncarnationId) -> Option<&HandoverNotice> {
         let next = |from: IncarnationId| {
--- a/crates/filbertpitch/src/serve/callers.rs
+++ b/crates/filbertpitch/src/serve/callers.rs
@@ -170,7 +170,13 @@
             ForwardOutcome::Answered(ForwardAnswer::Conflict) => conflict(),
             ForwardOutcome::Answered(
                 ForwardAnswer::OwnerGone { .. } | ForwardAnswer::HandedOver(_),
-            ) => self.answer_gone(submission),
+            ) => {
+                if let Some(owner) = submission.prefix() {
+                    let now = self.now().time;
+                    self.peers.borrow_mut().note_superseded(now, owner);
+                }
+                self.answer_gone(submission)
+            }
             ForwardOutcome::Unreachable => ServerResponse::error(
                 StatusCode::GATEWAY_TIMEOUT,
                 "unreachable",
