--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,11 +6,16 @@
 mod decode;
 pub mod error;
 pub mod fold;
+pub mod follower;
 pub mod history;
 mod locate;
 mod node;
 pub mod object;
 pub mod path;
+pub mod policy;
+pub mod publish;
+pub mod read;
+mod recent;
 pub mod record;
 pub mod resolve;
 pub mod snapshot;
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cli;
 pub mod events;
+pub mod log_client;
 pub mod serve;
 pub mod settings;
 pub mod signals;
--- a/crates/filbertpitch/src/serve/claims.rs
+++ b/crates/filbertpitch/src/serve/claims.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::claim::{ClaimBatch, ClaimStatus, ClaimTable};
-use filbertpitch_types::platform::CLAIM_STREAM;
+use filbertpitch_types::platform::{AppendRequest, CLAIM_STREAM};
 use filbertpitch_types::prelude::*;
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 
 use super::node::EntryNode;
-use super::platform::{ReadOutcome, append_record, pause_after_outage, read_stream, stream_read};
+use super::platform::{pause_after_outage, stream_read};
+use crate::log_client::{ReadOutcome, append_record, read_stream};
 
 /// How long a caller waits for its key to be claimed.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
@@ -99,7 +100,8 @@
                 let body = serde_json::to_string(&batch).expect("a claim batch encodes as JSON");
                 // Whether the append took effect shows when the stream is read. If it did not,
                 // the caller's time-out ends the wait, and a resubmission claims again.
-                append_record(&pool, CLAIM_STREAM, body.into()).await;
+                let append = AppendRequest { body: body.into() };
+                let _ = append_record(&pool, CLAIM_STREAM, &append).await;
             }
         }
     }
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -11,17 +11,17 @@
 use filbertpitch_dispatch::engine::{DispatchEngine, EngineEvent};
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{HandoverNotice, HandoverRequest, PeerHello};
-use filbertpitch_types::platform::HANDOVER_STREAM;
+use filbertpitch_types::platform::{AppendRequest, HANDOVER_STREAM};
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::status::LifeState;
 use filbertpitch_wire::server::{HttpServer, StopHandle};
 use futures_channel::oneshot;
 
 use super::node::EntryNode;
-use super::platform::append_record;
 use super::router::NodeRouter;
 use super::settings::NodeSettings;
 use crate::events::EventLog;
+use crate::log_client::append_record;
 
 /// How often a waiting state looks at the node.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -206,7 +206,8 @@
         let body = serde_json::to_string(&notice).expect("a notice encodes as JSON");
         let pool = self.node.pool(self.node.settings().log);
         // While the log is down, the successor's heartbeats announce the handover.
-        append_record(&pool, HANDOVER_STREAM, body.into()).await;
+        let append = AppendRequest { body: body.into() };
+        let _ = append_record(&pool, HANDOVER_STREAM, &append).await;
     }
 }
 
--- a/crates/filbertpitch/src/serve/platform.rs
+++ b/crates/filbertpitch/src/serve/platform.rs
@@ -8,21 +8,16 @@
 use filbertpitch_config::read::LogRead;
 use filbertpitch_dispatch::engine::EngineEvent;
 use filbertpitch_types::peer::HandoverNotice;
-use filbertpitch_types::platform::{
-    AppendAnswer, AppendRequest, HANDOVER_STREAM, ReadAnswer, TICKET_STREAM, VmList,
-};
+use filbertpitch_types::platform::{HANDOVER_STREAM, TICKET_STREAM, VmList};
 use filbertpitch_types::prelude::*;
-use filbertpitch_wire::client::{ConnectionPool, RequestOptions};
+use filbertpitch_wire::client::RequestOptions;
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::ClientRequest;
 use http::{Method, StatusCode, Uri};
 
 use super::node::EntryNode;
+use crate::log_client::{ReadOutcome, read_stream};
 
-/// The time beyond a read's own wait in which the log must answer.
-const READ_MARGIN: Duration = Duration::from_secs(2);
-/// The time for an append.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a read of a stream of ours waits for new records.
 const STREAM_WAIT: Duration = Duration::from_secs(5);
 /// The pause after a failed read of a stream of ours.
@@ -30,69 +25,6 @@
 /// The most records per read of a stream of ours.
 const STREAM_LIMIT: u32 = 256;
 
-/// The answer to a read of the log.
-pub enum ReadOutcome {
-    /// Records, possibly none.
-    Read(ReadAnswer),
-    /// The requested offset is no longer kept.
-    Expired(ReadAnswer),
-    /// The log did not answer.
-    Outage,
-}
-
-/// Reads a stream of the log.
-pub async fn read_stream(pool: &ConnectionPool, stream: &str, read: &LogRead) -> ReadOutcome {
-    let target = format!(
-        "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
-        read.from,
-        read.limit,
-        read.wait.as_millis()
-    );
-    let Ok(target) = target.parse::<Uri>() else {
-        return ReadOutcome::Outage;
-    };
-    let options = RequestOptions {
-        timeout: read.wait + READ_MARGIN,
-        ..RequestOptions::default()
-    };
-    let request = ClientRequest::new(Method::GET, target);
-    let Ok(response) = pool.request(&request, &options).await else {
-        return ReadOutcome::Outage;
-    };
-    let Ok(answer) = response.decode::<ReadAnswer>(BodyFormat::Json) else {
-        return ReadOutcome::Outage;
-    };
-    match response.status {
-        StatusCode::OK => ReadOutcome::Read(answer),
-        StatusCode::GONE => ReadOutcome::Expired(answer),
-        _ => ReadOutcome::Outage,
-    }
-}
-
-/// Appends a record to a stream of the log. `None` means that it is not known whether the append
-/// took effect.
-pub async fn append_record(
-    pool: &ConnectionPool,
-    stream: &str,
-    body: Box<str>,
-) -> Option<LogOffset> {
-    let target = format!("/v1/streams/{stream}/records")
-        .parse::<Uri>()
-        .ok()?;
-    let append = AppendRequest { body };
-    let request = ClientRequest::post(target, BodyFormat::Json, &append).ok()?;
-    let options = RequestOptions {
-        timeout: APPEND_TIMEOUT,
-        ..RequestOptions::default()
-    };
-    let response = pool.request(&request, &options).await.ok()?;
-    if response.status != StatusCode::OK {
-        return None;
-    }
-    let answer = response.decode::<AppendAnswer>(BodyFormat::Json).ok()?;
-    Some(answer.offset)
-}
-
 impl EntryNode {
     /// Follows the ticket stream. Runs forever.
     pub(super) async fn run_follower(self: Rc<Self>) {
