--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //! Events and the time go in, actions come out. The serve loop and the seeded fault run drive the
 //! same code, so a fault found by one is a fault of the other.
 
+pub mod admission;
 pub mod attempt;
 pub mod catalog;
 pub mod check;
@@ -17,6 +18,9 @@
 pub mod membership;
 pub mod placement;
 pub mod queue;
+pub mod quota;
+pub mod retry;
+mod round;
 pub mod route;
 pub mod submission;
 pub mod timer;
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -1,3 +1,11 @@
-//! The filbertpitch process.
+//! The parts of the filbertpitch command: settings, command line, log events, signals and the
+//! entry VM itself.
+//!
+//! They are a library so that the tests reach them.
 
+pub mod cli;
+pub mod events;
+pub mod log_client;
 pub mod serve;
+pub mod settings;
+pub mod signals;
