Follow the ticket stream in the fault run

Operators publish tickets about the same objects at the same time, repeat appends without an answer and remove and add targets.

--- a/crates/standins/src/trial/fault.rs
+++ b/crates/standins/src/trial/fault.rs
@@ -54,6 +54,10 @@
                 Victim::None
             }
             FaultClass::Resubmit => Victim::None,
+            FaultClass::Tickets => {
+                self.begin_tickets(fault.end);
+                Victim::None
+            }
             FaultClass::ListStale => self.begin_stale_list(),
             FaultClass::Leave => self.begin_leaving(),
             FaultClass::Loss => {
--- a/crates/standins/src/trial/message.rs
+++ b/crates/standins/src/trial/message.rs
@@ -8,6 +8,7 @@
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{
     ForwardAnswer, ForwardCommand, ForwardRequest, HandoverNotice, HandoverRequest, PeerHello,
+    RecordTransfer, StateTransfer,
 };
 use filbertpitch_types::platform::{ReadAnswer, VmList};
 use filbertpitch_types::prelude::*;
@@ -29,6 +30,8 @@
     List,
     /// All clients together.
     Clients,
+    /// All operators together.
+    Operators,
 }
 
 /// A request and its answer, as the sender sees it.
@@ -56,6 +59,10 @@
     Forward(Box<ForwardRequest>),
     /// `POST /peer/handover`
     Handover(HandoverRequest),
+    /// `POST /peer/state`
+    State,
+    /// `POST /peer/records`
+    Records(LogOffset),
     /// An append to a stream of the log.
     Append {
         /// The stream.
@@ -69,6 +76,8 @@
         stream: &'static str,
         /// The first offset.
         from: LogOffset,
+        /// The most records.
+        limit: u32,
         /// How long to wait for records.
         wait: Duration,
     },
@@ -93,6 +102,8 @@
             Self::Hello(_) => "hello",
             Self::Forward(_) => "forward",
             Self::Handover(_) => "handover",
+            Self::State => "state",
+            Self::Records(_) => "records",
             Self::Append { .. } => "append",
             Self::Read { .. } => "read",
             Self::List => "list",
@@ -117,6 +128,10 @@
     Forward(Box<ForwardAnswer>),
     /// To a handover.
     Taken,
+    /// To a request for a state.
+    State(Box<Option<StateTransfer>>),
+    /// To a request for records.
+    Records(Box<RecordTransfer>),
     /// To an append.
     Appended,
     /// To a read.
@@ -198,6 +213,12 @@
     },
     /// A heartbeat.
     Heartbeat(SocketAddr),
+    /// The records that a peer has read and this VM has not.
+    Records(SocketAddr),
+    /// The configuration of a peer.
+    State,
+    /// The ticket stream.
+    FollowTickets,
     /// The VM list.
     VmList,
     /// The handover stream.
@@ -232,6 +253,8 @@
     Vm(VmCall),
     /// By a client.
     Client(ClientCall),
+    /// By the operator who appended this ticket.
+    Ticket(usize),
 }
 
 /// What a client does with an answer.
--- a/crates/standins/src/trial/mod.rs
+++ b/crates/standins/src/trial/mod.rs
@@ -12,6 +12,7 @@
 mod fault_plan;
 mod message;
 mod network;
+mod operator;
 mod platform;
 mod queue;
 mod report;
--- a/crates/standins/src/trial/network.rs
+++ b/crates/standins/src/trial/network.rs
@@ -18,7 +18,7 @@
     Zone(usize),
     /// The platform's log and VM list.
     Platform,
-    /// Clients, whom no cut concerns.
+    /// Clients and operators, whom no cut concerns.
     Outside,
 }
 
--- a/crates/standins/src/trial/platform.rs
+++ b/crates/standins/src/trial/platform.rs
@@ -8,7 +8,7 @@
 
 use super::message::{ExchangeId, Request, Response};
 use super::sim::{SimEvent, Simulation};
-use crate::log_model::{AppendResult, LogModel, READ_LIMIT, ReadResult};
+use crate::log_model::{AppendResult, LogModel, ReadResult};
 use crate::vm_model::VmModel;
 
 /// How long the VM list takes to answer.
@@ -21,6 +21,7 @@
     exchange: ExchangeId,
     stream: &'static str,
     from: LogOffset,
+    limit: u32,
     until: TimePoint,
 }
 
@@ -57,10 +58,12 @@
             Request::Append { stream, body } => match self.platform.log.append(clock, stream, body)
             {
                 AppendResult::Stored { at, .. } => {
+                    self.expect_ticket(stream, at);
                     self.respond_at(at, exchange, Response::Appended);
                     self.queue.push(at, SimEvent::LogVisible);
                 }
                 AppendResult::AnswerLost { at, .. } => {
+                    self.expect_ticket(stream, at);
                     let failure = super::message::Failure { maybe_sent: true };
                     self.queue.push(at, SimEvent::Fail { exchange, failure });
                     self.queue.push(at, SimEvent::LogVisible);
@@ -70,13 +73,19 @@
                     self.respond_at(at, exchange, Response::Unavailable);
                 }
             },
-            Request::Read { stream, from, wait } => {
+            Request::Read {
+                stream,
+                from,
+                limit,
+                wait,
+            } => {
                 let until = self.now + wait;
                 self.queue.push(until, SimEvent::LogVisible);
                 self.platform.waiting.push(WaitingRead {
                     exchange,
                     stream,
                     from,
+                    limit,
                     until,
                 });
                 self.answer_reads();
@@ -98,7 +107,7 @@
         let waiting = std::mem::take(&mut self.platform.waiting);
         for read in waiting {
             let log = &mut self.platform.log;
-            let result = log.read(clock, read.stream, read.from, READ_LIMIT);
+            let result = log.read(clock, read.stream, read.from, read.limit as usize);
             let latency = log.read_latency();
             let response = match result {
                 ReadResult::Records(answer)
--- a/crates/standins/src/trial/settings.rs
+++ b/crates/standins/src/trial/settings.rs
@@ -41,6 +41,8 @@
     CancelWave,
     /// Clients resubmit through several VMs at once and late.
     Resubmit,
+    /// Operators change the same objects concurrently.
+    Tickets,
     /// The VM list is unavailable or late.
     ListStale,
     /// A VM is stopped as planned and replaced.
@@ -53,7 +55,7 @@
 
 impl FaultClass {
     /// All classes.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Kill,
         Self::Freeze,
         Self::ZoneCut,
@@ -70,6 +72,7 @@
         Self::Burst,
         Self::CancelWave,
         Self::Resubmit,
+        Self::Tickets,
         Self::ListStale,
         Self::Drain,
         Self::Leave,
@@ -94,6 +97,7 @@
             Self::Burst => "burst",
             Self::CancelWave => "cancel-wave",
             Self::Resubmit => "resubmit",
+            Self::Tickets => "tickets",
             Self::ListStale => "list-stale",
             Self::Drain => "drain",
             Self::Leave => "leave",
--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -3,10 +3,8 @@
 use std::collections::BTreeMap;
 use std::fmt::Arguments;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_config::spec::Configuration;
 use filbertpitch_types::platform::VmEntry;
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::status::LifeState;
@@ -19,6 +17,7 @@
 use super::fault_plan::{FaultPlan, PlannedFault};
 use super::message::{Call, ExchangeId, Failure, Party, Request, Response, VmCall};
 use super::network::Network;
+use super::operator::{OperatorDesk, TicketEvent};
 use super::platform::PlatformHost;
 use super::report::TrialReport;
 use super::settings::TrialSettings;
@@ -27,8 +26,7 @@
 use super::vm::{EntryVm, VmOutput, VmSettings, VmTimer};
 use super::wiring::StalledMessage;
 use super::world_setup::{
-    VMS_PER_ZONE, ZONES, configuration, list_address, log_address, target_entry, vm_address,
-    vm_entry, zone_name,
+    VMS_PER_ZONE, ZONES, list_address, log_address, target_entry, vm_address, vm_entry, zone_name,
 };
 use crate::log_model::{LogModel, LogSettings};
 use crate::vm_model::VmModel;
@@ -87,6 +85,8 @@
     LogVisible,
     /// A client acts.
     Client(ClientEvent),
+    /// An operator acts, or a ticket must be in force.
+    Ticket(TicketEvent),
     /// A fault begins.
     FaultBegins(usize),
     /// A fault ends.
@@ -145,9 +145,9 @@
     pub(super) faults: Vec<PlannedFault>,
     pub(super) evidence: Evidence,
     pub(super) pool_full: u64,
+    pub(super) operators: OperatorDesk,
     vm_numbers: Vec<u8>,
     pub(super) vm_settings: VmSettings,
-    configuration: Rc<Configuration>,
     open_starts: BTreeMap<(usize, AttemptId), ExchangeId>,
     trace: EventTrace,
     plan: Box<str>,
@@ -199,7 +199,7 @@
             pool_full: 0,
             vm_numbers: vec![VMS_PER_ZONE as u8; ZONES],
             vm_settings,
-            configuration: configuration(target_count),
+            operators: OperatorDesk::default(),
             open_starts: BTreeMap::new(),
             trace: EventTrace::new(settings.trace),
             plan: plan.text,
@@ -210,6 +210,7 @@
     }
 
     fn schedule_start(&mut self) {
+        self.append_first_ticket();
         for zone in 0..ZONES {
             for number in 1..=VMS_PER_ZONE {
                 let address = vm_address(zone, number as u8);
@@ -278,6 +279,7 @@
             SimEvent::TargetDue(target) => self.advance_target(target),
             SimEvent::LogVisible => self.answer_reads(),
             SimEvent::Client(event) => self.act_client(event),
+            SimEvent::Ticket(event) => self.act_operator(event),
             SimEvent::FaultBegins(index) => self.begin_fault(index),
             SimEvent::FaultEnds(index) => self.end_fault(index),
             SimEvent::StartVm { zone, address } => self.start_vm(zone, address),
@@ -326,7 +328,7 @@
                 }
             }
             Party::Log | Party::List => self.serve_platform(exchange, request),
-            Party::Clients => unreachable!("nobody asks clients"),
+            Party::Clients | Party::Operators => unreachable!("nobody asks them"),
         }
     }
 
@@ -344,6 +346,7 @@
                 }
                 self.with_vm(vm, |process| process.on_answer(call, result));
             }
+            (_, Call::Ticket(ticket)) => self.end_append(ticket, result.is_ok()),
             (_, Call::Client(call)) => self.end_client_call(call, result),
             (_, Call::Vm(_)) => unreachable!("only VMs make their calls"),
         }
@@ -373,6 +376,7 @@
         for output in outputs {
             self.perform(vm, output);
         }
+        self.witness_configuration(vm);
     }
 
     fn perform(&mut self, vm: usize, output: VmOutput) {
@@ -440,8 +444,7 @@
         self.vms[vm].process = Some(EntryVm::new(settings, incarnation, clock));
         self.addresses.insert(address, Party::Vm(vm));
         self.note(format_args!("vm {vm} starts at {address} as {incarnation}"));
-        let configuration = Rc::clone(&self.configuration);
-        self.with_vm(vm, |process| process.configure(configuration));
+        self.with_vm(vm, |_| {});
     }
 
     /// An address at which no VM of the zone was before.
--- a/crates/standins/src/trial/vm/callers.rs
+++ b/crates/standins/src/trial/vm/callers.rs
@@ -79,6 +79,9 @@
             Some(ForwardAnswer::Pending) => CallerAnswer::Pending,
             Some(ForwardAnswer::Conflict) => CallerAnswer::Conflict,
             Some(ForwardAnswer::OwnerGone { .. } | ForwardAnswer::HandedOver(_)) => {
+                if let Some(owner) = submission.prefix() {
+                    self.peers.note_superseded(self.clock.time, owner);
+                }
                 return self.answer_gone(caller, submission);
             }
             None => CallerAnswer::Unreachable,
--- a/crates/standins/src/trial/vm/claims.rs
+++ b/crates/standins/src/trial/vm/claims.rs
@@ -9,7 +9,7 @@
 use filbertpitch_types::prelude::*;
 
 use super::super::message::{ExchangeId, Failure, Request, Response, VmCall, submission_of};
-use super::platform::{APPEND_TIMEOUT, READ_MARGIN, STREAM_RETRY, STREAM_WAIT};
+use super::platform::{APPEND_TIMEOUT, READ_MARGIN, STREAM_LIMIT, STREAM_RETRY, STREAM_WAIT};
 use super::{EntryVm, VmTimer};
 
 /// How long a caller waits for its key to be claimed.
@@ -88,6 +88,7 @@
         let request = Request::Read {
             stream: CLAIM_STREAM,
             from: self.claims.table.next(),
+            limit: STREAM_LIMIT,
             wait: STREAM_WAIT,
         };
         let timeout = STREAM_WAIT + READ_MARGIN;
--- a/crates/standins/src/trial/vm/mod.rs
+++ b/crates/standins/src/trial/vm/mod.rs
@@ -10,13 +10,13 @@
 mod peers;
 mod platform;
 mod targets;
+mod tickets;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_config::spec::Configuration;
+use filbertpitch_config::follower::{FollowerSettings, LogFollower};
 use filbertpitch_dispatch::claim::{ClaimSettings, ClaimTable};
 use filbertpitch_dispatch::engine::{
     CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineSettings, FleetView,
@@ -72,6 +72,10 @@
     Engine(TimePoint),
     /// Heartbeats may be due.
     Heartbeats,
+    /// The ticket stream is to be read.
+    FollowTickets,
+    /// The VM may have become ready.
+    Life,
     /// The VM list is to be read.
     VmList,
     /// The handover stream is to be read.
@@ -125,7 +129,7 @@
     timer_due: Option<TimePoint>,
     peers: PeerTable,
     claims: ClaimDesk,
-    configuration: Option<Rc<Configuration>>,
+    follower: LogFollower,
     fleet: Option<FleetView>,
     life: LifeState,
     drain: DrainStage,
@@ -167,7 +171,7 @@
             timer_due: None,
             peers,
             claims: ClaimDesk::new(claims),
-            configuration: None,
+            follower: LogFollower::new(FollowerSettings::default()),
             fleet: None,
             life: LifeState::Starting,
             drain: DrainStage::Serving,
@@ -179,10 +183,12 @@
             out: Vec::new(),
         };
         for timer in [
+            VmTimer::FollowTickets,
             VmTimer::VmList,
             VmTimer::Heartbeats,
             VmTimer::FollowHandovers,
             VmTimer::FollowClaims,
+            VmTimer::Life,
         ] {
             vm.wake_after(Duration::ZERO, timer);
         }
@@ -235,6 +241,8 @@
                 self.answer_forward(exchange, *request);
             }
             Request::Hello(hello) => self.answer_hello(exchange, &hello),
+            Request::State => self.answer_state(exchange),
+            Request::Records(from) => self.answer_records(exchange, from),
             Request::Handover(handover) => self.answer_handover(exchange, handover),
             _ => unreachable!("not a request to an entry VM"),
         }
@@ -246,6 +254,9 @@
             VmCall::Start { target, attempt } => self.end_start(target, attempt, result),
             VmCall::States { target, command } => self.end_states(target, command, result),
             VmCall::Heartbeat(address) => self.end_heartbeat(address, result),
+            VmCall::Records(address) => self.end_records(address, result),
+            VmCall::State => self.end_state(result),
+            VmCall::FollowTickets => self.end_ticket_read(result),
             VmCall::VmList => self.end_vm_list(result),
             VmCall::FollowHandovers => self.end_handover_read(result),
             VmCall::FollowClaims => self.end_claim_read(result),
@@ -268,6 +279,8 @@
                 }
             }
             VmTimer::Heartbeats => self.send_heartbeats(),
+            VmTimer::FollowTickets => self.read_tickets(),
+            VmTimer::Life => self.await_configuration(),
             VmTimer::VmList => self.read_vm_list(),
             VmTimer::FollowHandovers => self.read_handovers(),
             VmTimer::FollowClaims => self.read_claims(),
@@ -277,20 +290,12 @@
         }
     }
 
-    /// Puts a configuration in force; the VM becomes ready with the first one.
-    pub fn configure(&mut self, configuration: Rc<Configuration>) {
-        self.configuration = Some(Rc::clone(&configuration));
-        self.feed(EngineEvent::ConfigurationChanged(configuration));
-        if self.life == LifeState::Starting {
-            self.set_life(LifeState::Ready);
-        }
-    }
-
     fn set_life(&mut self, life: LifeState) {
         self.life = life;
         let ready = life == LifeState::Ready;
         let leaving = life == LifeState::Draining;
-        self.peers.set_own(ready, leaving, LogOffset(0));
+        let config_next = self.follower.next_offset();
+        self.peers.set_own(ready, leaving, config_next);
         self.refresh_fleet();
     }
 
@@ -394,7 +399,7 @@
     }
 
     fn has_configuration(&self) -> bool {
-        self.configuration.is_some()
+        self.follower.has_state()
     }
 
     fn owner_status(&self, submission: &SubmissionId) -> OwnerStatus {
--- a/crates/standins/src/trial/vm/peers.rs
+++ b/crates/standins/src/trial/vm/peers.rs
@@ -15,6 +15,7 @@
 
 impl EntryVm {
     pub(super) fn send_heartbeats(&mut self) {
+        self.peers.set_config_next(self.follower.next_offset());
         for address in self.peers.due_hellos(self.clock.time) {
             let hello = Request::Hello(self.peers.own_hello());
             self.send(address, hello, PEER_TIMEOUT, VmCall::Heartbeat(address));
@@ -27,6 +28,7 @@
         match result {
             Ok(Response::Hello(hello)) => {
                 self.peers.hello_answered(self.clock.time, address, &hello);
+                self.catch_up_from(&hello);
             }
             _ => self.peers.hello_failed(address),
         }
--- a/crates/standins/src/trial/vm/platform.rs
+++ b/crates/standins/src/trial/vm/platform.rs
@@ -15,6 +15,8 @@
 pub(super) const READ_MARGIN: Duration = Duration::from_secs(2);
 /// The time for an append.
 pub(super) const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// The most records per read of a stream.
+pub(super) const STREAM_LIMIT: u32 = 256;
 /// The pause after a failed read of a stream.
 pub(super) const STREAM_RETRY: Duration = Duration::from_millis(500);
 /// How often the VM list is read.
@@ -39,6 +41,7 @@
         let request = Request::Read {
             stream: HANDOVER_STREAM,
             from: self.next_handover,
+            limit: STREAM_LIMIT,
             wait: STREAM_WAIT,
         };
         let timeout = STREAM_WAIT + READ_MARGIN;
--- a/crates/standins/src/trial/wiring.rs
+++ b/crates/standins/src/trial/wiring.rs
@@ -41,7 +41,7 @@
             Party::Vm(vm) => Place::Zone(self.vms[vm].zone),
             Party::Target(target) => Place::Zone(target_zone(target)),
             Party::Log | Party::List => Place::Platform,
-            Party::Clients => Place::Outside,
+            Party::Clients | Party::Operators => Place::Outside,
         }
     }
 
