Test the stand-ins over HTTP and the load generator

The load generator is run against an entry VM with one fault per run, because a violation that it does not detect would pass as a good result. The tests found that the runtime drops a task that nothing can wake, which closed silenced connections; their tasks are now kept alive until the target dies.

--- a/crates/standins/src/http/target_host.rs
+++ b/crates/standins/src/http/target_host.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -40,6 +39,9 @@
     restart_waiter: RefCell<Option<oneshot::Sender<()>>>,
     peers: RefCell<HashSet<SocketAddr>>,
     silent_peers: RefCell<HashSet<SocketAddr>>,
+    /// Keeps the tasks of silenced connections alive: the runtime drops a task that nothing can
+    /// wake, which would close its connection.
+    silenced: RefCell<Vec<oneshot::Sender<()>>>,
     stop: RefCell<Option<StopHandle>>,
     timers: Rc<TimerTable>,
     index: HostIndex,
@@ -57,6 +59,7 @@
             restart_waiter: RefCell::default(),
             peers: RefCell::default(),
             silent_peers: RefCell::default(),
+            silenced: RefCell::default(),
             stop: RefCell::default(),
             timers,
             index,
@@ -173,9 +176,6 @@
     }
 
     async fn serve(&self, request: &ServerRequest) -> Result<ServerResponse, TargetDied> {
-        if let Some(response) = self.serve_control(request) {
-            return Ok(response);
-        }
         self.await_open().await?;
         if request.method != Method::POST {
             return Ok(not_found());
@@ -278,6 +278,8 @@
                 self.state.waiters.take();
                 self.state.thaw_waiters.take();
                 self.state.peers.take();
+                self.state.silent_peers.take();
+                self.state.silenced.take();
                 self.state.death_waiter.take();
                 if let Some(stop) = self.state.stop.take() {
                     stop.stop();
@@ -286,21 +288,32 @@
         }
     }
 
-    fn is_silent(&self, peer: SocketAddr) -> bool {
-        self.state.silent_peers.borrow().contains(&peer)
+    /// Fails if the connection was silenced, but not before the target dies.
+    async fn pass_silence(&self, peer: SocketAddr) -> Result<(), TargetDied> {
+        if !self.state.silent_peers.borrow().contains(&peer) {
+            return Ok(());
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.state.silenced.borrow_mut().push(sender);
+        let _ = receiver.await;
+        Err(TargetDied)
+    }
+
+    async fn respond(&self, request: &ServerRequest) -> Result<ServerResponse, TargetDied> {
+        self.pass_silence(request.peer).await?;
+        if let Some(response) = self.serve_control(request) {
+            return Ok(response);
+        }
+        self.state.peers.borrow_mut().insert(request.peer);
+        let response = self.serve(request).await;
+        self.pass_silence(request.peer).await?;
+        response
     }
 }
 
 impl RequestHandler for TargetHost {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
-        if self.is_silent(request.peer) {
-            pending::<()>().await;
-        }
-        self.state.peers.borrow_mut().insert(request.peer);
-        let response = self.serve(&request).await;
-        if self.is_silent(request.peer) {
-            pending::<()>().await;
-        }
+        let response = self.respond(&request).await;
         response.unwrap_or_else(|TargetDied| close_connection())
     }
 }
--- a/crates/standins/src/http/target_pool.rs
+++ b/crates/standins/src/http/target_pool.rs
@@ -42,9 +42,9 @@
             .or_default()
             .push(target);
     }
-    let workers = groups.into_values().map(|group| {
-        thread::spawn(move || runtime::run(serve_group(group)).and_then(|result| result))
-    });
+    let workers = groups
+        .into_values()
+        .map(|group| thread::spawn(move || runtime::run(serve_group(group)).flatten()));
     let workers = workers.collect::<Vec<_>>();
     for worker in workers {
         worker.join().expect("a target thread does not panic")?;
@@ -52,37 +52,75 @@
     Ok(())
 }
 
-/// Serves targets on the current thread.
-///
-/// # Errors
-/// When a port is in use.
-pub async fn serve_group(targets: Vec<ServedTarget>) -> io::Result<()> {
-    let timers = Rc::new(TimerTable::new(HostClock::start(), PreciseTicker::start()));
-    let mut hosts = Vec::new();
-    for (position, target) in targets.into_iter().enumerate() {
-        let limits = ServerLimits {
-            connections: usize::from(target.profile.connections) + CONTROL_CONNECTIONS,
-            ..ServerLimits::default()
-        };
-        let server = HttpServer::bind(target.address, limits.clone())?;
-        let host = TargetHost::new(target.profile, timers.clone(), HostIndex(position));
-        hosts.push(host.clone());
-        monoio::spawn(serve_host(host, server, target.address, limits));
-    }
-    loop {
-        let HostIndex(position) = timers.next_due().await;
-        hosts[position].advance();
-    }
+async fn serve_group(targets: Vec<ServedTarget>) -> io::Result<()> {
+    TargetServers::bind(targets)?.serve().await;
+    Ok(())
 }
 
-/// Serves one target, across its simulated deaths.
-async fn serve_host(
+/// Targets of one thread that are bound to their ports.
+pub struct TargetServers {
+    timers: Rc<TimerTable>,
+    hosts: Vec<BoundHost>,
+}
+
+struct BoundHost {
     host: TargetHost,
     server: HttpServer,
     address: SocketAddr,
     limits: ServerLimits,
-) {
-    let mut server = server;
+}
+
+impl TargetServers {
+    /// Binds to the ports. Must be called inside a runtime.
+    ///
+    /// # Errors
+    /// When a port is in use.
+    pub fn bind(targets: Vec<ServedTarget>) -> io::Result<Self> {
+        let timers = Rc::new(TimerTable::new(HostClock::start(), PreciseTicker::start()));
+        let hosts = targets.into_iter().enumerate().map(|(position, target)| {
+            let limits = ServerLimits {
+                connections: usize::from(target.profile.connections) + CONTROL_CONNECTIONS,
+                ..ServerLimits::default()
+            };
+            let server = HttpServer::bind(target.address, limits.clone())?;
+            Ok(BoundHost {
+                host: TargetHost::new(target.profile, timers.clone(), HostIndex(position)),
+                address: server.local_addr()?,
+                server,
+                limits,
+            })
+        });
+        let hosts = hosts.collect::<io::Result<Vec<_>>>()?;
+        Ok(Self { timers, hosts })
+    }
+
+    /// The addresses of the targets, with the ports that the system chose if none were given.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|bound| bound.address).collect()
+    }
+
+    /// Serves the targets; does not complete.
+    pub async fn serve(self) {
+        let mut hosts = Vec::new();
+        for bound in self.hosts {
+            hosts.push(bound.host.clone());
+            monoio::spawn(serve_host(bound));
+        }
+        loop {
+            let HostIndex(position) = self.timers.next_due().await;
+            hosts[position].advance();
+        }
+    }
+}
+
+/// Serves one target, across its simulated deaths.
+async fn serve_host(bound: BoundHost) {
+    let BoundHost {
+        host,
+        mut server,
+        address,
+        limits,
+    } = bound;
     loop {
         host.set_server(server.stop_handle());
         // Not awaited: a connection that was silenced keeps the server from ending.
--- a/crates/standins/tests/http.rs
+++ b/crates/standins/tests/http.rs
@@ -1,13 +1,12 @@
 //! Guards the stand-ins as HTTP processes: the protocol, the control endpoints and the faults of
 //! connections, which the models do not cover.
 
-use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use filbertpitch_standins::declare::TargetGroup;
 use filbertpitch_standins::http::log_host::LogHost;
 use filbertpitch_standins::http::target_control::{LedgerPage, TargetControl};
-use filbertpitch_standins::http::target_pool::serve_group;
+use filbertpitch_standins::http::target_pool::TargetServers;
 use filbertpitch_standins::http::vm_host::VmHost;
 use filbertpitch_standins::log_model::{LogModel, LogSettings};
 use filbertpitch_standins::plan::expected_output;
@@ -27,25 +26,22 @@
 use serde::Serialize;
 use serde_json::json;
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Starts one target and returns a client of it.
 fn start_target() -> ConnectionPool {
     let world = WorldProfile::named(WorldName::Sajha);
     let group = TargetGroup {
         kinds_per_target: world.kinds.len(),
         world,
-        listen: free_address(),
+        listen: "127.0.0.1:0".parse().unwrap(),
         count: 1,
         first: 0,
         slots: 8,
         connections: 64,
     };
-    monoio::spawn(serve_group(group.served()));
-    ConnectionPool::new(group.listen, PoolLimits::default())
+    let servers = TargetServers::bind(group.served()).unwrap();
+    let address = servers.addresses()[0];
+    monoio::spawn(servers.serve());
+    ConnectionPool::new(address, PoolLimits::default())
 }
 
 fn start_server<Host>(host: Host) -> ConnectionPool
@@ -122,7 +118,10 @@
 }
 
 async fn ledger(pool: &ConnectionPool) -> LedgerPage {
-    get(pool, "/control/ledger").await.decode(BodyFormat::Json).unwrap()
+    get(pool, "/control/ledger")
+        .await
+        .decode(BodyFormat::Json)
+        .unwrap()
 }
 
 /// Two requests for one attempt must share a run, and a stop must fence an unseen attempt.
@@ -145,7 +144,10 @@
         let stop = json!({ "attempts": [fenced.attempt] });
         post(&pool, "/v1/stop", &stop).await.unwrap();
         let reason = RefusalReason::Fenced;
-        assert_eq!(verdict(&pool, &fenced).await, AttemptVerdict::Refused { reason });
+        assert_eq!(
+            verdict(&pool, &fenced).await,
+            AttemptVerdict::Refused { reason }
+        );
         assert_eq!(ledger(&pool).await.total, 1);
     })
     .unwrap();
@@ -168,7 +170,10 @@
         let (waited, ()) = futures_util::future::join(waiting, silence).await;
         assert_eq!(waited.unwrap_err().kind, ClientErrorKind::TimedOut);
         let fresh = ConnectionPool::new(pool.address(), PoolLimits::default());
-        assert!(matches!(verdict(&fresh, &running).await, AttemptVerdict::Done { .. }));
+        assert!(matches!(
+            verdict(&fresh, &running).await,
+            AttemptVerdict::Done { .. }
+        ));
         assert_eq!(ledger(&fresh).await.total, 1);
     })
     .unwrap();
@@ -190,9 +195,15 @@
         let waiting = post(&pool, "/v1/tasks", &running);
         let (waited, ()) = futures_util::future::join(waiting, die).await;
         let error = waited.unwrap_err();
-        assert_eq!((error.kind, error.sent), (ClientErrorKind::Closed, SentState::MaybeSent));
+        assert_eq!(
+            (error.kind, error.sent),
+            (ClientErrorKind::Closed, SentState::MaybeSent)
+        );
         let refused = post(&pool, "/v1/tasks", &running).await.unwrap_err();
-        assert_eq!((refused.kind, refused.sent), (ClientErrorKind::Refused, SentState::NotSent));
+        assert_eq!(
+            (refused.kind, refused.sent),
+            (ClientErrorKind::Refused, SentState::NotSent)
+        );
         monoio::time::sleep(Duration::from_millis(500)).await;
         let check = json!({ "holder": running.attempt.incarnation, "lease_until": 0,
             "attempts": [running.attempt] });
@@ -229,9 +240,14 @@
         let appended = post(&pool, path, &body).await.unwrap();
         let appended = appended.decode::<AppendAnswer>(BodyFormat::Json).unwrap();
         assert_eq!(appended.offset, LogOffset(0));
-        post(&pool, "/control", &json!({ "lose_answers": 1 })).await.unwrap();
+        post(&pool, "/control", &json!({ "lose_answers": 1 }))
+            .await
+            .unwrap();
         let lost = post(&pool, path, &body).await.unwrap_err();
-        assert_eq!((lost.kind, lost.sent), (ClientErrorKind::Closed, SentState::MaybeSent));
+        assert_eq!(
+            (lost.kind, lost.sent),
+            (ClientErrorKind::Closed, SentState::MaybeSent)
+        );
         let waiting = format!("{path}?from=2&wait_ms=2000");
         let append = async {
             monoio::time::sleep(Duration::from_millis(50)).await;
@@ -240,7 +256,9 @@
         let (read, ()) = futures_util::future::join(get(&pool, &waiting), append).await;
         let read = read.decode::<ReadAnswer>(BodyFormat::Json).unwrap();
         assert_eq!(read.records[0].offset, LogOffset(2));
-        post(&pool, "/control", &json!({ "outage": true })).await.unwrap();
+        post(&pool, "/control", &json!({ "outage": true }))
+            .await
+            .unwrap();
         let refused = post(&pool, path, &body).await.unwrap();
         assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
         let control = json!({ "outage": false, "retention": "0ms" });
@@ -258,15 +276,26 @@
         let vm = json!({ "name": "target-1", "address": "127.0.0.1:7300", "zone": "a",
             "role": "target", "state": "live" });
         post(&pool, "/control/add", &vm).await.unwrap();
-        let list = get(&pool, "/v1/vms").await.decode::<VmList>(BodyFormat::Json).unwrap();
+        let list = get(&pool, "/v1/vms")
+            .await
+            .decode::<VmList>(BodyFormat::Json)
+            .unwrap();
         assert_eq!(list.vms[0].name.as_str(), "target-1");
-        post(&pool, "/control", &json!({ "lag": "150ms" })).await.unwrap();
+        post(&pool, "/control", &json!({ "lag": "150ms" }))
+            .await
+            .unwrap();
         let name = json!({ "name": "target-1" });
         post(&pool, "/control/remove", &name).await.unwrap();
-        let list = get(&pool, "/v1/vms").await.decode::<VmList>(BodyFormat::Json).unwrap();
+        let list = get(&pool, "/v1/vms")
+            .await
+            .decode::<VmList>(BodyFormat::Json)
+            .unwrap();
         assert_eq!(list.vms.len(), 1);
         monoio::time::sleep(Duration::from_millis(200)).await;
-        let list = get(&pool, "/v1/vms").await.decode::<VmList>(BodyFormat::Json).unwrap();
+        let list = get(&pool, "/v1/vms")
+            .await
+            .decode::<VmList>(BodyFormat::Json)
+            .unwrap();
         assert!(list.vms.is_empty());
     })
     .unwrap();
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -8,7 +8,7 @@
 
 use argh::FromArgs;
 use filbertpitch_standins::declare::TargetGroup;
-use filbertpitch_standins::http::target_pool::serve_group;
+use filbertpitch_standins::http::target_pool::TargetServers;
 use filbertpitch_standins::load::fairness::{fair_shares, jain_index};
 use filbertpitch_standins::load::measure::recovery_time;
 use filbertpitch_standins::load::record::{JobRecord, JobResult};
@@ -70,7 +70,10 @@
         };
         let path = "/v1/tasks".parse().unwrap();
         let request = ClientRequest::post(path, BodyFormat::Json, &start).unwrap();
-        let _ = self.target.request(&request, &RequestOptions::default()).await;
+        let _ = self
+            .target
+            .request(&request, &RequestOptions::default())
+            .await;
     }
 
     fn next_job(&self) -> u64 {
@@ -94,13 +97,17 @@
     }
 
     fn answer(&self, job: &JobRequest) -> JobAnswer {
-        let tasks = job.tasks.iter().enumerate().map(|(position, spec)| TaskAnswer {
-            task: TaskIndex(position as u16),
-            outcome: self.outcome(&spec.input),
-            attempts: 1,
-            target: None,
-            run_time: spec.declared,
-        });
+        let tasks = job
+            .tasks
+            .iter()
+            .enumerate()
+            .map(|(position, spec)| TaskAnswer {
+                task: TaskIndex(position as u16),
+                outcome: self.outcome(&spec.input),
+                attempts: 1,
+                target: None,
+                run_time: spec.declared,
+            });
         let mut answer = JobAnswer {
             submission: job.submission.clone(),
             outcome: JobOutcome::Complete,
@@ -145,11 +152,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Serves a target and an entry VM until the test process ends.
 fn start_system(fault: EntryFault) -> (SocketAddr, SocketAddr) {
     let (sender, receiver) = mpsc::channel();
@@ -159,27 +161,29 @@
             let group = TargetGroup {
                 kinds_per_target: world.kinds.len(),
                 world,
-                listen: free_address(),
+                listen: "127.0.0.1:0".parse().unwrap(),
                 count: 1,
                 first: 0,
                 slots: 1_000,
                 connections: 1_000,
             };
-            monoio::spawn(serve_group(group.served()));
+            let servers = TargetServers::bind(group.served()).unwrap();
+            let target = servers.addresses()[0];
+            monoio::spawn(servers.serve());
             let limits = PoolLimits {
                 connections: 1_000,
                 ..PoolLimits::default()
             };
             let entry = StubEntry {
                 fault,
-                target: ConnectionPool::new(group.listen, limits),
+                target: ConnectionPool::new(target, limits),
                 next_job: Cell::new(0),
             };
             let address = "127.0.0.1:0".parse().unwrap();
             let server = HttpServer::bind(address, ServerLimits::default()).unwrap();
             let _handle = server.stop_handle();
             let entry_address = server.local_addr().unwrap();
-            sender.send((entry_address, group.listen)).unwrap();
+            sender.send((entry_address, target)).unwrap();
             server.run(entry).await;
         })
         .unwrap();
@@ -236,7 +240,9 @@
     let arrivals = schedule(1);
     assert_eq!(arrivals, schedule(1));
     assert_ne!(arrivals, schedule(2));
-    let during = arrivals.iter().filter(|job| (step.start..step.end()).contains(&job.at));
+    let during = arrivals
+        .iter()
+        .filter(|job| (step.start..step.end()).contains(&job.at));
     let during = during.count() as f64;
     let outside = arrivals.len() as f64 - during;
     assert!((during / 6_000.0 - 1.0).abs() < 0.1, "{during}");
@@ -252,9 +258,13 @@
         factor: 100,
     };
     let arrivals = ArrivalSchedule::new(world, 1_000.0, Vec::new(), 1).take(100_000);
-    let tasks = arrivals.flat_map(|arrival| arrival.tasks).collect::<Vec<_>>();
+    let tasks = arrivals
+        .flat_map(|arrival| arrival.tasks)
+        .collect::<Vec<_>>();
     let work = |straggler| {
-        let chosen = tasks.iter().filter(|task| (task.run > task.declared) == straggler);
+        let chosen = tasks
+            .iter()
+            .filter(|task| (task.run > task.declared) == straggler);
         chosen.map(|task| task.run.as_secs_f64()).sum::<f64>()
     };
     let share = work(true) / (work(true) + work(false));
@@ -269,7 +279,10 @@
     let seconds = |values: &[u64]| values.iter().copied().map(Duration::from_secs).collect();
     let offered: Vec<Duration> = seconds(offered);
     let expected: Vec<Duration> = seconds(expected);
-    assert_eq!(fair_shares(&offered, Duration::from_secs(capacity)), expected);
+    assert_eq!(
+        fair_shares(&offered, Duration::from_secs(capacity)),
+        expected
+    );
 }
 
 /// The index must be 1 for equality and 1 / n for a monopoly.
