--- a/crates/standins/src/http/target_pool.rs
+++ b/crates/standins/src/http/target_pool.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
 
@@ -45,14 +46,17 @@
             .or_default()
             .push(target);
     }
-    let workers = groups
-        .into_values()
-        .map(|group| thread::spawn(move || runtime::run(serve_group(group)).flatten()));
-    let workers = workers.collect::<Vec<_>>();
-    for worker in workers {
-        worker.join().expect("a target thread does not panic")?;
+    let (sender, receiver) = channel();
+    for group in groups.into_values() {
+        let sender = sender.clone();
+        thread::spawn(move || {
+            // The receiver is gone if another thread has already failed.
+            let _ = sender.send(runtime::run(serve_group(group)).flatten());
+        });
     }
-    Ok(())
+    drop(sender);
+    // A thread only ends with an error; the first one ends the process.
+    receiver.recv().unwrap_or(Ok(()))
 }
 
 async fn serve_group(targets: Vec<ServedTarget>) -> io::Result<()> {
