--- a/crates/standins/src/http/target_host.rs
+++ b/crates/standins/src/http/target_host.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -40,6 +39,9 @@
     restart_waiter: RefCell<Option<oneshot::Sender<()>>>,
     peers: RefCell<HashSet<SocketAddr>>,
     silent_peers: RefCell<HashSet<SocketAddr>>,
+    /// Keeps the tasks of silenced connections alive: the runtime drops a task that nothing can
+    /// wake, which would close its connection.
+    silenced: RefCell<Vec<oneshot::Sender<()>>>,
     stop: RefCell<Option<StopHandle>>,
     timers: Rc<TimerTable>,
     index: HostIndex,
@@ -57,6 +59,7 @@
             restart_waiter: RefCell::default(),
             peers: RefCell::default(),
             silent_peers: RefCell::default(),
+            silenced: RefCell::default(),
             stop: RefCell::default(),
             timers,
             index,
@@ -173,9 +176,6 @@
     }
 
     async fn serve(&self, request: &ServerRequest) -> Result<ServerResponse, TargetDied> {
-        if let Some(response) = self.serve_control(request) {
-            return Ok(response);
-        }
         self.await_open().await?;
         if request.method != Method::POST {
             return Ok(not_found());
@@ -190,15 +190,6 @@
         })
     }
 
-    fn serve_control(&self, request: &ServerRequest) -> Option<ServerResponse> {
-        match (&request.method, request.path()) {
-            (&Method::POST, CONTROL_PATH) => Some(self.control(request)),
-            (&Method::GET, LEDGER_PATH) => Some(self.ledger_page(request)),
-            (&Method::GET, COUNTERS_PATH) => Some(ok(&self.counters())),
-            _ => None,
-        }
-    }
-
     fn counters(&self) -> CounterAnswer {
         let model = self.state.model.borrow();
         CounterAnswer {
@@ -246,8 +237,11 @@
             TargetControl::Thaw {} => self.inject(TargetFault::Thaw),
             TargetControl::Die { down } => {
                 self.inject(TargetFault::Die);
-                self.inject_after(down, TargetFault::Restart);
+                if let Some(down) = down {
+                    self.inject_after(down, TargetFault::Restart);
+                }
             }
+            TargetControl::Restart {} => self.inject(TargetFault::Restart),
             TargetControl::Leave {} => self.inject(TargetFault::Leave),
             TargetControl::Stay {} => self.inject(TargetFault::Stay),
             TargetControl::SilenceOpenConnections {} => {
@@ -278,6 +272,8 @@
                 self.state.waiters.take();
                 self.state.thaw_waiters.take();
                 self.state.peers.take();
+                self.state.silent_peers.take();
+                self.state.silenced.take();
                 self.state.death_waiter.take();
                 if let Some(stop) = self.state.stop.take() {
                     stop.stop();
@@ -286,21 +282,44 @@
         }
     }
 
-    fn is_silent(&self, peer: SocketAddr) -> bool {
-        self.state.silent_peers.borrow().contains(&peer)
+    /// Fails if the connection was silenced, but not before the target dies.
+    async fn pass_silence(&self, peer: SocketAddr) -> Result<(), TargetDied> {
+        if !self.state.silent_peers.borrow().contains(&peer) {
+            return Ok(());
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.state.silenced.borrow_mut().push(sender);
+        let _ = receiver.await;
+        Err(TargetDied)
+    }
+
+    async fn respond(&self, request: &ServerRequest) -> Result<ServerResponse, TargetDied> {
+        self.pass_silence(request.peer).await?;
+        self.state.peers.borrow_mut().insert(request.peer);
+        let response = self.serve(request).await;
+        self.pass_silence(request.peer).await?;
+        response
     }
 }
 
 impl RequestHandler for TargetHost {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
-        if self.is_silent(request.peer) {
-            pending::<()>().await;
-        }
-        self.state.peers.borrow_mut().insert(request.peer);
-        let response = self.serve(&request).await;
-        if self.is_silent(request.peer) {
-            pending::<()>().await;
-        }
+        let response = self.respond(&request).await;
         response.unwrap_or_else(|TargetDied| close_connection())
     }
 }
+
+/// The control endpoint of a target.
+pub struct TargetControlHost(pub TargetHost);
+
+impl RequestHandler for TargetControlHost {
+    async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        let Self(host) = self;
+        match (&request.method, request.path()) {
+            (&Method::POST, CONTROL_PATH) => host.control(&request),
+            (&Method::GET, LEDGER_PATH) => host.ledger_page(&request),
+            (&Method::GET, COUNTERS_PATH) => ok(&host.counters()),
+            _ => not_found(),
+        }
+    }
+}
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -8,7 +8,7 @@
 
 use argh::FromArgs;
 use filbertpitch_standins::declare::TargetGroup;
-use filbertpitch_standins::http::target_pool::serve_group;
+use filbertpitch_standins::http::target_pool::TargetServers;
 use filbertpitch_standins::load::fairness::{fair_shares, jain_index};
 use filbertpitch_standins::load::measure::recovery_time;
 use filbertpitch_standins::load::record::{JobRecord, JobResult};
@@ -152,13 +152,8 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// Serves a target and an entry VM until the test process ends.
-fn start_system(fault: EntryFault) -> (SocketAddr, SocketAddr) {
+fn start_system(fault: EntryFault) -> [SocketAddr; 3] {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
         runtime::run(async move {
@@ -166,27 +161,29 @@
             let group = TargetGroup {
                 kinds_per_target: world.kinds.len(),
                 world,
-                listen: free_address(),
+                listen: "127.0.0.1:0".parse().unwrap(),
                 count: 1,
                 first: 0,
                 slots: 1_000,
                 connections: 1_000,
             };
-            monoio::spawn(serve_group(group.served()));
+            let servers = TargetServers::bind(group.served()).unwrap();
+            let (target, control) = (servers.addresses()[0], servers.control_addresses()[0]);
+            monoio::spawn(servers.serve());
             let limits = PoolLimits {
                 connections: 1_000,
                 ..PoolLimits::default()
             };
             let entry = StubEntry {
                 fault,
-                target: ConnectionPool::new(group.listen, limits),
+                target: ConnectionPool::new(target, limits),
                 next_job: Cell::new(0),
             };
             let address = "127.0.0.1:0".parse().unwrap();
             let server = HttpServer::bind(address, ServerLimits::default()).unwrap();
             let _handle = server.stop_handle();
             let entry_address = server.local_addr().unwrap();
-            sender.send((entry_address, group.listen)).unwrap();
+            sender.send([entry_address, target, control]).unwrap();
             server.run(entry).await;
         })
         .unwrap();
@@ -195,10 +192,10 @@
 }
 
 fn measure(fault: EntryFault) -> LoadReport {
-    let (entry, target) = start_system(fault);
+    let [entry, target, control] = start_system(fault);
     let options = format!(
-        "--entry {entry} --targets {target} --rate 100 --run-time 5ms --job-tasks 2 \
-         --duration 500ms --warmup 0ms"
+        "--entry {entry} --targets {target} --control {control} --rate 100 --run-time 5ms \
+         --job-tasks 2 --duration 500ms --warmup 0ms"
     );
     let options = options.split_whitespace().collect::<Vec<_>>();
     let args = RunArgs::from_args(&["load"], &options).unwrap();
