Forget answers before closing epochs when memory runs short

Ruled out: a larger limit, because control may use 128 MB in all. Change: answers are replaced by 128-bit digests, which still tell that a submission was accepted, oldest epoch first; epochs close by age, and by memory only when no answer is left. An epoch also ends after 2 MiB of answers, which is the step in which they are forgotten. The estimates per entry and task follow the allocations. The new test found that dropping digests of bare keys under memory pressure let a key be accepted twice; they are now dropped by age only.

--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -1,10 +1,12 @@
 //! Which submissions this incarnation has accepted, and what became of them.
 //!
 //! Idempotence rests on one rule: a submission of an open epoch that is not in the table was never
-//! accepted, and a submission of a closed epoch is never accepted again. Outcomes may therefore be
-//! dropped, but only by closing their whole epoch first.
+//! accepted, and a submission of a closed epoch is never accepted again. When memory runs short,
+//! answers are replaced by digests, which still tell that a submission was accepted. Digests are
+//! dropped only with their whole epoch, after it has been closed.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,23 +16,24 @@
 /// Bounds on the outcomes that are remembered.
 #[derive(Clone, Debug)]
 pub struct SubmissionSettings {
-    /// How long one epoch accepts its own submissions before the next one begins.
+    /// How long an epoch lasts, unless its outcomes exceed `epoch_bytes` earlier.
     pub epoch_length: Duration,
-    /// How many epochs are open at most.
-    pub open_epochs: u32,
+    /// How long an epoch stays open after it has ended.
+    pub window: Duration,
     /// The memory for remembered submissions.
     pub byte_limit: ByteSize,
-    /// How long outcomes of bare keys and of other incarnations are kept.
-    pub foreign_window: Duration,
+    /// The memory of one epoch after which the next one begins. Memory is released by epochs, so
+    /// this is the step in which outcomes are forgotten.
+    pub epoch_bytes: ByteSize,
 }
 
 impl Default for SubmissionSettings {
     fn default() -> Self {
         Self {
             epoch_length: Duration::from_secs(60),
-            open_epochs: 10,
+            window: Duration::from_secs(600),
             byte_limit: ByteSize::mib(32),
-            foreign_window: Duration::from_secs(600),
+            epoch_bytes: ByteSize::mib(2),
         }
     }
 }
@@ -54,7 +57,7 @@
         /// The digest of the request that was accepted, if this incarnation accepted it.
         content: Option<ContentDigest>,
     },
-    /// Its epoch is closed. It may have run and will not be started.
+    /// Its epoch is closed or its outcome is forgotten. It may have run and will not be started.
     Expired,
 }
 
@@ -68,29 +71,71 @@
     Finished(Rc<JobAnswer>, Option<ContentDigest>),
 }
 
-#[derive(Debug, Default)]
+/// Which submissions of an epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EpochSide {
+    /// Those prefixed with this incarnation.
+    Own,
+    /// All others.
+    Foreign,
+}
+
+/// Stands for a submission whose outcome is forgotten. 128 bits make it practically impossible
+/// that a new submission is taken for a forgotten one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct SubmissionDigest(u64, u64);
+
+/// Computes digests with keys of this process, so that clients cannot construct collisions.
+#[derive(Debug)]
+struct DigestHasher([RandomState; 2]);
+
+impl DigestHasher {
+    fn digest(&self, submission: &SubmissionId) -> SubmissionDigest {
+        let [first, second] = &self.0;
+        SubmissionDigest(first.hash_one(submission), second.hash_one(submission))
+    }
+}
+
+/// The submissions of one epoch.
+#[derive(Debug)]
 struct EpochSubmissions {
+    began: TimePoint,
     states: HashMap<SubmissionId, SubmissionState>,
+    forgotten: HashSet<SubmissionDigest>,
     bytes: u64,
     live: usize,
 }
 
-/// Groups submissions that are forgotten together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum SubmissionGroup {
-    /// Prefixed with this incarnation, in one epoch.
-    Own(EpochNumber),
-    /// A bare key or one of another incarnation, by the epoch in which it was recorded here.
-    Foreign(EpochNumber),
+impl EpochSubmissions {
+    fn new(began: TimePoint) -> Self {
+        Self {
+            began,
+            states: HashMap::new(),
+            forgotten: HashSet::new(),
+            bytes: 0,
+            live: 0,
+        }
+    }
+
+    /// Whether it holds answers that could be forgotten to release memory.
+    fn has_answers(&self) -> bool {
+        self.states.len() > self.live
+    }
 }
 
+type EpochMap = BTreeMap<EpochNumber, EpochSubmissions>;
+
 /// The submissions of one incarnation.
 #[derive(Debug)]
 pub struct SubmissionTable {
     settings: SubmissionSettings,
     incarnation: IncarnationId,
-    groups: BTreeMap<SubmissionGroup, EpochSubmissions>,
-    foreign_groups: HashMap<SubmissionId, EpochNumber>,
+    hasher: DigestHasher,
+    /// Submissions prefixed with this incarnation, by the epoch of their prefix.
+    own: EpochMap,
+    /// Bare keys and submissions of other incarnations, by the epoch in which they arrived here.
+    foreign: EpochMap,
+    foreign_epochs: HashMap<SubmissionId, EpochNumber>,
     current: EpochNumber,
     current_since: TimePoint,
     oldest_open: EpochNumber,
@@ -98,22 +143,28 @@
 }
 
 impl SubmissionTable {
-    /// The memory of one entry beside the text of its answer, in bytes: map slots, reference
-    /// counts and the id, rounded up.
-    const ENTRY_BYTES: u64 = 320;
-    /// The memory of one task answer beside its texts, in bytes.
-    const TASK_BYTES: u64 = 112;
+    /// The memory of one entry beside its answer's tasks, in bytes: the id with its texts, the map
+    /// slot and the answer itself.
+    const ENTRY_BYTES: u64 = 512;
+    /// The memory of one task answer beside its output, in bytes: the answer and the allocations
+    /// of its texts.
+    const TASK_BYTES: u64 = 176;
+    /// The memory of a forgotten submission, in bytes, at the usual fill of a hash set.
+    const DIGEST_BYTES: u64 = 32;
 
     /// An empty table for `incarnation`, which starts at `now`.
     pub fn new(incarnation: IncarnationId, settings: SubmissionSettings, now: TimePoint) -> Self {
+        let epoch = EpochNumber(0);
         Self {
             settings,
             incarnation,
-            groups: BTreeMap::new(),
-            foreign_groups: HashMap::new(),
-            current: EpochNumber(0),
+            hasher: DigestHasher([RandomState::new(), RandomState::new()]),
+            own: BTreeMap::from([(epoch, EpochSubmissions::new(now))]),
+            foreign: BTreeMap::from([(epoch, EpochSubmissions::new(now))]),
+            foreign_epochs: HashMap::new(),
+            current: epoch,
             current_since: now,
-            oldest_open: EpochNumber(0),
+            oldest_open: epoch,
             bytes: 0,
         }
     }
@@ -128,9 +179,9 @@
         ByteSize(self.bytes)
     }
 
-    /// How many submissions are remembered.
+    /// How many submissions are remembered with their outcome or are running.
     pub fn len(&self) -> usize {
-        self.groups.values().map(|group| group.states.len()).sum()
+        self.epochs().map(|epoch| epoch.states.len()).sum()
     }
 
     /// Whether nothing is remembered.
@@ -138,6 +189,10 @@
         self.len() == 0
     }
 
+    fn epochs(&self) -> impl Iterator<Item = &EpochSubmissions> {
+        self.own.values().chain(self.foreign.values())
+    }
+
     /// Looks a submission up without accepting it.
     pub fn lookup(&self, submission: &SubmissionId) -> SubmissionVerdict {
         match self.find(submission) {
@@ -156,13 +211,20 @@
 
     /// Whether an unknown submission may still be accepted.
     fn accepts(&self, submission: &SubmissionId) -> bool {
+        let digest = self.hasher.digest(submission);
         match submission.prefix() {
             Some(prefix) => {
                 let open = self.oldest_open..=self.current;
-                prefix.incarnation == self.incarnation && open.contains(&prefix.epoch)
+                prefix.incarnation == self.incarnation
+                    && open.contains(&prefix.epoch)
+                    && !self.own[&prefix.epoch].forgotten.contains(&digest)
+            }
+            // The claim table has checked the age of a bare key before it comes here. Its digest
+            // is kept for longer than a key of that age can be claimed.
+            None => {
+                let mut epochs = self.foreign.values();
+                !epochs.any(|epoch| epoch.forgotten.contains(&digest))
             }
-            // The claim table has checked the age of a bare key before it comes here.
-            None => true,
         }
     }
 
@@ -204,141 +266,186 @@
 
     /// The finished answers, for a handover.
     pub fn finished(&self) -> impl Iterator<Item = &Rc<JobAnswer>> {
-        let states = self.groups.values().flat_map(|group| group.states.values());
+        let states = self.epochs().flat_map(|epoch| epoch.states.values());
         states.filter_map(|state| match state {
             SubmissionState::Finished(answer, _) => Some(answer),
             SubmissionState::Live(..) => None,
         })
     }
 
-    /// Begins a new epoch when it is time and closes the epochs outside the bounds.
+    /// Begins a new epoch when it is time, closes those outside the window, and forgets outcomes
+    /// while they exceed the memory.
     pub fn advance(&mut self, now: TimePoint) {
-        let share = self.settings.byte_limit.0 / u64::from(self.settings.open_epochs.max(1));
-        let current_bytes = self
-            .groups
-            .get(&SubmissionGroup::Own(self.current))
-            .map_or(0, |group| group.bytes);
         let elapsed = now.since(self.current_since) >= self.settings.epoch_length;
-        if elapsed || current_bytes > share {
-            self.current = self.current.next();
-            self.current_since = now;
+        if elapsed || self.current_bytes() > self.settings.epoch_bytes.0 {
+            self.begin_epoch(now);
         }
-        let window = EpochNumber(self.current.0.saturating_sub(self.settings.open_epochs - 1));
-        while self.oldest_open < window {
-            self.close_oldest();
-        }
-        // The current epoch stays open: a prefix that was issued a moment ago must be usable.
-        while self.bytes > self.settings.byte_limit.0 && self.oldest_open < self.current {
+        self.close_expired(now);
+        self.drop_foreign(now);
+        while self.bytes > self.settings.byte_limit.0 && self.forget_oldest() {}
+    }
+
+    fn current_bytes(&self) -> u64 {
+        let bytes = |epochs: &EpochMap| epochs.get(&self.current).map_or(0, |epoch| epoch.bytes);
+        bytes(&self.own) + bytes(&self.foreign)
+    }
+
+    fn begin_epoch(&mut self, now: TimePoint) {
+        self.current = self.current.next();
+        self.current_since = now;
+        self.own.insert(self.current, EpochSubmissions::new(now));
+        self.foreign
+            .insert(self.current, EpochSubmissions::new(now));
+    }
+
+    /// Closes the epochs that began too long ago.
+    fn close_expired(&mut self, now: TimePoint) {
+        let age_limit = self.settings.window + self.settings.epoch_length;
+        while self.oldest_open < self.current {
+            let began = self.own[&self.oldest_open].began;
+            if now.since(began) < age_limit {
+                break;
+            }
             self.close_oldest();
         }
-        self.drop_foreign();
     }
 
-    /// Closes the oldest epoch. Entries of running jobs stay until they have ended and are
-    /// answered from then on as expired.
+    /// Closes the oldest open epoch. Running jobs stay in the table until they have ended.
     fn close_oldest(&mut self) {
         let epoch = self.oldest_open;
         self.oldest_open = epoch.next();
-        self.prune(SubmissionGroup::Own(epoch));
+        self.forget_answers(EpochSide::Own, epoch);
+        self.drop_closed(EpochSide::Own, epoch);
+    }
+
+    /// Drops the bare keys that are too old to be claimed again. A bare key carries no epoch, so
+    /// its digest must not be dropped earlier to release memory.
+    fn drop_foreign(&mut self, now: TimePoint) {
+        let age_limit = self.settings.window + self.settings.epoch_length;
+        let old = self.foreign.iter();
+        let old = old.take_while(|(_, epoch)| now.since(epoch.began) >= age_limit);
+        let old = old.map(|(&number, _)| number).collect::<Vec<_>>();
+        for epoch in old {
+            self.forget_answers(EpochSide::Foreign, epoch);
+            self.drop_closed(EpochSide::Foreign, epoch);
+        }
+    }
+
+    /// Drops the digests of a closed epoch, and the epoch itself once no job of it is running.
+    fn drop_closed(&mut self, side: EpochSide, epoch: EpochNumber) {
+        let epochs = match side {
+            EpochSide::Own => &mut self.own,
+            EpochSide::Foreign => &mut self.foreign,
+        };
+        let Some(submissions) = epochs.get_mut(&epoch) else {
+            return;
+        };
+        let released = Self::DIGEST_BYTES * submissions.forgotten.len() as u64;
+        submissions.forgotten = HashSet::new();
+        submissions.bytes -= released;
+        self.bytes -= released;
+        if submissions.states.is_empty() {
+            epochs.remove(&epoch);
+        }
     }
 
-    fn drop_foreign(&mut self) {
-        let epochs = self.settings.foreign_window.as_micros()
-            / self.settings.epoch_length.as_micros().max(1);
-        let kept = u32::try_from(epochs).unwrap_or(u32::MAX).saturating_add(1);
-        let oldest = EpochNumber(self.current.0.saturating_sub(kept));
-        let expired = self
-            .groups
-            .range(SubmissionGroup::Foreign(EpochNumber(0))..SubmissionGroup::Foreign(oldest))
-            .map(|(group, _)| *group)
-            .collect::<Vec<_>>();
-        for group in expired {
-            self.prune(group);
+    /// Releases memory in the step that costs the least: the answers of the oldest epoch that has
+    /// any, and only if there are none left, the oldest epoch itself. The current epoch stays
+    /// open, because a prefix that was issued a moment ago must be usable. Returns whether memory
+    /// was released.
+    fn forget_oldest(&mut self) -> bool {
+        let candidate = |epochs: &EpochMap| {
+            let with_answers = epochs.iter().find(|(_, epoch)| epoch.has_answers());
+            with_answers.map(|(&number, _)| number)
+        };
+        let own = candidate(&self.own).map(|epoch| (epoch, EpochSide::Own));
+        let foreign = candidate(&self.foreign).map(|epoch| (epoch, EpochSide::Foreign));
+        let oldest = [own, foreign].into_iter().flatten();
+        if let Some((epoch, side)) = oldest.min_by_key(|(epoch, _)| *epoch) {
+            self.forget_answers(side, epoch);
+            return true;
+        }
+        if self.oldest_open < self.current {
+            self.close_oldest();
+            return true;
         }
+        false
     }
 
-    /// Forgets the finished submissions of a group.
-    fn prune(&mut self, group: SubmissionGroup) {
-        let Some(mut submissions) = self.groups.remove(&group) else {
+    /// Replaces the answers of an epoch by their digests.
+    fn forget_answers(&mut self, side: EpochSide, epoch: EpochNumber) {
+        let epochs = match side {
+            EpochSide::Own => &mut self.own,
+            EpochSide::Foreign => &mut self.foreign,
+        };
+        let Some(submissions) = epochs.get_mut(&epoch) else {
             return;
         };
-        self.bytes -= submissions.bytes;
-        let foreign_groups = &mut self.foreign_groups;
-        submissions.states.retain(|submission, state| {
+        let EpochSubmissions {
+            states, forgotten, ..
+        } = submissions;
+        states.retain(|submission, state| {
             let live = matches!(state, SubmissionState::Live(..));
             if !live {
-                foreign_groups.remove(submission);
+                forgotten.insert(self.hasher.digest(submission));
+                self.foreign_epochs.remove(submission);
             }
             live
         });
-        if submissions.live > 0 {
-            submissions.bytes = Self::ENTRY_BYTES * submissions.live as u64;
-            self.bytes += submissions.bytes;
-            self.groups.insert(group, submissions);
-        }
+        states.shrink_to_fit();
+        let bytes = Self::ENTRY_BYTES * submissions.live as u64
+            + Self::DIGEST_BYTES * submissions.forgotten.len() as u64;
+        self.bytes = self.bytes - submissions.bytes + bytes;
+        submissions.bytes = bytes;
     }
 
-    fn group_of(&self, submission: &SubmissionId) -> SubmissionGroup {
+    fn find(&self, submission: &SubmissionId) -> Option<&SubmissionState> {
+        let epoch = match submission.prefix() {
+            Some(prefix) if prefix.incarnation == self.incarnation => self.own.get(&prefix.epoch),
+            _ => self.foreign.get(self.foreign_epochs.get(submission)?),
+        };
+        epoch?.states.get(submission)
+    }
+
+    /// Where a submission is recorded.
+    fn place_of(&mut self, submission: &SubmissionId) -> (EpochSide, EpochNumber) {
         match submission.prefix() {
             Some(prefix) if prefix.incarnation == self.incarnation => {
-                SubmissionGroup::Own(prefix.epoch)
+                (EpochSide::Own, prefix.epoch)
             }
             _ => {
-                let recorded = self.foreign_groups.get(submission);
-                SubmissionGroup::Foreign(recorded.copied().unwrap_or(self.current))
+                let recorded = self.foreign_epochs.entry(submission.clone());
+                (EpochSide::Foreign, *recorded.or_insert(self.current))
             }
         }
     }
 
-    fn find(&self, submission: &SubmissionId) -> Option<&SubmissionState> {
-        let group = self.groups.get(&self.group_of(submission))?;
-        group.states.get(submission)
-    }
-
     fn insert(&mut self, submission: SubmissionId, state: SubmissionState, bytes: u64) {
-        let group = self.group_of(&submission);
-        if let SubmissionGroup::Own(epoch) = group
-            && epoch < self.oldest_open
-            && matches!(state, SubmissionState::Finished(..))
-        {
-            self.remove_closed(group, &submission);
+        let (side, epoch) = self.place_of(&submission);
+        let epochs = match side {
+            EpochSide::Own => &mut self.own,
+            EpochSide::Foreign => &mut self.foreign,
+        };
+        let Some(submissions) = epochs.get_mut(&epoch) else {
+            // A rejection for a closed epoch needs no record: the epoch accepts nothing.
             return;
-        }
-        if let SubmissionGroup::Foreign(epoch) = group {
-            self.foreign_groups.insert(submission.clone(), epoch);
-        }
-        let submissions = self.groups.entry(group).or_default();
-        let now_live = matches!(state, SubmissionState::Live(..));
-        match submissions.states.insert(submission, state) {
+        };
+        let live = matches!(state, SubmissionState::Live(..));
+        let released = match submissions.states.insert(submission, state) {
             Some(SubmissionState::Live(..)) => {
                 submissions.live -= 1;
-                submissions.bytes -= Self::ENTRY_BYTES;
-                self.bytes -= Self::ENTRY_BYTES;
+                Self::ENTRY_BYTES
             }
-            Some(SubmissionState::Finished(answer, _)) => {
-                let old_bytes = Self::answer_bytes(&answer);
-                submissions.bytes -= old_bytes;
-                self.bytes -= old_bytes;
-            }
-            None => {}
-        }
-        submissions.live += usize::from(now_live);
-        submissions.bytes += bytes;
-        self.bytes += bytes;
-    }
-
-    /// Forgets a job that ended after its epoch was closed.
-    fn remove_closed(&mut self, group: SubmissionGroup, submission: &SubmissionId) {
-        let Some(submissions) = self.groups.get_mut(&group) else {
-            return;
+            Some(SubmissionState::Finished(answer, _)) => Self::answer_bytes(&answer),
+            None => 0,
         };
-        if submissions.states.remove(submission).is_some() {
-            submissions.live -= 1;
-            submissions.bytes -= Self::ENTRY_BYTES;
-            self.bytes -= Self::ENTRY_BYTES;
-        }
-        if submissions.states.is_empty() {
-            self.groups.remove(&group);
+        submissions.live += usize::from(live);
+        submissions.bytes = submissions.bytes + bytes - released;
+        self.bytes = self.bytes + bytes - released;
+        let closed = side == EpochSide::Own && epoch < self.oldest_open;
+        if closed && !live {
+            self.forget_answers(side, epoch);
+            self.drop_closed(side, epoch);
         }
     }
 
--- a/crates/filbertpitch/src/cli/serve.rs
+++ b/crates/filbertpitch/src/cli/serve.rs
@@ -89,17 +89,11 @@
 }
 
 fn engine_settings(settings: &Settings) -> EngineSettings {
-    let submissions = SubmissionSettings::default();
-    let window = settings.outcomes.epoch_window;
-    let epochs = window
-        .as_secs()
-        .div_ceil(submissions.epoch_length.as_secs());
     EngineSettings {
         submissions: SubmissionSettings {
-            open_epochs: u32::try_from(epochs).unwrap_or(u32::MAX).max(2),
+            window: settings.outcomes.epoch_window,
             byte_limit: settings.outcomes.byte_limit,
-            foreign_window: window,
-            ..submissions
+            ..SubmissionSettings::default()
         },
         lease_floor: settings.leases.duration,
         lease_margin: settings.leases.safety_margin,
--- a/crates/types/src/units.rs
+++ b/crates/types/src/units.rs
@@ -112,6 +112,14 @@
     }
 }
 
+impl std::ops::Add for ByteSize {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
 impl FromStr for ByteSize {
     type Err = ParseError;
 
