Follow the ticket stream and publish tickets without I/O

A VM must end up with the same state wherever it starts reading, and an operator must be told what the VMs do even when answers are lost.

Buffering all scanned records was ruled out because their size has no useful bound.

The publisher identifies its ticket by the whole content, not only by the nonce, and follows the first copy when an append took effect twice.

--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -194,13 +194,6 @@
         self.verdicts.iter()
     }
 
-    /// The earliest remembered verdict on a ticket with this nonce at or after `from`.
-    pub fn verdict_on(&self, nonce: &TicketNonce, from: LogOffset) -> Option<&VerdictEntry> {
-        self.verdicts
-            .iter()
-            .find(|entry| entry.nonce == *nonce && entry.offset >= from)
-    }
-
     /// A digest of the whole state; equal on all VMs that applied the same records.
     pub fn digest(&self) -> StateDigest {
         StateDigest::of(self)
--- /dev/null
+++ b/crates/config/src/follower.rs
@@ -0,0 +1,448 @@
+//! Follows the ticket stream without doing any I/O.
+//!
+//! The caller performs the reads that the follower asks for and hands over the answers, along with
+//! states and records from peers. While its position is retained, the follower folds record by
+//! record. When it is not, the follower scans the retained records for the newest usable snapshot
+//! and continues at the offset that the snapshot stands for, which may lie before the snapshot.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_types::peer::{RecordTransfer, StateTransfer};
+use filbertpitch_types::platform::{LogRecord, ReadAnswer};
+use filbertpitch_types::prelude::*;
+
+use crate::fold::ConfigState;
+use crate::note::FollowerNote;
+use crate::policy::{OldestNeeded, RetentionView};
+use crate::read::LogRead;
+use crate::recent::RecentRecords;
+use crate::record::{RecordBody, snapshot_body};
+use crate::scan::SnapshotScan;
+use crate::snapshot::{SnapshotRecord, StateDigest};
+use crate::spec::Configuration;
+use crate::verdict::RecordVerdict;
+
+/// How the follower reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowerSettings {
+    /// The most records per read.
+    pub read_limit: u32,
+    /// How long a read may wait for new records.
+    pub wait: Duration,
+    /// The pause after a read that brought nothing, in case the log does not wait.
+    pub idle_pause: Duration,
+    /// The pause after the first failed read; it doubles with each further one.
+    pub retry_first: Duration,
+    /// The longest pause after a failed read. It delays tickets after an outage, and tickets must
+    /// be in effect within 2 s.
+    pub retry_limit: Duration,
+}
+
+impl Default for FollowerSettings {
+    fn default() -> Self {
+        Self {
+            read_limit: 256,
+            wait: Duration::from_secs(1),
+            idle_pause: Duration::from_millis(100),
+            retry_first: Duration::from_millis(100),
+            retry_limit: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What the caller should do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadStep {
+    /// Perform this read and report its result.
+    Read(LogRead),
+    /// A read is under way.
+    UnderWay,
+    /// Ask again at this time.
+    NotBefore(TimePoint),
+}
+
+/// What became of a state offered by a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransferOutcome {
+    /// It replaced the state.
+    Adopted,
+    /// It is not ahead of the state.
+    NotAhead,
+    /// It is not a usable snapshot for its offset.
+    Unusable,
+}
+
+#[derive(Debug)]
+enum FollowPhase {
+    Folding,
+    Scanning(SnapshotScan),
+}
+
+/// Follows the ticket stream for one VM.
+#[derive(Debug)]
+pub struct LogFollower {
+    settings: FollowerSettings,
+    phase: FollowPhase,
+    state: ConfigState,
+    /// Whether the state was complete once: at the end of the log, or as fresh as a peer's.
+    has_state: bool,
+    in_force: Rc<Configuration>,
+    recent: RecentRecords,
+    notes: Vec<FollowerNote>,
+    under_way: bool,
+    due: TimePoint,
+    failures: u32,
+    last_read: Option<TimePoint>,
+    behind_noted: bool,
+    /// The log's clock and retention at the last read that left nothing to apply.
+    settled: Option<(WallTime, Duration)>,
+    oldest: OldestNeeded,
+}
+
+impl LogFollower {
+    /// A follower without a state, which reads from the beginning of the stream.
+    pub fn new(settings: FollowerSettings) -> Self {
+        Self {
+            settings,
+            phase: FollowPhase::Folding,
+            state: ConfigState::default(),
+            has_state: false,
+            in_force: Rc::default(),
+            recent: RecentRecords::default(),
+            notes: Vec::new(),
+            under_way: false,
+            due: TimePoint::default(),
+            failures: 0,
+            last_read: None,
+            behind_noted: false,
+            settled: None,
+            oldest: OldestNeeded::Nothing,
+        }
+    }
+
+    /// A follower without a state, which looks for a snapshot from an offset on, and in older
+    /// records only if there is none.
+    pub fn starting_at(settings: FollowerSettings, offset: LogOffset) -> Self {
+        Self {
+            phase: FollowPhase::Scanning(SnapshotScan::new(offset)),
+            ..Self::new(settings)
+        }
+    }
+
+    /// What to read next. A returned read must be followed by exactly one of [`Self::on_read`],
+    /// [`Self::on_expired`] and [`Self::on_outage`].
+    pub fn next_read(&mut self, now: TimePoint) -> ReadStep {
+        if self.under_way {
+            return ReadStep::UnderWay;
+        }
+        if now < self.due {
+            return ReadStep::NotBefore(self.due);
+        }
+        self.under_way = true;
+        ReadStep::Read(LogRead {
+            from: self.position(),
+            limit: self.settings.read_limit,
+            wait: self.settings.wait,
+        })
+    }
+
+    /// Digests the answer to a read.
+    pub fn on_read(&mut self, now: TimePoint, answer: &ReadAnswer) {
+        let position = self.position();
+        if answer.first > position {
+            return self.on_expired(now, answer);
+        }
+        self.note_contact(now);
+        match &mut self.phase {
+            FollowPhase::Folding => self.fold_answer(answer),
+            FollowPhase::Scanning(_) => self.scan_answer(answer),
+        }
+        self.put_in_force();
+        let moved = self.position() != position;
+        self.due = match moved {
+            true => now,
+            false => now + self.settings.idle_pause,
+        };
+    }
+
+    /// Digests the answer 410: the requested offset is no longer kept.
+    pub fn on_expired(&mut self, now: TimePoint, answer: &ReadAnswer) {
+        self.note_contact(now);
+        let first = answer.first;
+        let needed = self.state.next_offset();
+        self.due = now;
+        match &mut self.phase {
+            FollowPhase::Folding if needed < first => {
+                self.notes.push(FollowerNote::Expired { needed, first });
+                self.phase = FollowPhase::Scanning(SnapshotScan::new(first));
+            }
+            FollowPhase::Scanning(scan) if scan.next_offset() < first => {
+                scan.skip_expired(first);
+            }
+            // A peer moved the position meanwhile, or the log contradicts itself.
+            _ => self.due = now + self.settings.idle_pause,
+        }
+    }
+
+    /// Notes that a read failed or timed out.
+    pub fn on_outage(&mut self, now: TimePoint) {
+        self.under_way = false;
+        let doublings = self.failures.min(16);
+        let pause = self.settings.retry_first * (1 << doublings);
+        self.due = now + pause.min(self.settings.retry_limit);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Takes over the state of a peer if it is ahead.
+    pub fn on_state(&mut self, transfer: &StateTransfer) -> TransferOutcome {
+        let RecordBody::Snapshot(snapshot) = RecordBody::parse(&transfer.snapshot) else {
+            return TransferOutcome::Unusable;
+        };
+        let next = snapshot.state.next_offset();
+        if next != transfer.next || snapshot.verify(None).is_err() {
+            return TransferOutcome::Unusable;
+        }
+        // Peers only offer states that they serve, so ours is complete enough to serve as well.
+        self.has_state = true;
+        let ahead = next > self.state.next_offset();
+        if ahead {
+            self.replace_state(snapshot.state);
+            if self.oldest == OldestNeeded::Nothing {
+                self.oldest = OldestNeeded::Unknown;
+            }
+            self.notes.push(FollowerNote::PeerStateAdopted { next });
+        }
+        self.put_in_force();
+        match ahead {
+            true => TransferOutcome::Adopted,
+            false => TransferOutcome::NotAhead,
+        }
+    }
+
+    /// Applies records from a peer, as far as they continue the state without a gap. Returns how
+    /// many were applied.
+    pub fn on_records(&mut self, transfer: &RecordTransfer) -> usize {
+        let before = self.state.next_offset();
+        self.fold_records(&transfer.records);
+        let next = self.state.next_offset();
+        if let FollowPhase::Scanning(scan) = &self.phase
+            && next > before
+            && next >= scan.started()
+        {
+            self.phase = FollowPhase::Folding;
+        }
+        self.put_in_force();
+        usize::try_from(next.0 - before.0).unwrap_or(usize::MAX)
+    }
+
+    /// The configuration in force; empty until there is a state.
+    pub fn configuration(&self) -> Rc<Configuration> {
+        Rc::clone(&self.in_force)
+    }
+
+    /// Whether the VM may serve: its state was complete once.
+    pub fn has_state(&self) -> bool {
+        self.has_state
+    }
+
+    /// The folded state, which can be ahead of the configuration in force while catching up.
+    pub fn state(&self) -> &ConfigState {
+        &self.state
+    }
+
+    /// The next offset that the state needs.
+    pub fn next_offset(&self) -> LogOffset {
+        self.state.next_offset()
+    }
+
+    /// The time since the log last answered, or nothing if it never did.
+    pub fn read_age(&self, now: TimePoint) -> Option<Duration> {
+        self.last_read.map(|read| now.since(read))
+    }
+
+    /// Takes the notes since the last call, in order.
+    pub fn take_notes(&mut self) -> impl Iterator<Item = FollowerNote> + use<> {
+        std::mem::take(&mut self.notes).into_iter()
+    }
+
+    /// The state for a peer, or nothing if there is none to serve.
+    pub fn state_transfer(&self) -> Option<StateTransfer> {
+        let as_of = self.settled.map_or(WallTime(0), |(log_now, _)| log_now);
+        self.has_state.then(|| StateTransfer {
+            next: self.state.next_offset(),
+            snapshot: snapshot_body(&SnapshotRecord::take(&self.state, as_of)),
+        })
+    }
+
+    /// The records from an offset on for a peer, at most `limit`; empty if they are not kept.
+    pub fn record_transfer(&self, from: LogOffset, limit: usize) -> RecordTransfer {
+        let records = self.recent.since(from).into_iter().flatten();
+        RecordTransfer {
+            records: records.take(limit).cloned().collect(),
+        }
+    }
+
+    /// What retention means for the state, or nothing while the VM cannot publish a snapshot.
+    pub fn retention_view(&self) -> Option<RetentionView> {
+        let (log_now, retention) = self.settled?;
+        let able = self.has_state && matches!(self.phase, FollowPhase::Folding);
+        able.then_some(RetentionView {
+            log_now,
+            retention,
+            oldest: self.oldest,
+        })
+    }
+
+    /// The record of a snapshot to append, or nothing while the VM cannot publish one.
+    pub fn snapshot_record(&self) -> Option<Box<str>> {
+        let view = self.retention_view()?;
+        Some(snapshot_body(&SnapshotRecord::take(
+            &self.state,
+            view.log_now,
+        )))
+    }
+
+    fn position(&self) -> LogOffset {
+        match &self.phase {
+            FollowPhase::Folding => self.state.next_offset(),
+            FollowPhase::Scanning(scan) => scan.next_offset(),
+        }
+    }
+
+    fn note_contact(&mut self, now: TimePoint) {
+        self.under_way = false;
+        self.failures = 0;
+        self.last_read = Some(now);
+    }
+
+    fn fold_answer(&mut self, answer: &ReadAnswer) {
+        self.fold_records(&answer.records);
+        let next = self.state.next_offset();
+        if next > answer.next && !self.behind_noted {
+            let end = answer.next;
+            self.notes.push(FollowerNote::LogBehind { end, next });
+        }
+        self.behind_noted = next > answer.next;
+        if next >= answer.next {
+            self.has_state = true;
+            let retention = Duration::from_millis(answer.retention_ms);
+            self.settled = Some((answer.now, retention));
+        }
+    }
+
+    fn fold_records(&mut self, records: &[LogRecord]) {
+        for record in records {
+            if record.offset < self.state.next_offset() {
+                continue;
+            }
+            let verdict = self.fold_record(record);
+            let stop = matches!(verdict, RecordVerdict::OutOfOrder { .. });
+            self.notes.push(FollowerNote::Verdict {
+                offset: record.offset,
+                verdict,
+                replayed: !self.has_state,
+            });
+            if stop {
+                return;
+            }
+        }
+    }
+
+    fn fold_record(&mut self, record: &LogRecord) -> RecordVerdict {
+        if record.offset != self.state.next_offset() {
+            return self.state.apply(record);
+        }
+        let body = RecordBody::parse(&record.body);
+        if let RecordBody::Snapshot(snapshot) = &body {
+            self.check_snapshot(record, snapshot);
+        }
+        let verdict = self.state.apply_body(body);
+        self.recent.push(record);
+        if self.oldest == OldestNeeded::Nothing {
+            self.oldest = OldestNeeded::Since(record.appended_at);
+        }
+        verdict
+    }
+
+    /// Compares a snapshot with the state just before its record.
+    fn check_snapshot(&mut self, record: &LogRecord, snapshot: &SnapshotRecord) {
+        let offset = record.offset;
+        if let Err(problem) = snapshot.verify(Some(offset)) {
+            let note = FollowerNote::SnapshotUnusable { offset, problem };
+            self.notes.push(note);
+            return;
+        }
+        if let Some(theirs) = self.digest_from(snapshot) {
+            let ours = self.state.digest();
+            if theirs != ours {
+                self.notes.push(FollowerNote::SnapshotMismatch {
+                    offset,
+                    ours,
+                    theirs,
+                });
+                return;
+            }
+        }
+        let since = snapshot.as_of.min(record.appended_at);
+        self.oldest = match self.oldest {
+            OldestNeeded::Since(known) => OldestNeeded::Since(known.max(since)),
+            OldestNeeded::Nothing | OldestNeeded::Unknown => OldestNeeded::Since(since),
+        };
+    }
+
+    /// The digest that the snapshot leads to at the state's offset, if the records after it are
+    /// still at hand.
+    fn digest_from(&self, snapshot: &SnapshotRecord) -> Option<StateDigest> {
+        let from = snapshot.state.next_offset();
+        if from == self.state.next_offset() {
+            return Some(snapshot.digest);
+        }
+        let mut state = snapshot.state.clone();
+        for record in self.recent.since(from)? {
+            state.apply(record);
+        }
+        Some(state.digest())
+    }
+
+    fn scan_answer(&mut self, answer: &ReadAnswer) {
+        if let FollowPhase::Scanning(scan) = &mut self.phase
+            && scan.read(answer, &mut self.notes)
+        {
+            self.finish_scan(answer.first);
+        }
+    }
+
+    /// Decides at the end of the log how to continue.
+    fn finish_scan(&mut self, first: LogOffset) {
+        let ours = self.state.next_offset();
+        let FollowPhase::Scanning(scan) = &mut self.phase else {
+            return;
+        };
+        if let Some(found) = scan.take_usable(first, ours) {
+            let next = found.state.next_offset();
+            self.replace_state(found.state);
+            self.oldest = OldestNeeded::Since(found.as_of);
+            self.notes.push(FollowerNote::SnapshotInstalled { next });
+        } else if ours >= first {
+            self.phase = FollowPhase::Folding;
+        } else if scan.started() > first {
+            *scan = SnapshotScan::new(first);
+        } else if scan.note_once() {
+            self.notes.push(FollowerNote::NoUsableSnapshot { first });
+        }
+    }
+
+    fn replace_state(&mut self, state: ConfigState) {
+        self.state = state;
+        self.recent.clear();
+        self.settled = None;
+        self.phase = FollowPhase::Folding;
+    }
+
+    fn put_in_force(&mut self) {
+        if self.has_state && !Rc::ptr_eq(&self.in_force, self.state.configuration()) {
+            self.in_force = Rc::clone(self.state.configuration());
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/note.rs
@@ -0,0 +1,101 @@
+//! What a follower of the ticket stream has to report in the log of its VM.
+
+use std::fmt;
+
+use filbertpitch_types::prelude::*;
+
+use crate::snapshot::{SnapshotProblem, StateDigest};
+use crate::verdict::RecordVerdict;
+
+/// Something that the caller should log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FollowerNote {
+    /// A record was applied.
+    Verdict {
+        /// Its offset.
+        offset: LogOffset,
+        /// What it did.
+        verdict: RecordVerdict,
+        /// Whether the VM is still catching up to a state that it had never served.
+        replayed: bool,
+    },
+    /// Records that the state needs have expired.
+    Expired {
+        /// The offset that was needed.
+        needed: LogOffset,
+        /// The oldest offset that is kept.
+        first: LogOffset,
+    },
+    /// The state was replaced by a snapshot from the log.
+    SnapshotInstalled {
+        /// The offset that the snapshot stands for.
+        next: LogOffset,
+    },
+    /// The log keeps no usable snapshot and not the whole history either.
+    NoUsableSnapshot {
+        /// The oldest offset that is kept.
+        first: LogOffset,
+    },
+    /// A snapshot on the log cannot be used.
+    SnapshotUnusable {
+        /// The offset of its record.
+        offset: LogOffset,
+        /// Why.
+        problem: SnapshotProblem,
+    },
+    /// A snapshot differs from the state that this VM folded: a fault of one of the two.
+    SnapshotMismatch {
+        /// The offset of its record.
+        offset: LogOffset,
+        /// The digest of this VM's state.
+        ours: StateDigest,
+        /// The digest that follows from the snapshot.
+        theirs: StateDigest,
+    },
+    /// The state was replaced by that of a peer.
+    PeerStateAdopted {
+        /// The next offset of that state.
+        next: LogOffset,
+    },
+    /// The log ends before records that this VM has already applied.
+    LogBehind {
+        /// The end of the log.
+        end: LogOffset,
+        /// The next offset of this VM's state.
+        next: LogOffset,
+    },
+}
+
+impl fmt::Display for FollowerNote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Verdict {
+                offset, verdict, ..
+            } => write!(f, "record {offset}: {verdict}"),
+            Self::Expired { needed, first } => {
+                write!(f, "records {needed} to {first} (exclusive) have expired")
+            }
+            Self::SnapshotInstalled { next } => write!(f, "snapshot for offset {next} installed"),
+            Self::NoUsableSnapshot { first } => {
+                write!(f, "no usable snapshot in the records from {first} on")
+            }
+            Self::SnapshotUnusable { offset, problem } => {
+                write!(f, "snapshot at offset {offset} cannot be used: {problem}")
+            }
+            Self::SnapshotMismatch {
+                offset,
+                ours,
+                theirs,
+            } => write!(
+                f,
+                "snapshot at offset {offset} leads to digest {theirs}, but this VM has {ours}"
+            ),
+            Self::PeerStateAdopted { next } => {
+                write!(f, "state of a peer for offset {next} adopted")
+            }
+            Self::LogBehind { end, next } => {
+                write!(f, "the log ends at {end}, before the next offset {next}")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/policy.rs
@@ -0,0 +1,91 @@
+//! When a VM publishes a snapshot.
+//!
+//! Every VM applies the same rule, so a snapshot appears even if only one VM is left. A delay that
+//! differs between VMs lets the first one publish before the others are due.
+
+use std::time::Duration;
+
+use filbertpitch_types::prelude::*;
+
+/// The record that a new reader needs to start, as far as a VM knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OldestNeeded {
+    /// The stream has no records.
+    Nothing,
+    /// The log accepted the record at or after this time.
+    Since(WallTime),
+    /// The state came from a peer, and no snapshot has been read since.
+    Unknown,
+}
+
+/// What the log's retention means for the VM's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetentionView {
+    /// The log's clock at the last read.
+    pub log_now: WallTime,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// The record that must not expire.
+    pub oldest: OldestNeeded,
+}
+
+/// Decides when one VM publishes a snapshot.
+#[derive(Clone, Debug)]
+pub struct SnapshotPolicy {
+    jitter: u16,
+    unknown_since: Option<WallTime>,
+    last_attempt: Option<TimePoint>,
+}
+
+impl SnapshotPolicy {
+    /// The longest delay by jitter. Reading a snapshot takes a few seconds at most, so ten minutes
+    /// are enough to separate the VMs.
+    pub const JITTER_LIMIT: Duration = Duration::from_secs(600);
+    /// The longest pause after an attempt whose snapshot has not appeared.
+    pub const RETRY_LIMIT: Duration = Duration::from_secs(60);
+
+    /// Creates the policy of one VM. `jitter` is a random number, chosen once per VM.
+    pub fn new(jitter: u16) -> Self {
+        Self {
+            jitter,
+            unknown_since: None,
+            last_attempt: None,
+        }
+    }
+
+    /// Whether the VM should publish a snapshot now.
+    pub fn is_due(&mut self, now: TimePoint, view: &RetentionView) -> bool {
+        if view.retention.is_zero() || self.attempted_recently(now, view.retention) {
+            return false;
+        }
+        let delay = self.delay(view.retention);
+        match view.oldest {
+            OldestNeeded::Nothing => false,
+            OldestNeeded::Since(since) => {
+                self.unknown_since = None;
+                view.log_now.since(since) >= view.retention / 2 + delay
+            }
+            // The record may be about to expire, so only the jitter delays the snapshot.
+            OldestNeeded::Unknown => {
+                let since = *self.unknown_since.get_or_insert(view.log_now);
+                view.log_now.since(since) >= delay
+            }
+        }
+    }
+
+    /// Notes that a snapshot is being appended.
+    pub fn attempted(&mut self, now: TimePoint) {
+        self.last_attempt = Some(now);
+    }
+
+    fn attempted_recently(&self, now: TimePoint, retention: Duration) -> bool {
+        let pause = Self::RETRY_LIMIT.min(retention / 16);
+        self.last_attempt
+            .is_some_and(|attempt| now.since(attempt) < pause)
+    }
+
+    fn delay(&self, retention: Duration) -> Duration {
+        let window = Self::JITTER_LIMIT.min(retention / 8);
+        window * u32::from(self.jitter) / u32::from(u16::MAX)
+    }
+}
--- /dev/null
+++ b/crates/config/src/publish.rs
@@ -0,0 +1,332 @@
+//! Appends one ticket for an operator and reports what became of it, without doing any I/O.
+//!
+//! The answer to an append can be lost after the append took effect. The ticket is then looked up
+//! in the stream, from an offset before the first try, and appended again only if it is absent. An
+//! append that takes effect even after that lookup is harmless: the fold rejects the second copy
+//! by its nonce, and the report follows the first copy.
+
+use std::fmt;
+use std::time::Duration;
+
+use filbertpitch_types::platform::{AppendAnswer, AppendRequest, ReadAnswer};
+use filbertpitch_types::prelude::*;
+
+use crate::error::{TicketError, TicketErrors, TicketProblem};
+use crate::fold::ConfigState;
+use crate::read::LogRead;
+use crate::record::{RecordBody, ticket_body};
+use crate::ticket::ChangeTicket;
+use crate::verdict::RejectReason;
+use crate::verify::verify_ticket;
+
+/// What the caller should do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublishStep {
+    /// Append this record and report the result.
+    Append(AppendRequest),
+    /// Read the stream and report the result.
+    Read(LogRead),
+    /// An append or a read is under way.
+    UnderWay,
+    /// Ask again at this time.
+    NotBefore(TimePoint),
+    /// Show the fold to the publisher once it has passed this offset.
+    AwaitFold(LogOffset),
+    /// The ticket is settled.
+    Finished(PublishReport),
+}
+
+/// Why the outcome of a ticket is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnknownOutcome {
+    /// The operator gave up while an append may have taken effect.
+    GaveUp,
+    /// The records in which the ticket would be found have expired.
+    Expired,
+    /// The fold has passed the ticket and no longer remembers the verdict.
+    Forgotten,
+}
+
+impl fmt::Display for UnknownOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::GaveUp => "the ticket may have been appended",
+            Self::Expired => "the records that would show the ticket have expired",
+            Self::Forgotten => "the verdict is no longer remembered",
+        })
+    }
+}
+
+/// What became of a ticket.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublishReport {
+    /// It is in force.
+    Accepted {
+        /// The offset of its record.
+        offset: LogOffset,
+    },
+    /// It changed nothing.
+    Rejected {
+        /// The offset of its record.
+        offset: LogOffset,
+        /// Why.
+        reason: RejectReason,
+    },
+    /// It was certainly not appended.
+    NotAppended,
+    /// It may or may not be in force. Applying the same ticket with the same nonce again is safe.
+    Unknown(UnknownOutcome),
+}
+
+impl fmt::Display for PublishReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { offset } => write!(f, "accepted at offset {offset}"),
+            Self::Rejected { offset, reason } => {
+                write!(f, "rejected at offset {offset}: {reason}")
+            }
+            Self::NotAppended => f.write_str("not appended"),
+            Self::Unknown(outcome) => write!(f, "outcome unknown: {outcome}"),
+        }
+    }
+}
+
+/// Where the ticket is on its way.
+#[derive(Clone, Debug)]
+enum PublishPhase {
+    /// To be appended.
+    Appending,
+    /// To be looked up after a lost answer; `next` is the next offset to read.
+    LookingUp { next: LogOffset },
+    /// On the stream at this offset.
+    Folding { offset: LogOffset },
+    /// Rejected at `offset` because the record at `first` has the same nonce. That record is the
+    /// same ticket if an append took effect more than once.
+    Comparing { offset: LogOffset, first: LogOffset },
+    /// Settled.
+    Finished(PublishReport),
+}
+
+/// Publishes one ticket.
+#[derive(Clone, Debug)]
+pub struct TicketPublisher {
+    ticket: ChangeTicket,
+    start: LogOffset,
+    phase: PublishPhase,
+    under_way: bool,
+    /// Whether an append may have taken effect. A lookup that finds nothing does not change this,
+    /// because the append may still be on its way.
+    uncertain: bool,
+    due: TimePoint,
+    failures: u32,
+}
+
+impl TicketPublisher {
+    /// The pause after the first failure; it doubles with each further one.
+    pub const RETRY_FIRST: Duration = Duration::from_millis(100);
+    /// The longest pause after a failure.
+    pub const RETRY_LIMIT: Duration = Duration::from_secs(2);
+    /// The most records per lookup read.
+    pub const READ_LIMIT: u32 = 256;
+
+    /// Prepares a ticket for publication. `start` is an offset at or before the end of the stream
+    /// before the first append, for example the next offset of the local fold.
+    ///
+    /// # Errors
+    /// The rules that the ticket breaks; it is then not appended.
+    pub fn new(ticket: ChangeTicket, start: LogOffset) -> Result<Self, TicketErrors> {
+        let errors = verify_ticket(&ticket);
+        if !errors.is_empty() {
+            let errors = errors.into_iter().map(|error| TicketError {
+                line: None,
+                path: error.path,
+                problem: TicketProblem::Rule(error.problem),
+            });
+            return Err(TicketErrors(errors.collect()));
+        }
+        Ok(Self {
+            ticket,
+            start,
+            phase: PublishPhase::Appending,
+            under_way: false,
+            uncertain: false,
+            due: TimePoint::default(),
+            failures: 0,
+        })
+    }
+
+    /// The ticket.
+    pub fn ticket(&self) -> &ChangeTicket {
+        &self.ticket
+    }
+
+    /// What to do next. A returned append or read must be followed by exactly one report.
+    pub fn next_step(&mut self, now: TimePoint) -> PublishStep {
+        if let PublishPhase::Finished(report) = &self.phase {
+            return PublishStep::Finished(report.clone());
+        }
+        if let PublishPhase::Folding { offset } = self.phase {
+            return PublishStep::AwaitFold(offset);
+        }
+        if self.under_way {
+            return PublishStep::UnderWay;
+        }
+        if now < self.due {
+            return PublishStep::NotBefore(self.due);
+        }
+        self.under_way = true;
+        let (from, limit) = match self.phase {
+            PublishPhase::LookingUp { next } => (next, Self::READ_LIMIT),
+            PublishPhase::Comparing { first, .. } => (first, 1),
+            _ => {
+                let body = ticket_body(&self.ticket);
+                return PublishStep::Append(AppendRequest { body });
+            }
+        };
+        PublishStep::Read(LogRead {
+            from,
+            limit,
+            wait: Duration::ZERO,
+        })
+    }
+
+    /// The append was answered.
+    pub fn on_appended(&mut self, answer: AppendAnswer) {
+        self.succeed();
+        self.uncertain = true;
+        let offset = answer.offset;
+        self.phase = PublishPhase::Folding { offset };
+    }
+
+    /// The append failed before anything was sent, so it certainly had no effect.
+    pub fn on_append_not_sent(&mut self, now: TimePoint) {
+        self.fail(now);
+    }
+
+    /// The answer to the append was lost, so it may have had its effect.
+    pub fn on_append_lost(&mut self, now: TimePoint) {
+        self.fail(now);
+        self.uncertain = true;
+        self.phase = PublishPhase::LookingUp { next: self.start };
+    }
+
+    /// A read was answered.
+    pub fn on_read(&mut self, now: TimePoint, answer: &ReadAnswer) {
+        self.under_way = false;
+        match self.phase {
+            PublishPhase::LookingUp { next } => self.look_up(now, next, answer),
+            PublishPhase::Comparing { offset, first } => self.compare(now, offset, first, answer),
+            _ => {}
+        }
+    }
+
+    /// A read failed or timed out.
+    pub fn on_read_failed(&mut self, now: TimePoint) {
+        self.fail(now);
+    }
+
+    /// A read was answered with 410.
+    pub fn on_read_expired(&mut self) {
+        self.succeed();
+        self.finish(PublishReport::Unknown(UnknownOutcome::Expired));
+    }
+
+    /// Looks at the fold; it settles the ticket once it has passed the ticket's record.
+    pub fn on_fold(&mut self, state: &ConfigState) {
+        let PublishPhase::Folding { offset } = self.phase else {
+            return;
+        };
+        if state.next_offset() <= offset {
+            return;
+        }
+        let verdict = state
+            .recent_verdicts()
+            .rev()
+            .find(|entry| entry.offset == offset);
+        let Some(verdict) = verdict else {
+            return self.finish(PublishReport::Unknown(UnknownOutcome::Forgotten));
+        };
+        match verdict.rejected.clone() {
+            None => self.finish(PublishReport::Accepted { offset }),
+            Some(RejectReason::NonceSeen { offset: first }) if first >= self.start => {
+                self.phase = PublishPhase::Comparing { offset, first };
+            }
+            Some(reason) => self.finish(PublishReport::Rejected { offset, reason }),
+        }
+    }
+
+    /// Ends the publication at the operator's request and reports what is known.
+    pub fn give_up(&mut self) -> PublishReport {
+        if let PublishPhase::Finished(report) = &self.phase {
+            return report.clone();
+        }
+        let appending = self.under_way && matches!(self.phase, PublishPhase::Appending);
+        let report = match self.uncertain || appending {
+            true => PublishReport::Unknown(UnknownOutcome::GaveUp),
+            false => PublishReport::NotAppended,
+        };
+        self.finish(report.clone());
+        report
+    }
+
+    fn look_up(&mut self, now: TimePoint, mut next: LogOffset, answer: &ReadAnswer) {
+        let mut found = None;
+        for record in &answer.records {
+            if found.is_none() && self.is_this_ticket(&record.body) {
+                found = Some(record.offset);
+            }
+            next = next.max(LogOffset(record.offset.0.saturating_add(1)));
+        }
+        if let Some(offset) = found {
+            self.succeed();
+            self.phase = PublishPhase::Folding { offset };
+        } else if next >= answer.next {
+            self.phase = PublishPhase::Appending;
+        } else if answer.records.is_empty() {
+            self.fail(now);
+        } else {
+            self.phase = PublishPhase::LookingUp { next };
+        }
+    }
+
+    fn compare(
+        &mut self,
+        now: TimePoint,
+        offset: LogOffset,
+        first: LogOffset,
+        answer: &ReadAnswer,
+    ) {
+        let earlier = answer.records.iter().find(|record| record.offset == first);
+        match earlier {
+            Some(record) if self.is_this_ticket(&record.body) => {
+                self.phase = PublishPhase::Folding { offset: first };
+            }
+            Some(_) => {
+                let reason = RejectReason::NonceSeen { offset: first };
+                self.finish(PublishReport::Rejected { offset, reason });
+            }
+            None => self.fail(now),
+        }
+    }
+
+    /// Compares whole tickets: another operator's ticket can have the same nonce by mistake.
+    fn is_this_ticket(&self, body: &str) -> bool {
+        matches!(RecordBody::parse(body), RecordBody::Ticket(ticket) if *ticket == self.ticket)
+    }
+
+    fn finish(&mut self, report: PublishReport) {
+        self.phase = PublishPhase::Finished(report);
+    }
+
+    fn succeed(&mut self) {
+        self.under_way = false;
+        self.failures = 0;
+    }
+
+    fn fail(&mut self, now: TimePoint) {
+        self.under_way = false;
+        let pause = Self::RETRY_FIRST * (1 << self.failures.min(16));
+        self.due = now + pause.min(Self::RETRY_LIMIT);
+        self.failures = self.failures.saturating_add(1);
+    }
+}
--- a/crates/config/src/resolve.rs
+++ b/crates/config/src/resolve.rs
@@ -1,7 +1,7 @@
 //! Checks that the objects of a configuration fit together.
 //!
-//! Only what a ticket changes is checked again: a full check of several thousand targets for each
-//! of several ten thousand records would delay the start of a VM by many seconds.
+//! Only what a ticket changes is checked again: a full check of 3,800 targets takes about 9 ms, which
+//! would add minutes to the start of a VM that replays 20,000 tickets.
 
 use std::collections::BTreeMap;
 use std::fmt;
--- /dev/null
+++ b/crates/config/tests/publication.rs
@@ -0,0 +1,340 @@
+//! Guards against operators who are told something else than what the VMs do, and against tickets
+//! that are lost or applied twice when answers are lost.
+
+mod common;
+
+use std::time::Duration;
+
+use common::*;
+use filbertpitch_config::fold::ConfigState;
+use filbertpitch_config::follower::LogFollower;
+use filbertpitch_config::object::ObjectChange;
+use filbertpitch_config::publish::{PublishReport, PublishStep, TicketPublisher, UnknownOutcome};
+use filbertpitch_config::read::LogRead;
+use filbertpitch_config::record::{RecordBody, ticket_body};
+use filbertpitch_config::ticket::ChangeTicket;
+use filbertpitch_config::verdict::RejectReason;
+use filbertpitch_types::platform::{AppendAnswer, ReadAnswer};
+use filbertpitch_types::prelude::*;
+use proptest::prelude::*;
+
+/// What the network does with one request.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    /// The request has its effect, but the answer is lost.
+    AnswerLost,
+    /// The request has its effect only after other requests; the answer is lost.
+    Delayed,
+    /// The request is lost on its way.
+    RequestLost,
+    /// The connection cannot be opened.
+    NotSent,
+}
+
+fn any_fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Answered),
+        2 => Just(Fate::AnswerLost),
+        1 => Just(Fate::Delayed),
+        1 => Just(Fate::RequestLost),
+        1 => Just(Fate::NotSent),
+    ]
+}
+
+/// Several operators in front of one log.
+struct OperatorRace {
+    log: ModelLog,
+    publishers: Vec<TicketPublisher>,
+    delayed: Vec<Box<str>>,
+    now: TimePoint,
+}
+
+impl OperatorRace {
+    fn new(tickets: Vec<ChangeTicket>) -> Self {
+        let publishers = tickets
+            .into_iter()
+            .map(|ticket| TicketPublisher::new(ticket, LogOffset(0)));
+        Self {
+            log: ModelLog::default(),
+            publishers: publishers.flatten().collect(),
+            delayed: Vec::new(),
+            now: TimePoint(0),
+        }
+    }
+
+    /// Lets one operator take one step. Returns the report once there is one.
+    fn step(&mut self, operator: usize, fate: Fate) -> Option<PublishReport> {
+        self.now = self.now + Duration::from_millis(700);
+        let publisher = &mut self.publishers[operator];
+        match publisher.next_step(self.now) {
+            PublishStep::Append(request) => self.append(operator, &request.body, fate),
+            PublishStep::Read(read) => match fate {
+                Fate::Answered | Fate::Delayed => {
+                    publisher.on_read(self.now, &self.log.read(read).unwrap());
+                }
+                _ => publisher.on_read_failed(self.now),
+            },
+            PublishStep::AwaitFold(_) => publisher.on_fold(&self.log.full_fold()),
+            PublishStep::Finished(report) => return Some(report),
+            PublishStep::NotBefore(_) => {}
+            PublishStep::UnderWay => panic!("the last request was answered"),
+        }
+        None
+    }
+
+    fn append(&mut self, operator: usize, body: &str, fate: Fate) {
+        let publisher = &mut self.publishers[operator];
+        match fate {
+            Fate::Answered => {
+                let offset = self.log.append(body);
+                publisher.on_appended(AppendAnswer { offset });
+            }
+            Fate::AnswerLost => {
+                self.log.append(body);
+                publisher.on_append_lost(self.now);
+            }
+            Fate::Delayed => {
+                self.delayed.push(body.into());
+                publisher.on_append_lost(self.now);
+            }
+            Fate::RequestLost => publisher.on_append_lost(self.now),
+            Fate::NotSent => publisher.on_append_not_sent(self.now),
+        }
+    }
+
+    fn deliver_delayed(&mut self) {
+        for body in std::mem::take(&mut self.delayed) {
+            self.log.append(&body);
+        }
+    }
+}
+
+/// The verdict on the first record with exactly this ticket.
+fn true_verdict(
+    log: &ModelLog,
+    ticket: &ChangeTicket,
+) -> Option<(LogOffset, Option<RejectReason>)> {
+    let body = ticket_body(ticket);
+    let record = log.records.iter().find(|record| record.body == body)?;
+    let state = log.full_fold();
+    let entry = state
+        .recent_verdicts()
+        .find(|entry| entry.offset == record.offset)?;
+    Some((entry.offset, entry.rejected.clone()))
+}
+
+proptest! {
+    #[test]
+    fn every_operator_learns_the_verdict_that_all_readers_reach(
+        tickets in prop::collection::vec(any_ticket(1), 1..6),
+        schedule in prop::collection::vec((any::<prop::sample::Index>(), any_fate()), 0..40),
+        deliver_at in 0..40usize,
+        limits in prop::collection::vec(1..9u32, 3),
+    ) {
+        // Two operators with the very same ticket cannot be told apart, nor need they be.
+        let mut distinct = Vec::<ChangeTicket>::new();
+        for ticket in tickets {
+            if !distinct.contains(&ticket) {
+                distinct.push(ticket);
+            }
+        }
+        let mut race = OperatorRace::new(distinct);
+        if race.publishers.is_empty() {
+            return Ok(());
+        }
+        for (position, (operator, fate)) in schedule.into_iter().enumerate() {
+            if position == deliver_at {
+                race.deliver_delayed();
+            }
+            race.step(operator.index(race.publishers.len()), fate);
+        }
+        race.deliver_delayed();
+        for operator in 0..race.publishers.len() {
+            let report = (0..40).find_map(|_| race.step(operator, Fate::Answered)).unwrap();
+            let (offset, rejected) = true_verdict(&race.log, race.publishers[operator].ticket()).unwrap();
+            let expected = match rejected {
+                None => PublishReport::Accepted { offset },
+                Some(reason) => PublishReport::Rejected { offset, reason },
+            };
+            let same = match (&report, &expected) {
+                // The nonce belongs to another ticket: each copy of this one is rejected alike.
+                (
+                    PublishReport::Rejected { reason: RejectReason::NonceSeen { offset: reported }, .. },
+                    PublishReport::Rejected { reason: RejectReason::NonceSeen { offset: first }, .. },
+                ) => reported == first,
+                _ => report == expected,
+            };
+            prop_assert!(same, "{report} instead of {expected}");
+        }
+        let expected = state_text(&race.log.full_fold());
+        for limit in limits {
+            let mut reader = LogFollower::new(small_reads(limit));
+            catch_up(&mut reader, &race.log, &mut TimePoint(0));
+            prop_assert_eq!(state_text(reader.state()), expected.clone());
+        }
+    }
+}
+
+fn team_ticket(number: u64, nonce: u32) -> ChangeTicket {
+    ChangeTicket {
+        number: TicketNumber(number),
+        nonce: name("n", nonce),
+        author: "purna".into(),
+        objects: vec![ObjectChange::Team(name("m", 0), Some(Default::default()))],
+    }
+}
+
+fn single(ticket: ChangeTicket) -> OperatorRace {
+    OperatorRace::new(vec![ticket])
+}
+
+fn report(race: &mut OperatorRace) -> PublishReport {
+    (0..20).find_map(|_| race.step(0, Fate::Answered)).unwrap()
+}
+
+#[test]
+fn lost_answer_leads_to_a_lookup_and_no_second_append() {
+    let mut race = single(team_ticket(1, 1));
+    race.step(0, Fate::AnswerLost);
+    assert_eq!(
+        report(&mut race),
+        PublishReport::Accepted {
+            offset: LogOffset(0)
+        }
+    );
+    assert_eq!(race.log.records.len(), 1);
+}
+
+#[test]
+fn lost_request_is_appended_again() {
+    let mut race = single(team_ticket(1, 1));
+    race.step(0, Fate::RequestLost);
+    assert_eq!(
+        report(&mut race),
+        PublishReport::Accepted {
+            offset: LogOffset(0)
+        }
+    );
+}
+
+#[test]
+fn late_first_append_is_reported_as_accepted() {
+    let mut race = single(team_ticket(1, 1));
+    race.step(0, Fate::Delayed);
+    race.step(0, Fate::Answered);
+    race.deliver_delayed();
+    assert_eq!(
+        report(&mut race),
+        PublishReport::Accepted {
+            offset: LogOffset(0)
+        }
+    );
+    assert_eq!(race.log.records.len(), 2);
+}
+
+#[test]
+fn nonce_of_another_ticket_is_reported_as_rejection() {
+    let mut race = single(team_ticket(2, 1));
+    race.log.append(&ticket_body(&team_ticket(1, 1)));
+    let reason = RejectReason::NonceSeen {
+        offset: LogOffset(0),
+    };
+    let expected = PublishReport::Rejected {
+        offset: LogOffset(1),
+        reason,
+    };
+    assert_eq!(report(&mut race), expected);
+}
+
+#[test]
+fn lookup_reads_a_long_stream_in_parts() {
+    let mut race = single(team_ticket(1, 1));
+    for _ in 0..600 {
+        race.log.append("other");
+    }
+    race.step(0, Fate::AnswerLost);
+    assert_eq!(
+        report(&mut race),
+        PublishReport::Accepted {
+            offset: LogOffset(600)
+        }
+    );
+}
+
+#[test]
+fn unsound_ticket_is_not_appended() {
+    let errors = TicketPublisher::new(team_ticket(0, 1), LogOffset(0)).unwrap_err();
+    assert!(errors.to_string().starts_with("number: 0 is not between 1"));
+}
+
+#[test]
+fn giving_up_says_whether_the_ticket_may_be_in_force() {
+    let mut race = single(team_ticket(1, 1));
+    race.step(0, Fate::NotSent);
+    assert_eq!(
+        race.publishers[0].clone().give_up(),
+        PublishReport::NotAppended
+    );
+    race.step(0, Fate::RequestLost);
+    race.step(0, Fate::Answered);
+    race.step(0, Fate::NotSent);
+    let unknown = PublishReport::Unknown(UnknownOutcome::GaveUp);
+    assert_eq!(race.publishers[0].give_up(), unknown);
+
+    let mut publisher = TicketPublisher::new(team_ticket(1, 1), LogOffset(0)).unwrap();
+    assert!(matches!(
+        publisher.next_step(TimePoint(0)),
+        PublishStep::Append(_)
+    ));
+    assert_eq!(publisher.give_up(), unknown);
+}
+
+#[test]
+fn expired_lookup_and_forgotten_verdict_are_reported_as_unknown() {
+    let mut publisher = TicketPublisher::new(team_ticket(1, 1), LogOffset(0)).unwrap();
+    publisher.next_step(TimePoint(0));
+    publisher.on_append_lost(TimePoint(0));
+    let later = TimePoint(0) + Duration::from_secs(5);
+    let PublishStep::Read(LogRead { from, .. }) = publisher.next_step(later) else {
+        panic!("no lookup");
+    };
+    assert_eq!(from, LogOffset(0));
+    publisher.on_read_expired();
+    let expired = PublishReport::Unknown(UnknownOutcome::Expired);
+    assert_eq!(publisher.next_step(later), PublishStep::Finished(expired));
+
+    let mut publisher = TicketPublisher::new(team_ticket(1, 1), LogOffset(0)).unwrap();
+    publisher.next_step(TimePoint(0));
+    publisher.on_appended(AppendAnswer {
+        offset: LogOffset(0),
+    });
+    let mut state = ConfigState::default();
+    state.apply_body(RecordBody::Malformed("".into()));
+    publisher.on_fold(&state);
+    let forgotten = PublishReport::Unknown(UnknownOutcome::Forgotten);
+    assert_eq!(publisher.next_step(later), PublishStep::Finished(forgotten));
+}
+
+#[test]
+fn empty_answer_during_lookup_is_not_taken_for_absence() {
+    let mut publisher = TicketPublisher::new(team_ticket(1, 1), LogOffset(0)).unwrap();
+    publisher.next_step(TimePoint(0));
+    publisher.on_append_lost(TimePoint(0));
+    let later = TimePoint(0) + Duration::from_secs(5);
+    publisher.next_step(later);
+    let answer = ReadAnswer {
+        first: LogOffset(0),
+        next: LogOffset(1),
+        now: WallTime(0),
+        retention_ms: 0,
+        records: Vec::new(),
+    };
+    publisher.on_read(later, &answer);
+    assert!(matches!(
+        publisher.next_step(later),
+        PublishStep::NotBefore(_)
+    ));
+    let retry = publisher.next_step(later + Duration::from_secs(5));
+    assert!(matches!(retry, PublishStep::Read(_)), "{retry:?}");
+}
