--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -5,7 +5,6 @@
 //! record. When it is not, the follower scans the retained records for the newest usable snapshot
 //! and continues at the offset that the snapshot stands for, which may lie before the snapshot.
 
-use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,11 +13,13 @@
 use filbertpitch_types::prelude::*;
 
 use crate::fold::ConfigState;
+use crate::note::FollowerNote;
 use crate::policy::{OldestNeeded, RetentionView};
 use crate::read::LogRead;
 use crate::recent::RecentRecords;
 use crate::record::{RecordBody, snapshot_body};
-use crate::snapshot::{SnapshotProblem, SnapshotRecord, StateDigest};
+use crate::scan::SnapshotScan;
+use crate::snapshot::{SnapshotRecord, StateDigest};
 use crate::spec::Configuration;
 use crate::verdict::RecordVerdict;
 
@@ -61,99 +62,6 @@
     NotBefore(TimePoint),
 }
 
-/// Something that the caller should log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum FollowerNote {
-    /// A record was applied.
-    Verdict {
-        /// Its offset.
-        offset: LogOffset,
-        /// What it did.
-        verdict: RecordVerdict,
-        /// Whether the VM is still catching up to a state that it had never served.
-        replayed: bool,
-    },
-    /// Records that the state needs have expired.
-    Expired {
-        /// The offset that was needed.
-        needed: LogOffset,
-        /// The oldest offset that is kept.
-        first: LogOffset,
-    },
-    /// The state was replaced by a snapshot from the log.
-    SnapshotInstalled {
-        /// The offset that the snapshot stands for.
-        next: LogOffset,
-    },
-    /// The log keeps no usable snapshot and not the whole history either.
-    NoUsableSnapshot {
-        /// The oldest offset that is kept.
-        first: LogOffset,
-    },
-    /// A snapshot on the log cannot be used.
-    SnapshotUnusable {
-        /// The offset of its record.
-        offset: LogOffset,
-        /// Why.
-        problem: SnapshotProblem,
-    },
-    /// A snapshot differs from the state that this VM folded: a fault of one of the two.
-    SnapshotMismatch {
-        /// The offset of its record.
-        offset: LogOffset,
-        /// The digest of this VM's state.
-        ours: StateDigest,
-        /// The digest that follows from the snapshot.
-        theirs: StateDigest,
-    },
-    /// The state was replaced by that of a peer.
-    PeerStateAdopted {
-        /// The next offset of that state.
-        next: LogOffset,
-    },
-    /// The log ends before records that this VM has already applied.
-    LogBehind {
-        /// The end of the log.
-        end: LogOffset,
-        /// The next offset of this VM's state.
-        next: LogOffset,
-    },
-}
-
-impl fmt::Display for FollowerNote {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Verdict {
-                offset, verdict, ..
-            } => write!(f, "record {offset}: {verdict}"),
-            Self::Expired { needed, first } => {
-                write!(f, "records {needed} to {first} (exclusive) have expired")
-            }
-            Self::SnapshotInstalled { next } => write!(f, "snapshot for offset {next} installed"),
-            Self::NoUsableSnapshot { first } => {
-                write!(f, "no usable snapshot in the records from {first} on")
-            }
-            Self::SnapshotUnusable { offset, problem } => {
-                write!(f, "snapshot at offset {offset} cannot be used: {problem}")
-            }
-            Self::SnapshotMismatch {
-                offset,
-                ours,
-                theirs,
-            } => write!(
-                f,
-                "snapshot at offset {offset} leads to digest {theirs}, but this VM has {ours}"
-            ),
-            Self::PeerStateAdopted { next } => {
-                write!(f, "state of a peer for offset {next} adopted")
-            }
-            Self::LogBehind { end, next } => {
-                write!(f, "the log ends at {end}, before the next offset {next}")
-            }
-        }
-    }
-}
-
 /// What became of a state offered by a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TransferOutcome {
@@ -165,34 +73,6 @@
     Unusable,
 }
 
-/// A usable snapshot found while scanning.
-#[derive(Debug)]
-struct FoundSnapshot {
-    state: ConfigState,
-    as_of: WallTime,
-}
-
-/// A search for the newest usable snapshot.
-#[derive(Debug)]
-struct SnapshotScan {
-    started: LogOffset,
-    next: LogOffset,
-    best: Option<FoundSnapshot>,
-    /// Whether the lack of a snapshot has been noted.
-    noted: bool,
-}
-
-impl SnapshotScan {
-    fn new(started: LogOffset) -> Self {
-        Self {
-            started,
-            next: started,
-            best: None,
-            noted: false,
-        }
-    }
-}
-
 #[derive(Debug)]
 enum FollowPhase {
     Folding,
@@ -260,14 +140,10 @@
             return ReadStep::NotBefore(self.due);
         }
         self.under_way = true;
-        let (from, wait) = match &self.phase {
-            FollowPhase::Folding => (self.state.next_offset(), self.settings.wait),
-            FollowPhase::Scanning(scan) => (scan.next, self.settings.wait),
-        };
         ReadStep::Read(LogRead {
-            from,
+            from: self.position(),
             limit: self.settings.read_limit,
-            wait,
+            wait: self.settings.wait,
         })
     }
 
@@ -301,9 +177,8 @@
                 self.notes.push(FollowerNote::Expired { needed, first });
                 self.phase = FollowPhase::Scanning(SnapshotScan::new(first));
             }
-            FollowPhase::Scanning(scan) if scan.next < first => {
-                scan.started = scan.started.max(first);
-                scan.next = first;
+            FollowPhase::Scanning(scan) if scan.next_offset() < first => {
+                scan.skip_expired(first);
             }
             // A peer moved the position meanwhile, or the log contradicts itself.
             _ => self.due = now + self.settings.idle_pause,
@@ -353,7 +228,7 @@
         let next = self.state.next_offset();
         if let FollowPhase::Scanning(scan) = &self.phase
             && next > before
-            && next >= scan.started
+            && next >= scan.started()
         {
             self.phase = FollowPhase::Folding;
         }
@@ -431,7 +306,7 @@
     fn position(&self) -> LogOffset {
         match &self.phase {
             FollowPhase::Folding => self.state.next_offset(),
-            FollowPhase::Scanning(scan) => scan.next,
+            FollowPhase::Scanning(scan) => scan.next_offset(),
         }
     }
 
@@ -531,62 +406,29 @@
     }
 
     fn scan_answer(&mut self, answer: &ReadAnswer) {
-        let FollowPhase::Scanning(scan) = &mut self.phase else {
-            return;
-        };
-        for record in &answer.records {
-            if record.offset != scan.next {
-                continue;
-            }
-            let Some(next) = scan.next.0.checked_add(1) else {
-                break;
-            };
-            scan.next = LogOffset(next);
-            let RecordBody::Snapshot(snapshot) = RecordBody::parse(&record.body) else {
-                continue;
-            };
-            if let Err(problem) = snapshot.verify(Some(record.offset)) {
-                let offset = record.offset;
-                let note = FollowerNote::SnapshotUnusable { offset, problem };
-                self.notes.push(note);
-                continue;
-            }
-            let next = snapshot.state.next_offset();
-            let newer = |best: &FoundSnapshot| next >= best.state.next_offset();
-            if scan.best.as_ref().is_none_or(newer) {
-                scan.best = Some(FoundSnapshot {
-                    as_of: snapshot.as_of.min(record.appended_at),
-                    state: snapshot.state,
-                });
-            }
-        }
-        if scan.next >= answer.next {
+        if let FollowPhase::Scanning(scan) = &mut self.phase
+            && scan.read(answer, &mut self.notes)
+        {
             self.finish_scan(answer.first);
         }
     }
 
-    /// Decides at the end of the log how to continue. Only a snapshot whose following records are
-    /// all kept is usable.
+    /// Decides at the end of the log how to continue.
     fn finish_scan(&mut self, first: LogOffset) {
         let ours = self.state.next_offset();
         let FollowPhase::Scanning(scan) = &mut self.phase else {
             return;
         };
-        let usable = |found: &FoundSnapshot| {
-            let next = found.state.next_offset();
-            next >= first && next >= ours
-        };
-        if let Some(found) = scan.best.take_if(|found| usable(found)) {
+        if let Some(found) = scan.take_usable(first, ours) {
             let next = found.state.next_offset();
             self.replace_state(found.state);
             self.oldest = OldestNeeded::Since(found.as_of);
             self.notes.push(FollowerNote::SnapshotInstalled { next });
         } else if ours >= first {
             self.phase = FollowPhase::Folding;
-        } else if scan.started > first {
+        } else if scan.started() > first {
             *scan = SnapshotScan::new(first);
-        } else if !scan.noted {
-            scan.noted = true;
+        } else if scan.note_once() {
             self.notes.push(FollowerNote::NoUsableSnapshot { first });
         }
     }
