Offer target health, rejections and queue times for observation

Status, metrics and logs need facts that only the engine has: why a target is ejected and when it is probed, the rejected jobs by reason, the time a task waited, transitions of targets to unreachable and back, refused retries, and epochs that the byte limit shortened. Retried tasks report the time of their latest entry into the queue, so that the queue span of a second attempt does not cover the first one.

--- a/crates/dispatch/src/engine/attempts.rs
+++ b/crates/dispatch/src/engine/attempts.rs
@@ -165,7 +165,7 @@
                 traceparent: traceparent.clone(),
                 attempt: id,
                 target: record.target,
-                queued_at: task.queued_at,
+                queued_at: task.enqueued_at,
                 sent_at: record.sent_at,
                 ended_at: now,
                 run_time: run_time_of(&end),
@@ -281,7 +281,16 @@
             && task.starts < service.max_attempts
             && task.next_attempt < ATTEMPT_NUMBER_LIMIT;
         let in_time = self.clock.time < job.deadline;
-        allowed && in_time && self.retries.try_retry(job.service)
+        if !allowed || !in_time {
+            return false;
+        }
+        let service = job.service;
+        let granted = self.retries.try_retry(service);
+        if !granted {
+            let notice = EngineNotice::RetriesExhausted(service);
+            self.actions.push(EngineAction::Notice(notice));
+        }
+        granted
     }
 
     fn abandon_task(&mut self, task_ref: TaskRef, reason: AbandonReason) {
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -12,7 +12,7 @@
     AttemptsRequest, CheckRequest, StartAnswer, StartRequest, StateAnswer,
 };
 
-use crate::entity::TargetIndex;
+use crate::entity::{ServiceIndex, TargetIndex};
 use crate::health::HealthEvent;
 use crate::job::CallerToken;
 use crate::placement::SharePosition;
@@ -136,8 +136,10 @@
         address: SocketAddr,
         /// The request.
         request: StartRequest,
-        /// The W3C `traceparent` of the attempt's span, when the job is traced.
+        /// The W3C `traceparent` of the job, when it is traced.
         traceparent: Option<Box<str>>,
+        /// How long the task was in the queue.
+        queued_for: Duration,
     },
     /// Send a check on a new connection and report its answer or failure.
     Check {
@@ -192,7 +194,7 @@
     pub attempt: AttemptId,
     /// The target.
     pub target: TargetIndex,
-    /// When the task was queued.
+    /// When the task was queued for this attempt.
     pub queued_at: TimePoint,
     /// When the attempt was sent.
     pub sent_at: TimePoint,
@@ -213,6 +215,27 @@
     OutcomeUnknown(AttemptId),
     /// A target answered about an attempt in a way the protocol does not allow.
     ProtocolViolation(TargetIndex),
+    /// A target could not be reached; it was reachable before.
+    Unreachable(TargetIndex),
+    /// A target that was unreachable answered.
+    Reachable(TargetIndex),
+    /// A task was not tried again because the retry budget of its service is used up.
+    RetriesExhausted(ServiceIndex),
+}
+
+/// Jobs rejected as not run, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RejectionCounters([u64; NotRunReason::ALL.len()]);
+
+impl RejectionCounters {
+    /// The jobs rejected for a reason.
+    pub fn of(&self, reason: NotRunReason) -> u64 {
+        self.0[reason as usize]
+    }
+
+    pub(super) fn add(&mut self, reason: NotRunReason) {
+        self.0[reason as usize] += 1;
+    }
 }
 
 /// Counts since the start of the process.
@@ -244,6 +267,8 @@
     pub uncertain: u64,
     /// Attempts that were throttled.
     pub throttled: u64,
+    /// The rejected jobs by reason.
+    pub rejections: RejectionCounters,
 }
 
 impl EngineCounters {
--- a/crates/dispatch/src/engine/health.rs
+++ b/crates/dispatch/src/engine/health.rs
@@ -28,7 +28,10 @@
 impl DispatchEngine {
     /// Records that the target could not be reached.
     pub(super) fn note_unreachable(&mut self, target: TargetIndex) {
-        self.links[target].unreachable = true;
+        if !std::mem::replace(&mut self.links[target].unreachable, true) {
+            let notice = EngineNotice::Unreachable(target);
+            self.actions.push(EngineAction::Notice(notice));
+        }
         let services = self.services_of(target);
         let Some(&service) = services.first() else {
             return;
--- a/crates/dispatch/src/engine/jobs.rs
+++ b/crates/dispatch/src/engine/jobs.rs
@@ -159,6 +159,7 @@
         retry_after: Option<std::time::Duration>,
     ) {
         self.counters.jobs_rejected += 1;
+        self.counters.rejections.add(reason);
         let answer = rejected_answer(request.submission, reason, retry_after);
         self.submissions.finish(Rc::clone(&answer), Some(digest));
         self.reply(caller, CallerReply::Job(answer));
@@ -301,6 +302,9 @@
     }
 
     fn count_outcome(&mut self, answer: &JobAnswer) {
+        if let Some(reason) = answer.not_run {
+            self.counters.rejections.add(reason);
+        }
         let counter = match answer.outcome {
             JobOutcome::Complete => &mut self.counters.jobs_complete,
             JobOutcome::Failed => &mut self.counters.jobs_failed,
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -42,7 +42,7 @@
 
 pub use self::event::{
     AttemptTrace, CallerReply, EngineAction, EngineCounters, EngineEvent, EngineNotice, FleetView,
-    StateCommand,
+    RejectionCounters, StateCommand,
 };
 pub use self::settings::EngineSettings;
 pub use self::view::{EngineView, TargetView, TeamView};
@@ -353,7 +353,10 @@
         self.targets.report_load(self.clock.time, target, load);
         let link = &mut self.links[target];
         link.parked = load.parked;
-        link.unreachable = false;
+        if std::mem::replace(&mut link.unreachable, false) {
+            let notice = EngineNotice::Reachable(target);
+            self.actions.push(EngineAction::Notice(notice));
+        }
         if link.boot.is_some_and(|boot| boot != load.boot) {
             // The former process took its attempts with it; a check settles each of them.
             self.checks.request(target);
--- a/crates/dispatch/src/engine/schedule.rs
+++ b/crates/dispatch/src/engine/schedule.rs
@@ -25,7 +25,9 @@
     pub(super) fn enqueue(&mut self, task_ref: TaskRef, end: QueueEnd) {
         let now = self.clock.time;
         let job = self.jobs.get_mut(&task_ref.job).expect("the job is live");
-        job.tasks[task_ref.position()].state = TaskState::Queued;
+        let task = &mut job.tasks[task_ref.position()];
+        task.state = TaskState::Queued;
+        task.enqueued_at = now;
         let task = &job.tasks[task_ref.position()];
         let entry = QueueEntry {
             task: task.key,
@@ -162,6 +164,7 @@
         task.hold = Some(self.targets.started(clock.time, target, class, expected));
         task.state = TaskState::Running(AttemptPhase::Sent(TaskAttempt::sent(record)));
         let overdue = clock.time + task.prediction.overdue_after;
+        let queued_for = clock.time.since(task.enqueued_at);
         let traceparent = job.traceparent.clone();
         let (team, service) = (job.team, job.service);
         self.timers
@@ -188,6 +191,7 @@
             address: entry.spec.address,
             request,
             traceparent,
+            queued_for,
         });
     }
 }
--- a/crates/dispatch/src/engine/view.rs
+++ b/crates/dispatch/src/engine/view.rs
@@ -5,6 +5,7 @@
 use filbertpitch_types::prelude::*;
 
 use super::DispatchEngine;
+use crate::health::HealthState;
 
 /// What a team has in the queue.
 #[derive(Clone, Debug)]
@@ -32,6 +33,8 @@
     pub leaving: bool,
     /// Whether the last check got no answer.
     pub unreachable: bool,
+    /// Whether it gets work.
+    pub health: HealthState,
 }
 
 /// A snapshot of the engine.
@@ -41,6 +44,8 @@
     pub live_jobs: usize,
     /// Waiting tasks.
     pub queued_tasks: usize,
+    /// Attempts that may be running, throttled ones included.
+    pub running_tasks: usize,
     /// Queues by team.
     pub teams: Vec<TeamView>,
     /// The targets in force.
@@ -62,10 +67,12 @@
             share: self.targets.share(target).slots,
             leaving: self.targets.is_leaving(target),
             unreachable: self.links[target].unreachable,
+            health: self.health.state(target),
         });
         EngineView {
             live_jobs: self.jobs.len(),
             queued_tasks: self.queue.len(),
+            running_tasks: self.links.iter().map(|link| link.attempts.len()).sum(),
             teams: teams.collect(),
             targets: targets.collect(),
         }
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -128,13 +128,35 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Whether a target gets work, for status.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HealthState {
+    /// It gets any work.
+    Open,
+    /// It gets no work until it is probed.
+    Ejected {
+        /// Why.
+        cause: EjectionCause,
+        /// When probing starts.
+        probe_at: TimePoint,
+    },
+    /// It gets one repeatable task at a time.
+    Probing {
+        /// The probes that succeeded.
+        successes: u32,
+        /// The successful probes that reinstate it.
+        needed: u32,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum HealthPhase {
     #[default]
     Open,
     Ejected {
         since: TimePoint,
         probe_at: TimePoint,
+        cause: EjectionCause,
     },
     Probing {
         since: TimePoint,
@@ -401,7 +423,11 @@
     ) {
         let health = &mut self.targets[target];
         let probe_at = now + health.backoff;
-        health.phase = HealthPhase::Ejected { since, probe_at };
+        health.phase = HealthPhase::Ejected {
+            since,
+            probe_at,
+            cause,
+        };
         self.timers.subscribe(probe_at, target);
         self.events.push(HealthEvent::Ejected {
             target,
@@ -449,7 +475,9 @@
     pub fn advance(&mut self, now: TimePoint) {
         while let Some(target) = self.timers.pop_due(now) {
             let health = &mut self.targets[target];
-            if let HealthPhase::Ejected { since, probe_at } = health.phase
+            if let HealthPhase::Ejected {
+                since, probe_at, ..
+            } = health.phase
                 && probe_at <= now
             {
                 health.phase = HealthPhase::Probing {
@@ -486,6 +514,20 @@
         }
     }
 
+    /// Whether a target gets work.
+    pub fn state(&self, target: TargetIndex) -> HealthState {
+        match self.targets.get(target).map(|health| health.phase) {
+            None | Some(HealthPhase::Open) => HealthState::Open,
+            Some(HealthPhase::Ejected {
+                cause, probe_at, ..
+            }) => HealthState::Ejected { cause, probe_at },
+            Some(HealthPhase::Probing { successes, .. }) => HealthState::Probing {
+                successes,
+                needed: self.settings.probe_successes,
+            },
+        }
+    }
+
     /// How many targets of a service are ejected or probed.
     pub fn ejected(&self, service: ServiceIndex) -> usize {
         self.services.get(&service).map_or(0, |entry| entry.ejected)
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -67,6 +67,8 @@
     pub hold: Option<SlotHold>,
     /// When it was queued first.
     pub queued_at: TimePoint,
+    /// When it last entered the queue.
+    pub enqueued_at: TimePoint,
     /// The run time that was expected when it was queued.
     pub prediction: RunPrediction,
 }
@@ -100,6 +102,7 @@
             used: Duration::ZERO,
             hold: None,
             queued_at: now,
+            enqueued_at: now,
             prediction,
         }
     }
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -95,6 +95,7 @@
     current_since: TimePoint,
     oldest_open: EpochNumber,
     bytes: u64,
+    shortened: u64,
 }
 
 impl SubmissionTable {
@@ -115,6 +116,7 @@
             current_since: now,
             oldest_open: EpochNumber(0),
             bytes: 0,
+            shortened: 0,
         }
     }
 
@@ -128,6 +130,11 @@
         ByteSize(self.bytes)
     }
 
+    /// How many epochs ended or were closed early because of the byte limit.
+    pub fn shortened_epochs(&self) -> u64 {
+        self.shortened
+    }
+
     /// How many submissions are remembered.
     pub fn len(&self) -> usize {
         self.groups.values().map(|group| group.states.len()).sum()
@@ -222,6 +229,7 @@
         if elapsed || current_bytes > share {
             self.current = self.current.next();
             self.current_since = now;
+            self.shortened += u64::from(!elapsed);
         }
         let window = EpochNumber(self.current.0.saturating_sub(self.settings.open_epochs - 1));
         while self.oldest_open < window {
@@ -230,6 +238,7 @@
         // The current epoch stays open: a prefix that was issued a moment ago must be usable.
         while self.bytes > self.settings.byte_limit.0 && self.oldest_open < self.current {
             self.close_oldest();
+            self.shortened += 1;
         }
         self.drop_foreign();
     }
--- a/crates/filbertpitch/src/serve/targets.rs
+++ b/crates/filbertpitch/src/serve/targets.rs
@@ -83,6 +83,7 @@
                 address,
                 request,
                 traceparent,
+                ..
             } => {
                 let exchange = self.start_exchange(address, &request, traceparent);
                 let (close, closed) = oneshot::channel();
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -30,6 +30,22 @@
     LogUnavailable,
 }
 
+impl NotRunReason {
+    /// All reasons, in the order of the variants.
+    pub const ALL: [Self; 10] = [
+        Self::NoCapableTarget,
+        Self::UnknownService,
+        Self::UnknownTeam,
+        Self::DeadlineUnreachable,
+        Self::QuotaExceeded,
+        Self::QueueFull,
+        Self::Draining,
+        Self::Cancelled,
+        Self::JobFailed,
+        Self::LogUnavailable,
+    ];
+}
+
 /// Why work ran and failed.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
