Record events, metrics and spans in the serve loop

The loop observed nothing: notices of the engine and notes of the follower were collected and dropped, and no metric or span existed.

An observer next to the engine driver writes events as they happen, counts what passes between loop and engine, and records the spans of sampled jobs. Changes of peers and load are found by a look once a second, which also sends the metrics; a task costs no metric of its own. The lines of one event are bounded to a burst of 20 and 2 a second, and left-out lines are counted; the writing thread and its bounded queue already kept a slow reader of the log from blocking the loop.

Spans use the types of OpenTelemetry and stay in a ring of 4 MiB per VM, read by GET /v1/traces/TRACE_ID. The id of an attempt's span follows from the attempt, so nothing is remembered between start and end, and an unsampled job passes no traceparent to the engine. The propagator of the library was ruled out because it accepts ids of any length.

--- a/crates/dispatch/src/catalog.rs
+++ b/crates/dispatch/src/catalog.rs
@@ -232,6 +232,11 @@
         self.team_names.name(index)
     }
 
+    /// The name of a service, in force or not.
+    pub fn service_name(&self, index: ServiceIndex) -> &ServiceName {
+        self.service_names.name(index)
+    }
+
     /// The name of a target, in force or not.
     pub fn target_name(&self, index: TargetIndex) -> &TargetName {
         self.target_names.name(index)
--- /dev/null
+++ b/crates/filbertpitch/examples/metrics_page.rs
@@ -0,0 +1,5 @@
+//! Prints docs/METRICS.md.
+
+fn main() {
+    print!("{}", filbertpitch::metrics::metrics_page());
+}
--- a/crates/filbertpitch/src/cli/serve.rs
+++ b/crates/filbertpitch/src/cli/serve.rs
@@ -84,6 +84,8 @@
             heartbeat: settings.heartbeat.interval,
             ..MembershipSettings::default()
         },
+        metrics: settings.observability.metrics,
+        trace_sampling: settings.observability.trace_sampling,
         ..defaults
     }
 }
--- a/crates/filbertpitch/src/events/log.rs
+++ b/crates/filbertpitch/src/events/log.rs
@@ -1,11 +1,14 @@
 //! Writes events as JSON lines.
 
+use std::cell::RefCell;
 use std::io;
+use std::rc::Rc;
+use std::time::Instant;
 
 use slog::{Drain, Logger, Record, RecordLocation, RecordStatic, o};
 use slog_async::AsyncGuard;
 
-use super::LogEvent;
+use super::{LogEvent, RateGate};
 use crate::settings::LogLevel;
 
 /// Lines that wait to be written. At 300 bytes a line this is about 1 MiB.
@@ -29,6 +32,7 @@
 pub struct EventLog {
     logger: Logger,
     level: slog::Level,
+    gate: Rc<RefCell<RateGate>>,
 }
 
 impl EventLog {
@@ -52,6 +56,7 @@
         let log = Self {
             logger: Logger::root(drain.fuse(), o!()),
             level: level.as_slog(),
+            gate: Rc::default(),
         };
         (log, LogGuard(guard))
     }
@@ -61,13 +66,40 @@
         Self {
             logger: Logger::root(slog::Discard, o!()),
             level: slog::Level::Critical,
+            gate: Rc::default(),
         }
     }
 
-    /// Logs an event with values, for example `slog::b!("target" => name)`.
+    /// Logs an event with values, for example `slog::b!("target" => name)`, unless too many lines
+    /// of the event were written recently.
     pub fn record(&self, event: LogEvent, values: slog::BorrowedKV<'_>) {
+        if !self.is_enabled(event) {
+            return;
+        }
+        if self.gate.borrow_mut().admit(Instant::now(), event) {
+            self.write(event, values);
+        }
+    }
+
+    /// Logs how many lines of which events were left out since the last call.
+    pub fn report_suppressed(&self) {
+        let counts = self.gate.borrow_mut().take_suppressed();
+        for (event, lines) in counts {
+            let name = event.spec().name;
+            self.write(
+                LogEvent::LinesSuppressed,
+                slog::b!("suppressed" => name, "lines" => lines),
+            );
+        }
+    }
+
+    fn is_enabled(&self, event: LogEvent) -> bool {
+        event.spec().level.is_at_least(self.level)
+    }
+
+    fn write(&self, event: LogEvent, values: slog::BorrowedKV<'_>) {
         let spec = event.spec();
-        if !spec.level.is_at_least(self.level) {
+        if !self.is_enabled(event) {
             return;
         }
         let statics = RecordStatic {
--- a/crates/filbertpitch/src/events/mod.rs
+++ b/crates/filbertpitch/src/events/mod.rs
@@ -5,8 +5,10 @@
 
 mod log;
 mod page;
+mod rate;
 mod table;
 
 pub use log::{EventLog, LogGuard};
 pub use page::events_page;
+pub use rate::{LineRate, RateGate};
 pub use table::{EventSpec, LogEvent};
--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -64,6 +64,9 @@
     105 StartFailed "start_failed" Critical
         "The process cannot start, for example because its address is in use."
         "Correct what the event names and start the process again.";
+    106 LinesSuppressed "lines_suppressed" Warning
+        "Lines of an event were left out because it occurred too often."
+        "See the event that `suppressed` names; the metrics count all occurrences.";
     200 ConfigurationLoaded "configuration_loaded" Info
         "A configuration was loaded from the log or from a peer."
         "None.";
@@ -82,8 +85,8 @@
     205 RecordsLost "records_lost" Error
         "Records were removed from the log before this VM read them; it asks its peers."
         "Raise the retention of the log if this repeats.";
-    206 SnapshotPublished "snapshot_published" Info
-        "This VM has appended a snapshot of the configuration to the log."
+    206 SnapshotRead "snapshot_read" Info
+        "A snapshot of the configuration was appended to the log."
         "None.";
     207 ListUnreachable "list_unreachable" Warning
         "The platform's list of VMs cannot be read; the last list stays in use."
@@ -91,6 +94,21 @@
     208 ListReachable "list_reachable" Info
         "The platform's list of VMs can be read again."
         "None.";
+    209 SnapshotUnusable "snapshot_unusable" Warning
+        "A snapshot in the log is damaged or for a different log; it is ignored."
+        "Check the version of the VM that appended it.";
+    210 SnapshotMissing "snapshot_missing" Error
+        "The log keeps neither a usable snapshot nor the whole history; peers are asked."
+        "Start a VM that has the configuration, or apply a ticket with all objects.";
+    211 ConfigurationDiverged "configuration_diverged" Critical
+        "A snapshot in the log differs from the configuration that this VM has computed."
+        "Compare the versions of the VMs; replace the VM whose digest differs from the others.";
+    212 RecordMalformed "record_malformed" Warning
+        "A record in the log is neither a ticket nor a snapshot; it is ignored."
+        "Find out which program appended it.";
+    213 LogInconsistent "log_inconsistent" Error
+        "The log has returned records out of order or ends before records that were read."
+        "Check the log service; it may have lost records.";
     300 PeerLive "peer_live" Info
         "Another entry VM responds to heartbeats."
         "None.";
@@ -109,6 +127,9 @@
     305 HandoverFailed "handover_failed" Error
         "No VM took the outcomes; resubmissions get the response that the outcome is unknown."
         "Check why the other VMs of the availability zone were not reachable.";
+    306 PeerLeaving "peer_leaving" Info
+        "Another entry VM has announced that it stops."
+        "None.";
     400 TargetEjected "target_ejected" Warning
         "A target fails far more often than its peers and gets no tasks."
         "Check the target; it is probed and returns by itself when it works.";
@@ -119,7 +140,7 @@
         "A target leaves and gets no new tasks."
         "None.";
     403 TargetUnreachable "target_unreachable" Warning
-        "A target does not respond to checks on new connections."
+        "A target does not respond on new connections."
         "Check the target and the network.";
     404 ConnectionStalled "connection_stalled" Warning
         "An established connection does not respond although a new one works; it was closed."
@@ -127,14 +148,23 @@
     405 ProtocolViolated "protocol_violated" Error
         "A target or another VM sent a response that the protocol does not allow."
         "Check the version of the software that the event names.";
+    406 TargetProbed "target_probed" Info
+        "A target that was ejected gets one task at a time to find out whether it works."
+        "None.";
+    407 TargetReachable "target_reachable" Info
+        "A target that did not respond responds again."
+        "None.";
     500 SubmissionRefused "submission_refused" Warning
-        "A submission was refused because its epoch is closed or its prefix is not from this VM."
-        "None; the client has waited for too long before it resubmitted.";
+        "A submission was refused with an unknown outcome: its epoch is closed or its owner is gone."
+        "None; `reason` names the case.";
     501 OutcomesDiscarded "outcomes_discarded" Warning
-        "An epoch was closed early because the outcomes reached their memory limit."
+        "An epoch ended or was closed early because the outcomes reached their memory limit."
         "Raise `outcomes.byte_limit`, or reduce the size of outputs.";
+    502 OutcomeUnknown "outcome_unknown" Warning
+        "It cannot be learned what became of an attempt."
+        "Check the target; the caller of a task that may not be repeated has to find out itself.";
     600 OverloadStarted "overload_started" Warning
-        "The VM rejects work because its queues are full."
+        "The VM rejects work because its queues are full or deadlines cannot be met."
         "Add targets if the state lasts for longer than a burst.";
     601 OverloadEnded "overload_ended" Info
         "The VM accepts all work again."
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod cli;
 pub mod events;
+pub mod metrics;
 pub mod serve;
 pub mod settings;
 pub mod signals;
+pub mod traces;
--- a/crates/filbertpitch/src/serve/callers.rs
+++ b/crates/filbertpitch/src/serve/callers.rs
@@ -10,20 +10,20 @@
 use filbertpitch_types::caller::{JobAnswer, JobRequest, PrefixAnswer};
 use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand};
 use filbertpitch_types::prelude::*;
+use filbertpitch_types::trace::{TraceAnswer, TraceNumber};
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use http::{HeaderName, HeaderValue, StatusCode, header};
+use opentelemetry::KeyValue;
 
 use super::forward::ForwardOutcome;
 use super::node::EntryNode;
 use super::request::check_request;
+use crate::traces::{OpenSpan, TRACE_HEADER};
 
 /// The header that carries a fresh prefix on every job answer.
 const PREFIX_HEADER: HeaderName = HeaderName::from_static("x-filbertpitch-prefix");
 
-/// The header by which a caller asks for a trace, and by which spans are linked.
-const TRACE_HEADER: &str = "traceparent";
-
 /// What a request about a submission asks for.
 struct SubmissionCall {
     submission: SubmissionId,
@@ -51,12 +51,39 @@
         if let Err(problem) = check_request(&job, &limits) {
             return bad_request(&problem.to_string());
         }
+        let traces = &self.observer().traces;
+        let span = traces.admit("entry", request.header(TRACE_HEADER));
         let call = SubmissionCall {
             submission: job.submission.clone(),
-            traceparent: self.trace_context(request.header(TRACE_HEADER)),
+            traceparent: span.as_ref().map(OpenSpan::traceparent),
             command: ForwardCommand::Submit(job),
         };
-        self.answer_call(call).await
+        let submission = span.is_some().then(|| call.submission.to_string());
+        let response = self.answer_call(call).await;
+        if let (Some(span), Some(submission)) = (span, submission) {
+            let status = i64::from(response.status.as_u16());
+            let attributes = vec![
+                KeyValue::new("submission", submission),
+                KeyValue::new("status", status),
+            ];
+            traces.finish(span, attributes);
+        }
+        response
+    }
+
+    /// Answers `GET /v1/traces/TRACE_ID`.
+    pub(super) fn answer_trace(&self, text: &str) -> ServerResponse {
+        match text.parse::<TraceNumber>() {
+            Ok(trace) => {
+                let answer = TraceAnswer {
+                    trace,
+                    address: self.settings().advertise,
+                    spans: self.observer().traces.spans(trace),
+                };
+                ServerResponse::json(StatusCode::OK, &answer)
+            }
+            Err(error) => bad_request(&error.to_string()),
+        }
     }
 
     /// Answers `GET` and `DELETE /v1/jobs/SUBMISSION`.
@@ -108,7 +135,7 @@
         command: ForwardCommand,
         traceparent: Option<Box<str>>,
     ) -> Option<CallerReply> {
-        let event = |caller| match command {
+        let event = |caller, command| match command {
             ForwardCommand::Submit(request) => EngineEvent::JobSubmitted {
                 caller,
                 request,
@@ -117,7 +144,13 @@
             ForwardCommand::Lookup(submission) => EngineEvent::JobLookedUp { caller, submission },
             ForwardCommand::Cancel(submission) => EngineEvent::JobCancelled { caller, submission },
         };
-        self.driver().call(event).await
+        let submit = matches!(command, ForwardCommand::Submit(_));
+        let started = self.now().time;
+        let reply = self.driver().call(|caller| event(caller, command)).await;
+        if submit {
+            self.observer().see_response(self.now().time.since(started));
+        }
+        reply
     }
 
     /// A bare key belongs to whoever claimed it first in the log.
@@ -191,6 +224,7 @@
 
     /// The response for a job's answer, with a fresh prefix.
     fn job_response(&self, mut answer: JobAnswer) -> ServerResponse {
+        self.observer().see_answer(&answer);
         let prefix = self.own_prefix();
         let prefix_text = prefix.to_string();
         answer.prefix = Some(prefix);
--- a/crates/filbertpitch/src/serve/claims.rs
+++ b/crates/filbertpitch/src/serve/claims.rs
@@ -86,6 +86,7 @@
     /// Appends wanted keys in batches. Runs forever.
     pub(super) async fn run_claim_appends(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         let woken = self.claims.woken.borrow_mut().take();
         let mut woken = woken.expect("one task appends claims");
         while woken.next().await.is_some() {
@@ -99,7 +100,7 @@
                 let body = serde_json::to_string(&batch).expect("a claim batch encodes as JSON");
                 // Whether the append took effect shows when the stream is read. If it did not,
                 // the caller's time-out ends the wait, and a resubmission claims again.
-                append_record(&pool, CLAIM_STREAM, body.into()).await;
+                append_record(traffic, &pool, CLAIM_STREAM, body.into()).await;
             }
         }
     }
@@ -107,9 +108,10 @@
     /// Follows the claim stream. Runs forever.
     pub(super) async fn run_claim_reads(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         loop {
             let next = self.claims.table.borrow().next();
-            match read_stream(&pool, CLAIM_STREAM, &stream_read(next)).await {
+            match read_stream(traffic, &pool, CLAIM_STREAM, &stream_read(next)).await {
                 ReadOutcome::Read(answer) => {
                     let wall = self.now().wall;
                     {
--- a/crates/filbertpitch/src/serve/driver.rs
+++ b/crates/filbertpitch/src/serve/driver.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use filbertpitch_dispatch::engine::{
-    CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineNotice,
+    CallerReply, DispatchEngine, EngineAction, EngineEvent, StateCommand,
 };
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::prelude::*;
@@ -17,6 +17,7 @@
 use monoio::time::Instant;
 
 use super::clock::SystemClock;
+use super::observe::NodeObserver;
 use super::targets::TargetClient;
 
 /// Runs the engine of this process.
@@ -28,7 +29,7 @@
     next_caller: Cell<u64>,
     timer_due: Cell<Option<TimePoint>>,
     timer_signal: mpsc::UnboundedSender<()>,
-    notices: RefCell<Vec<EngineNotice>>,
+    observer: Rc<NodeObserver>,
 }
 
 impl EngineDriver {
@@ -37,6 +38,7 @@
         clock: SystemClock,
         engine: DispatchEngine,
         targets: TargetClient,
+        observer: Rc<NodeObserver>,
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
         let (timer_signal, timer_events) = mpsc::unbounded();
         let driver = Self {
@@ -47,7 +49,7 @@
             next_caller: Cell::new(0),
             timer_due: Cell::new(None),
             timer_signal,
-            notices: RefCell::default(),
+            observer,
         };
         (Rc::new(driver), timer_events)
     }
@@ -59,10 +61,24 @@
 
     /// Lets the engine react to an event and carries out what follows.
     pub fn feed(self: &Rc<Self>, event: EngineEvent) {
+        self.observer.see_event(&event);
+        let check_answered = matches!(
+            event,
+            EngineEvent::StatesAnswered {
+                command: StateCommand::Check,
+                ..
+            }
+        );
         let (actions, due) = {
             let mut engine = self.engine.borrow_mut();
-            engine.handle(self.clock.read(), event);
-            (engine.take_actions(), engine.next_due())
+            let now = self.clock.read();
+            engine.handle(now, event);
+            let actions = engine.take_actions();
+            for action in &actions {
+                self.observer
+                    .see_action(action, check_answered, &engine, now.time);
+            }
+            (actions, engine.next_due())
         };
         for action in actions {
             self.perform(action);
@@ -78,11 +94,6 @@
         look(&self.engine.borrow())
     }
 
-    /// Takes the notices to log.
-    pub fn take_notices(&self) -> Vec<EngineNotice> {
-        self.notices.take()
-    }
-
     /// Closes target connections that have been idle for too long.
     pub fn prune_targets(&self) {
         self.targets.prune();
@@ -109,8 +120,8 @@
                     let _ = sender.send(reply);
                 }
             }
-            EngineAction::Notice(notice) => self.notices.borrow_mut().push(notice),
-            EngineAction::Trace(_) => {}
+            // The observer has seen them.
+            EngineAction::Notice(_) | EngineAction::Trace(_) => {}
             EngineAction::CloseConnection { attempt } => self.targets.close(attempt),
             EngineAction::Start { .. }
             | EngineAction::Check { .. }
--- a/crates/filbertpitch/src/serve/forward.rs
+++ b/crates/filbertpitch/src/serve/forward.rs
@@ -11,9 +11,12 @@
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ClientRequest, ServerRequest, ServerResponse};
 use http::{StatusCode, Uri};
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanKind;
 use std::rc::Rc;
 
 use super::node::EntryNode;
+use crate::traces::OpenSpan;
 
 /// The time beyond a job's deadline in which its owner still answers.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(4);
@@ -42,14 +45,24 @@
     ) -> ForwardOutcome {
         let (mut address, mut owner) = (address, owner);
         for _ in 0..HANDOVER_HOPS {
+            let traces = &self.observer().traces;
+            let parent = traceparent.as_deref();
+            let span = parent.and_then(|parent| traces.child("forward", SpanKind::Client, parent));
             let request = ForwardRequest {
                 owner,
-                traceparent: traceparent.clone(),
+                traceparent: span.as_ref().map(OpenSpan::traceparent),
                 command: command.clone(),
             };
-            let answer = match self.exchange(address, &request).await {
-                Some(answer) => answer,
-                None => return ForwardOutcome::Unreachable,
+            let answer = self.exchange(address, &request).await;
+            if let Some(span) = span {
+                let attributes = vec![
+                    KeyValue::new("to", address.to_string()),
+                    KeyValue::new("answered", answer.is_some()),
+                ];
+                traces.finish(span, attributes);
+            }
+            let Some(answer) = answer else {
+                return ForwardOutcome::Unreachable;
             };
             match answer {
                 ForwardAnswer::HandedOver(notice) => {
@@ -100,7 +113,16 @@
         if request.owner != self.incarnation() {
             return Some(self.disown(request.owner));
         }
-        let reply = self.decide(request.command, request.traceparent).await?;
+        // A request that its entry VM does not sample is not sampled here either.
+        let traces = &self.observer().traces;
+        let parent = request.traceparent.as_deref();
+        let span = parent.and_then(|parent| traces.child("owner", SpanKind::Server, parent));
+        let traceparent = span.as_ref().map(OpenSpan::traceparent);
+        let reply = self.decide(request.command, traceparent).await;
+        if let Some(span) = span {
+            traces.finish(span, Vec::new());
+        }
+        let reply = reply?;
         Some(match reply {
             CallerReply::Job(answer) => ForwardAnswer::Job(JobAnswer::clone(&answer)),
             CallerReply::Pending => ForwardAnswer::Pending,
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -16,12 +16,13 @@
 use filbertpitch_types::status::LifeState;
 use filbertpitch_wire::server::{HttpServer, StopHandle};
 use futures_channel::oneshot;
+use slog::b;
 
 use super::node::EntryNode;
 use super::platform::append_record;
 use super::router::NodeRouter;
 use super::settings::NodeSettings;
-use crate::events::EventLog;
+use crate::events::{EventLog, LogEvent};
 
 /// How often a waiting state looks at the node.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -78,6 +79,7 @@
         monoio::spawn(Rc::clone(&node).run_handovers());
         monoio::spawn(Rc::clone(&node).run_claim_appends());
         monoio::spawn(Rc::clone(&node).run_claim_reads());
+        monoio::spawn(Rc::clone(&node).run_observation());
         monoio::spawn(run_pruning(Rc::clone(&node)));
         Ok(Self {
             node,
@@ -133,6 +135,8 @@
             self.wait_until_idle(EXPIRY_TIMEOUT).await;
         }
         self.hand_over().await;
+        self.node.set_life(LifeState::Stopped);
+        self.node.observer().log.report_suppressed();
         self.server.stop.stop();
         let closing = monoio::time::timeout(settings.peer_timeout, self.server.done).await;
         drained && closing.is_ok()
@@ -160,12 +164,19 @@
         if answers.is_empty() {
             return;
         }
+        let log = &self.node.observer().log;
         for peer in self.candidates() {
             if self.send_outcomes(&peer, &answers).await {
                 self.announce(&peer).await;
+                let address = peer.address.to_string();
+                log.record(
+                    LogEvent::HandoverSent,
+                    b!("to" => &address, "outcomes" => answers.len()),
+                );
                 return;
             }
         }
+        log.record(LogEvent::HandoverFailed, b!("outcomes" => answers.len()));
     }
 
     fn candidates(&self) -> Vec<PeerHello> {
@@ -206,7 +217,13 @@
         let body = serde_json::to_string(&notice).expect("a notice encodes as JSON");
         let pool = self.node.pool(self.node.settings().log);
         // While the log is down, the successor's heartbeats announce the handover.
-        append_record(&pool, HANDOVER_STREAM, body.into()).await;
+        append_record(
+            &self.node.observer().traffic,
+            &pool,
+            HANDOVER_STREAM,
+            body.into(),
+        )
+        .await;
     }
 }
 
--- a/crates/filbertpitch/src/serve/mod.rs
+++ b/crates/filbertpitch/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod lifecycle;
 mod node;
+mod observe;
 mod peers;
 mod platform;
 mod request;
@@ -14,6 +15,11 @@
 mod settings;
 mod status;
 mod targets;
+mod traffic;
 
 pub use self::lifecycle::{EntryLife, Starting};
+pub use self::observe::{
+    LoopCounts, NodeObserver, OverloadChange, OverloadWatch, PeerChange, PeerWatch, SeenPeer,
+};
 pub use self::settings::NodeSettings;
+pub use self::traffic::{ByteCount, ControlTraffic, TrafficClass};
--- a/crates/filbertpitch/src/serve/node.rs
+++ b/crates/filbertpitch/src/serve/node.rs
@@ -20,6 +20,7 @@
 use super::claims::ClaimDesk;
 use super::clock::SystemClock;
 use super::driver::EngineDriver;
+use super::observe::NodeObserver;
 use super::settings::NodeSettings;
 use super::targets::TargetClient;
 use crate::events::EventLog;
@@ -35,7 +36,7 @@
     pub(super) claims: ClaimDesk,
     pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
     fleet: RefCell<Option<FleetView>>,
-    pub(super) log: EventLog,
+    observer: Rc<NodeObserver>,
 }
 
 impl EntryNode {
@@ -55,7 +56,10 @@
             incarnation.0,
         );
         let targets = TargetClient::new(settings.targets.clone());
-        let (driver, timer_events) = EngineDriver::new(clock, engine, targets);
+        let observer = NodeObserver::new(log, settings.trace_sampling, settings.trace_bytes);
+        let observer = Rc::new(observer);
+        let (driver, timer_events) =
+            EngineDriver::new(clock, engine, targets, Rc::clone(&observer));
         let own = PeerHello {
             incarnation,
             address: settings.advertise,
@@ -81,7 +85,7 @@
             claims: ClaimDesk::new(claims),
             pools: RefCell::default(),
             fleet: RefCell::default(),
-            log,
+            observer,
             settings,
         };
         (Rc::new(node), timer_events)
@@ -102,6 +106,11 @@
         &self.driver
     }
 
+    /// The log events, counters and spans.
+    pub fn observer(&self) -> &NodeObserver {
+        &self.observer
+    }
+
     /// Both clocks.
     pub fn now(&self) -> ClockReading {
         self.driver.clock().read()
@@ -117,7 +126,7 @@
         self.life.set(life);
         let config_next = self.follower.borrow().next_offset();
         let ready = life == LifeState::Ready;
-        let leaving = life == LifeState::Draining;
+        let leaving = matches!(life, LifeState::Draining | LifeState::Stopped);
         self.peers.borrow_mut().set_own(ready, leaving, config_next);
         self.refresh_fleet();
     }
@@ -156,11 +165,6 @@
         self.peers.borrow().owner(now, prefix)
     }
 
-    /// The context to report spans under, if the caller asked for a trace.
-    pub(super) fn trace_context(&self, traceparent: Option<&str>) -> Option<Box<str>> {
-        traceparent.map(Into::into)
-    }
-
     /// The connections to a peer or to the platform.
     pub(super) fn pool(&self, address: SocketAddr) -> Rc<ConnectionPool> {
         let mut pools = self.pools.borrow_mut();
--- a/crates/filbertpitch/src/serve/peers.rs
+++ b/crates/filbertpitch/src/serve/peers.rs
@@ -16,11 +16,16 @@
 use http::{StatusCode, Uri};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use slog::b;
 
 use super::node::EntryNode;
+use super::traffic::TrafficClass;
+use crate::events::LogEvent;
 
 /// How often the peer table is asked for due heartbeats.
 const HEARTBEAT_TICK: Duration = Duration::from_millis(100);
+/// Where heartbeats are sent.
+const HELLO_PATH: &str = "/peer/hello";
 /// The most records that one peer answer carries.
 const RECORD_LIMIT: usize = 256;
 
@@ -46,7 +51,7 @@
     async fn send_heartbeat(self: Rc<Self>, address: SocketAddr) {
         let hello = self.peers.borrow().own_hello();
         let answer = self
-            .ask_peer::<_, PeerHello>(address, "/peer/hello", &hello)
+            .ask_peer::<_, PeerHello>(address, HELLO_PATH, &hello)
             .await;
         let now = self.now().time;
         match answer {
@@ -109,7 +114,15 @@
             timeout: self.settings().peer_timeout,
             ..RequestOptions::default()
         };
-        let response = self.pool(address).request(&request, &options).await.ok()?;
+        let pool = self.pool(address);
+        let response = match path {
+            HELLO_PATH => {
+                let traffic = &self.observer().traffic;
+                let exchange = traffic.request(TrafficClass::Heartbeat, &pool, &request, &options);
+                exchange.await.ok()?
+            }
+            _ => pool.request(&request, &options).await.ok()?,
+        };
         if response.status != StatusCode::OK {
             return None;
         }
@@ -124,7 +137,10 @@
         let now = self.now().time;
         self.peers.borrow_mut().hello_received(now, &hello);
         let own = self.peers.borrow().own_hello();
-        encoded(&own)
+        let response = encoded(&own);
+        let traffic = &self.observer().traffic;
+        traffic.answered(TrafficClass::Heartbeat, request, &response);
+        response
     }
 
     /// Answers `POST /peer/state`.
@@ -146,6 +162,8 @@
         let Ok(handover) = request.decode::<HandoverRequest>(BodyFormat::MessagePack) else {
             return ServerResponse::empty(StatusCode::BAD_REQUEST);
         };
+        let from = handover.from.to_string();
+        let outcomes = handover.answers.len();
         let event = EngineEvent::OutcomesAdopted(handover.answers);
         self.driver().feed(event);
         if handover.last {
@@ -155,6 +173,10 @@
                 address: self.settings().advertise,
             };
             self.note_handover(&notice, Duration::ZERO);
+            self.observer().log.record(
+                LogEvent::HandoverReceived,
+                b!("from" => &from, "last_part" => outcomes),
+            );
         }
         encoded(&())
     }
--- a/crates/filbertpitch/src/serve/platform.rs
+++ b/crates/filbertpitch/src/serve/platform.rs
@@ -18,6 +18,7 @@
 use http::{Method, StatusCode, Uri};
 
 use super::node::EntryNode;
+use super::traffic::{ControlTraffic, TrafficClass};
 
 /// The time beyond a read's own wait in which the log must answer.
 const READ_MARGIN: Duration = Duration::from_secs(2);
@@ -41,7 +42,12 @@
 }
 
 /// Reads a stream of the log.
-pub async fn read_stream(pool: &ConnectionPool, stream: &str, read: &LogRead) -> ReadOutcome {
+pub async fn read_stream(
+    traffic: &ControlTraffic,
+    pool: &ConnectionPool,
+    stream: &str,
+    read: &LogRead,
+) -> ReadOutcome {
     let target = format!(
         "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
         read.from,
@@ -56,7 +62,8 @@
         ..RequestOptions::default()
     };
     let request = ClientRequest::new(Method::GET, target);
-    let Ok(response) = pool.request(&request, &options).await else {
+    let exchange = traffic.request(TrafficClass::Log, pool, &request, &options);
+    let Ok(response) = exchange.await else {
         return ReadOutcome::Outage;
     };
     let Ok(answer) = response.decode::<ReadAnswer>(BodyFormat::Json) else {
@@ -72,6 +79,7 @@
 /// Appends a record to a stream of the log. `None` means that it is not known whether the append
 /// took effect.
 pub async fn append_record(
+    traffic: &ControlTraffic,
     pool: &ConnectionPool,
     stream: &str,
     body: Box<str>,
@@ -85,7 +93,8 @@
         timeout: APPEND_TIMEOUT,
         ..RequestOptions::default()
     };
-    let response = pool.request(&request, &options).await.ok()?;
+    let exchange = traffic.request(TrafficClass::Log, pool, &request, &options);
+    let response = exchange.await.ok()?;
     if response.status != StatusCode::OK {
         return None;
     }
@@ -97,6 +106,7 @@
     /// Follows the ticket stream. Runs forever.
     pub(super) async fn run_follower(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         loop {
             let step = self.follower.borrow_mut().next_read(self.now().time);
             let read = match step {
@@ -108,8 +118,10 @@
                     continue;
                 }
             };
-            let outcome = read_stream(&pool, TICKET_STREAM, &read).await;
+            let outcome = read_stream(traffic, &pool, TICKET_STREAM, &read).await;
             let now = self.now().time;
+            let reachable = !matches!(outcome, ReadOutcome::Outage);
+            self.observer().see_log(reachable);
             match outcome {
                 ReadOutcome::Read(answer) => self.follower.borrow_mut().on_read(now, &answer),
                 ReadOutcome::Expired(answer) => self.follower.borrow_mut().on_expired(now, &answer),
@@ -121,6 +133,8 @@
 
     /// Hands a changed configuration to the engine.
     pub(super) fn publish_configuration(self: &Rc<Self>) {
+        self.observer()
+            .see_follower(&mut self.follower.borrow_mut());
         let configuration = {
             let follower = self.follower.borrow();
             if !follower.has_state() {
@@ -143,7 +157,9 @@
             return;
         };
         loop {
-            if let Some(list) = self.read_vm_list(address).await {
+            let list = self.read_vm_list(address).await;
+            self.observer().see_list(list.is_some());
+            if let Some(list) = list {
                 let now = self.now().time;
                 self.peers.borrow_mut().set_list(now, &list);
                 self.refresh_fleet();
@@ -159,7 +175,10 @@
             timeout: self.settings().peer_timeout,
             ..RequestOptions::default()
         };
-        let response = self.pool(address).request(&request, &options).await.ok()?;
+        let pool = self.pool(address);
+        let traffic = &self.observer().traffic;
+        let exchange = traffic.request(TrafficClass::VmList, &pool, &request, &options);
+        let response = exchange.await.ok()?;
         if response.status != StatusCode::OK {
             return None;
         }
@@ -169,10 +188,11 @@
     /// Follows the announcements of handovers. Runs forever.
     pub(super) async fn run_handovers(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         let mut next = LogOffset(0);
         loop {
             let read = stream_read(next);
-            match read_stream(&pool, HANDOVER_STREAM, &read).await {
+            match read_stream(traffic, &pool, HANDOVER_STREAM, &read).await {
                 ReadOutcome::Read(answer) => {
                     for record in &answer.records {
                         next = record.offset.next();
--- a/crates/filbertpitch/src/serve/router.rs
+++ b/crates/filbertpitch/src/serve/router.rs
@@ -13,6 +13,9 @@
 /// The path prefix of requests about one submission.
 const JOB_PATH: &str = "/v1/jobs/";
 
+/// The path prefix of requests about one trace.
+const TRACE_PATH: &str = "/v1/traces/";
+
 /// Answers all requests to an entry VM.
 pub struct NodeRouter {
     node: Rc<EntryNode>,
@@ -47,6 +50,9 @@
                 let text = &path[JOB_PATH.len()..];
                 node.answer_job(text, ForwardCommand::Cancel).await
             }
+            (&Method::GET, path) if path.starts_with(TRACE_PATH) => {
+                node.answer_trace(&path[TRACE_PATH.len()..])
+            }
             _ => ServerResponse::error(
                 StatusCode::NOT_FOUND,
                 "no_such_path",
--- a/crates/filbertpitch/src/serve/settings.rs
+++ b/crates/filbertpitch/src/serve/settings.rs
@@ -10,6 +10,7 @@
 use filbertpitch_wire::server::ServerLimits;
 
 use super::targets::TargetClientSettings;
+use crate::settings::SampleRatio;
 
 /// Everything that a node needs to run.
 #[derive(Clone, Debug)]
@@ -46,6 +47,14 @@
     pub membership: MembershipSettings,
     /// Bare submission keys.
     pub claims: ClaimSettings,
+    /// Where metrics are sent over UDP; nowhere if absent.
+    pub metrics: Option<SocketAddr>,
+    /// How often metrics are sent and changes of peers and load are looked for.
+    pub metrics_interval: Duration,
+    /// The share of jobs that are traced when the caller does not decide it.
+    pub trace_sampling: SampleRatio,
+    /// The memory for finished spans.
+    pub trace_bytes: ByteSize,
 }
 
 impl NodeSettings {
@@ -68,6 +77,10 @@
             engine: EngineSettings::default(),
             membership: MembershipSettings::default(),
             claims: ClaimSettings::default(),
+            metrics: None,
+            metrics_interval: Duration::from_secs(1),
+            trace_sampling: SampleRatio::default(),
+            trace_bytes: ByteSize::mib(4),
         }
     }
 }
--- a/crates/filbertpitch/src/serve/targets.rs
+++ b/crates/filbertpitch/src/serve/targets.rs
@@ -19,10 +19,11 @@
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ClientRequest, ClientResponse};
 use futures_channel::oneshot;
-use http::{StatusCode, Uri};
+use http::{HeaderName, HeaderValue, StatusCode, Uri};
 use serde::Serialize;
 
 use super::driver::EngineDriver;
+use crate::traces::{TRACE_HEADER, TraceParent, attempt_context};
 
 /// Bounds on requests to targets.
 #[derive(Clone, Debug)]
@@ -148,9 +149,10 @@
         traceparent: Option<Box<str>>,
     ) -> StartExchange {
         let pool = self.pool(&self.start_pools, address, self.settings.start_connections);
+        let attempt = request.attempt;
         let mut request = encode("/v1/tasks", request);
-        if let Some(value) = traceparent.and_then(|text| text.parse().ok()) {
-            let name = http::HeaderName::from_static("traceparent");
+        if let Some(value) = traceparent.and_then(|job| attempt_header(&job, attempt)) {
+            let name = HeaderName::from_static(TRACE_HEADER);
             request = request.with_header(name, value);
         }
         StartExchange {
@@ -210,6 +212,13 @@
     }
 }
 
+/// The header by which the target reports its spans under the span of the attempt.
+fn attempt_header(job: &str, attempt: AttemptId) -> Option<HeaderValue> {
+    let job = job.parse::<TraceParent>().ok()?;
+    let context = attempt_context(job, attempt);
+    HeaderValue::try_from(context.to_string()).ok()
+}
+
 fn encode<M>(path: &'static str, message: &M) -> ClientRequest
 where
     M: Serialize,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod target;
 pub mod text;
 pub mod time;
+pub mod trace;
 pub mod units;
--- a/crates/types/src/target.rs
+++ b/crates/types/src/target.rs
@@ -45,6 +45,17 @@
     Expired,
 }
 
+impl RefusalReason {
+    /// All reasons, in the order of the variants.
+    pub const ALL: [Self; 5] = [
+        Self::Busy,
+        Self::Leaving,
+        Self::UnknownKind,
+        Self::Fenced,
+        Self::Expired,
+    ];
+}
+
 /// How an attempt ended.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
