Show traces on the command line

`trace` collects the spans that each VM keeps and prints one request as a tree with offsets and durations, or as JSON. The client does not send its span to a VM: an endpoint that takes spans from anyone would let callers fill the ring.

--- a/crates/filbertpitch/src/cli/arguments.rs
+++ b/crates/filbertpitch/src/cli/arguments.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use argh::FromArgs;
 use filbertpitch_types::prelude::*;
+use filbertpitch_types::text::ParseError;
+use filbertpitch_types::trace::TraceNumber;
 
 /// Dispatches short tasks to the targets that can run them.
 #[derive(Debug, FromArgs)]
@@ -34,6 +37,8 @@
     Submit(SubmitCommand),
     /// Shows the state of a VM.
     Status(StatusCommand),
+    /// Shows the spans of a traced request.
+    Trace(TraceCommand),
 }
 
 /// Run an entry VM until SIGTERM or SIGINT.
@@ -142,6 +147,9 @@
     /// the identifier of an earlier submission of the same job
     #[argh(option, arg_name = "SUBMISSION")]
     pub submission: Option<SubmissionId>,
+    /// trace the job and print its spans after the response
+    #[argh(switch)]
+    pub trace: bool,
     /// print the response as JSON
     #[argh(switch)]
     pub json: bool,
@@ -158,3 +166,36 @@
     #[argh(switch)]
     pub json: bool,
 }
+
+/// Show the spans of a traced request as a tree.
+///
+/// Every VM keeps the spans that it recorded itself, so all VMs should be named. Offsets between
+/// spans of different VMs depend on how well their clocks agree.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceCommand {
+    /// the trace id: 32 hexadecimal digits
+    #[argh(positional, arg_name = "TRACE_ID")]
+    pub trace: TraceNumber,
+    /// the addresses of entry VMs, separated by commas; may be repeated
+    #[argh(option, arg_name = "ADDRESSES")]
+    pub via: Vec<AddressList>,
+    /// print the spans as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Addresses separated by commas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressList(pub Vec<SocketAddr>);
+
+impl FromStr for AddressList {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let error = |part| ParseError::new("address", part, "expected IP:PORT");
+        let parts = text.split(',');
+        let addresses = parts.map(|part| part.parse().map_err(|_| error(part)));
+        addresses.collect::<Result<_, _>>().map(Self)
+    }
+}
--- a/crates/filbertpitch/src/cli/mod.rs
+++ b/crates/filbertpitch/src/cli/mod.rs
@@ -10,10 +10,12 @@
 mod submit;
 mod table;
 mod ticket;
+mod trace;
 
 pub use arguments::{
-    Arguments, CheckCommand, Command, ServeCommand, StatusCommand, SubmitCommand, TicketAction,
-    TicketApplyCommand, TicketCommand, TicketListCommand, TicketShowCommand,
+    AddressList, Arguments, CheckCommand, Command, ServeCommand, StatusCommand, SubmitCommand,
+    TicketAction, TicketApplyCommand, TicketCommand, TicketListCommand, TicketShowCommand,
+    TraceCommand,
 };
 pub use error::CommandError;
 pub use exit::ExitStatus;
@@ -73,5 +75,6 @@
         },
         Command::Submit(command) => submit::run(&command),
         Command::Status(command) => status::run(&command),
+        Command::Trace(command) => trace::run(&command),
     }
 }
--- a/crates/filbertpitch/src/cli/submit/mod.rs
+++ b/crates/filbertpitch/src/cli/submit/mod.rs
@@ -3,6 +3,7 @@
 mod file;
 mod report;
 mod send;
+mod trace;
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -14,6 +15,7 @@
 
 use super::{CommandError, ExitStatus, RemoteError, SubmitCommand, VmClient};
 use file::JobFile;
+use trace::{ClientTrace, TracedAnswer};
 
 /// Submits a job and prints its outcome.
 pub(super) fn run(command: &SubmitCommand) -> Result<ExitStatus, CommandError> {
@@ -43,11 +45,31 @@
     eprintln!("submission: {submission}");
     let request = job.into_request(submission);
     let start = Instant::now();
-    let answer = send::send_job(&clients, &request).await.map_err(remote)?;
-    if command.json {
-        super::table::print_json(&answer)?;
-    } else {
-        super::table::print_text(&report::describe(&request, &answer, start.elapsed()))?;
+    let trace = command.trace.then(ClientTrace::begin);
+    if let Some(trace) = &trace {
+        eprintln!("trace: {}", trace.number());
+    }
+    let header = trace.as_ref().map(ClientTrace::header);
+    let answer = send::send_job(&clients, &request, header.as_deref()).await;
+    let answer = answer.map_err(remote)?;
+    let elapsed = start.elapsed();
+    let tree = match trace.map(|trace| trace.end(&answer)) {
+        Some(trace) => Some(trace.into_tree(clients, &answer).await),
+        None => None,
+    };
+    match (command.json, &tree) {
+        (true, Some(trace)) => super::table::print_json(&TracedAnswer {
+            answer: &answer,
+            trace,
+        })?,
+        (true, None) => super::table::print_json(&answer)?,
+        (false, tree) => {
+            let mut text = report::describe(&request, &answer, elapsed);
+            if let Some(tree) = tree {
+                text.push_str(&format!("\n{tree}"));
+            }
+            super::table::print_text(&text)?;
+        }
     }
     Ok(match answer.outcome {
         JobOutcome::Complete => ExitStatus::Success,
--- a/crates/filbertpitch/src/cli/submit/send.rs
+++ b/crates/filbertpitch/src/cli/submit/send.rs
@@ -6,9 +6,10 @@
 use filbertpitch_types::prelude::*;
 use filbertpitch_wire::codec::{BodyFormat, CodecError};
 use filbertpitch_wire::message::{ClientRequest, ClientResponse};
-use http::{StatusCode, Uri};
+use http::{HeaderName, HeaderValue, StatusCode, Uri};
 
 use crate::cli::{RemoteError, VmClient};
+use crate::traces::TRACE_HEADER;
 
 /// A VM issues a prefix from memory, so a longer wait does not help.
 const PREFIX_TIMEOUT: Duration = Duration::from_secs(5);
@@ -32,8 +33,10 @@
 pub(super) async fn send_job(
     clients: &[VmClient],
     request: &JobRequest,
+    traceparent: Option<&str>,
 ) -> Result<JobAnswer, RemoteError> {
-    first_answer(clients, async |client| send_to(client, request).await).await
+    let send = async |client: &VmClient| send_to(client, request, traceparent).await;
+    first_answer(clients, send).await
 }
 
 /// Asks one VM after another until one gives an answer or an error that another VM would repeat.
@@ -52,10 +55,17 @@
     }
 }
 
-async fn send_to(client: &VmClient, request: &JobRequest) -> Result<JobAnswer, RemoteError> {
+async fn send_to(
+    client: &VmClient,
+    request: &JobRequest,
+    traceparent: Option<&str>,
+) -> Result<JobAnswer, RemoteError> {
     let target = Uri::from_static("/v1/jobs");
-    let message = ClientRequest::post(target, BodyFormat::Json, request)
+    let mut message = ClientRequest::post(target, BodyFormat::Json, request)
         .map_err(|error| RemoteError::Invalid(client.address(), error))?;
+    if let Some(value) = traceparent.and_then(|text| HeaderValue::try_from(text).ok()) {
+        message = message.with_header(HeaderName::from_static(TRACE_HEADER), value);
+    }
     let timeout = request.deadline + ANSWER_MARGIN;
     let response = client.send(&message, timeout).await?;
     read_answer(client, request, &response)
