--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -140,6 +140,7 @@
     current_since: TimePoint,
     oldest_open: EpochNumber,
     bytes: u64,
+    shortened: u64,
 }
 
 impl SubmissionTable {
@@ -166,6 +167,7 @@
             current_since: now,
             oldest_open: epoch,
             bytes: 0,
+            shortened: 0,
         }
     }
 
@@ -179,6 +181,11 @@
         ByteSize(self.bytes)
     }
 
+    /// How many times answers were forgotten or an epoch was closed because of the byte limit.
+    pub fn shortened_epochs(&self) -> u64 {
+        self.shortened
+    }
+
     /// How many submissions are remembered with their outcome or are running.
     pub fn len(&self) -> usize {
         self.epochs().map(|epoch| epoch.states.len()).sum()
@@ -282,7 +289,9 @@
         }
         self.close_expired(now);
         self.drop_foreign(now);
-        while self.bytes > self.settings.byte_limit.0 && self.forget_oldest() {}
+        while self.bytes > self.settings.byte_limit.0 && self.forget_oldest() {
+            self.shortened += 1;
+        }
     }
 
     fn current_bytes(&self) -> u64 {
--- a/crates/filbertpitch/src/cli/ticket/apply.rs
+++ b/crates/filbertpitch/src/cli/ticket/apply.rs
@@ -101,7 +101,8 @@
         }
         match publisher.next_step(reader.now()) {
             PublishStep::Append(append) => {
-                let answer = append_record(reader.pool(), TICKET_STREAM, &append).await;
+                let answer =
+                    append_record(reader.traffic(), reader.pool(), TICKET_STREAM, &append).await;
                 let now = reader.now();
                 match answer {
                     Ok(answer) => publisher.on_appended(answer),
@@ -110,7 +111,8 @@
                 }
             }
             PublishStep::Read(read) => {
-                let outcome = read_stream(reader.pool(), TICKET_STREAM, &read).await;
+                let outcome =
+                    read_stream(reader.traffic(), reader.pool(), TICKET_STREAM, &read).await;
                 let now = reader.now();
                 match outcome {
                     ReadOutcome::Read(answer) => publisher.on_read(now, &answer),
--- a/crates/filbertpitch/src/cli/ticket/reader.rs
+++ b/crates/filbertpitch/src/cli/ticket/reader.rs
@@ -13,6 +13,7 @@
 
 use super::super::{CommandError, ExitStatus};
 use crate::log_client::{ReadOutcome, read_stream};
+use crate::serve::ControlTraffic;
 
 /// How long a command waits for the log.
 const LOG_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,6 +25,7 @@
 /// Folds the ticket stream like an entry VM does.
 pub struct TicketReader {
     pool: ConnectionPool,
+    traffic: ControlTraffic,
     follower: LogFollower,
     started: Instant,
 }
@@ -37,6 +39,7 @@
         };
         Self {
             pool: ConnectionPool::new(log, PoolLimits::default()),
+            traffic: ControlTraffic::default(),
             follower: LogFollower::new(settings),
             started: Instant::now(),
         }
@@ -47,6 +50,11 @@
         &self.pool
     }
 
+    /// The bytes exchanged with the log.
+    pub fn traffic(&self) -> &ControlTraffic {
+        &self.traffic
+    }
+
     /// The folded state.
     pub fn state(&self) -> &ConfigState {
         self.follower.state()
@@ -99,7 +107,7 @@
                 return;
             }
         };
-        let outcome = read_stream(&self.pool, TICKET_STREAM, &read).await;
+        let outcome = read_stream(&self.traffic, &self.pool, TICKET_STREAM, &read).await;
         let now = self.now();
         match outcome {
             ReadOutcome::Read(answer) => self.follower.on_read(now, &answer),
@@ -121,7 +129,7 @@
                 limit: SCAN_LIMIT,
                 wait: Duration::ZERO,
             };
-            match read_stream(&self.pool, TICKET_STREAM, &read).await {
+            match read_stream(&self.traffic, &self.pool, TICKET_STREAM, &read).await {
                 ReadOutcome::Read(answer) if answer.records.is_empty() => return Ok(records),
                 ReadOutcome::Read(answer) => {
                     records.extend(answer.records);
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod cli;
 pub mod events;
 pub mod log_client;
+pub mod metrics;
 pub mod serve;
 pub mod settings;
 pub mod signals;
+pub mod traces;
--- a/crates/filbertpitch/src/log_client.rs
+++ b/crates/filbertpitch/src/log_client.rs
@@ -9,6 +9,8 @@
 use filbertpitch_wire::message::ClientRequest;
 use http::{Method, StatusCode, Uri};
 
+use crate::serve::{ControlTraffic, TrafficClass};
+
 /// The time beyond a read's own wait in which the log must answer.
 const READ_MARGIN: Duration = Duration::from_secs(2);
 /// The time for an append.
@@ -27,7 +29,12 @@
 }
 
 /// Reads a stream of the log.
-pub async fn read_stream(pool: &ConnectionPool, stream: &str, read: &LogRead) -> ReadOutcome {
+pub async fn read_stream(
+    traffic: &ControlTraffic,
+    pool: &ConnectionPool,
+    stream: &str,
+    read: &LogRead,
+) -> ReadOutcome {
     let target = format!(
         "/v1/streams/{stream}/records?from={}&limit={}&wait_ms={}",
         read.from,
@@ -43,7 +50,8 @@
         ..RequestOptions::default()
     };
     let request = ClientRequest::new(Method::GET, target);
-    let Ok(response) = pool.request(&request, &options).await else {
+    let exchange = traffic.request(TrafficClass::Log, pool, &request, &options);
+    let Ok(response) = exchange.await else {
         return ReadOutcome::Outage;
     };
     let Ok(answer) = response.decode::<ReadAnswer>(BodyFormat::Json) else {
@@ -61,6 +69,7 @@
 /// # Errors
 /// Whether the append may have taken effect all the same.
 pub async fn append_record(
+    traffic: &ControlTraffic,
     pool: &ConnectionPool,
     stream: &str,
     append: &AppendRequest,
@@ -73,8 +82,8 @@
         timeout: APPEND_TIMEOUT,
         ..RequestOptions::default()
     };
-    let response = pool.request(&request, &options).await;
-    let response = response.map_err(|error| error.sent)?;
+    let exchange = traffic.request(TrafficClass::Log, pool, &request, &options);
+    let response = exchange.await.map_err(|error| error.sent)?;
     if response.status != StatusCode::OK {
         // An error answer does not say whether the record was stored before the error.
         return Err(SentState::MaybeSent);
--- a/crates/filbertpitch/src/serve/platform.rs
+++ b/crates/filbertpitch/src/serve/platform.rs
@@ -16,6 +16,7 @@
 use http::{Method, StatusCode, Uri};
 
 use super::node::EntryNode;
+use super::traffic::TrafficClass;
 use crate::log_client::{ReadOutcome, read_stream};
 
 /// How long a read of a stream of ours waits for new records.
@@ -29,6 +30,7 @@
     /// Follows the ticket stream. Runs forever.
     pub(super) async fn run_follower(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         loop {
             let step = self.follower.borrow_mut().next_read(self.now().time);
             let read = match step {
@@ -40,8 +42,10 @@
                     continue;
                 }
             };
-            let outcome = read_stream(&pool, TICKET_STREAM, &read).await;
+            let outcome = read_stream(traffic, &pool, TICKET_STREAM, &read).await;
             let now = self.now().time;
+            let reachable = !matches!(outcome, ReadOutcome::Outage);
+            self.observer().see_log(reachable);
             match outcome {
                 ReadOutcome::Read(answer) => self.follower.borrow_mut().on_read(now, &answer),
                 ReadOutcome::Expired(answer) => self.follower.borrow_mut().on_expired(now, &answer),
@@ -53,6 +57,8 @@
 
     /// Hands a changed configuration to the engine.
     pub(super) fn publish_configuration(self: &Rc<Self>) {
+        self.observer()
+            .see_follower(&mut self.follower.borrow_mut());
         let configuration = {
             let follower = self.follower.borrow();
             if !follower.has_state() {
@@ -75,7 +81,9 @@
             return;
         };
         loop {
-            if let Some(list) = self.read_vm_list(address).await {
+            let list = self.read_vm_list(address).await;
+            self.observer().see_list(list.is_some());
+            if let Some(list) = list {
                 let now = self.now().time;
                 self.peers.borrow_mut().set_list(now, &list);
                 self.refresh_fleet();
@@ -91,7 +99,10 @@
             timeout: self.settings().peer_timeout,
             ..RequestOptions::default()
         };
-        let response = self.pool(address).request(&request, &options).await.ok()?;
+        let pool = self.pool(address);
+        let traffic = &self.observer().traffic;
+        let exchange = traffic.request(TrafficClass::VmList, &pool, &request, &options);
+        let response = exchange.await.ok()?;
         if response.status != StatusCode::OK {
             return None;
         }
@@ -101,10 +112,11 @@
     /// Follows the announcements of handovers. Runs forever.
     pub(super) async fn run_handovers(self: Rc<Self>) {
         let pool = self.pool(self.settings().log);
+        let traffic = &self.observer().traffic;
         let mut next = LogOffset(0);
         loop {
             let read = stream_read(next);
-            match read_stream(&pool, HANDOVER_STREAM, &read).await {
+            match read_stream(traffic, &pool, HANDOVER_STREAM, &read).await {
                 ReadOutcome::Read(answer) => {
                     for record in &answer.records {
                         next = record.offset.next();
