Check attempts on targets that left the configuration

Cause: a check of a target that left the configuration with running attempts ended at once and left the target due again, so check_targets did not return and the VM hung. Its stops were dropped as well. Ruled out: giving the attempts up at once, because they still run. Change: the engine keeps the address of a target with its attempts and checks and stops them there.

The new test hangs without the change.

--- a/crates/dispatch/src/engine/checks.rs
+++ b/crates/dispatch/src/engine/checks.rs
@@ -60,8 +60,7 @@
         self.lapse_attempts(target);
         let attempts = self.links[target].attempts.iter().copied();
         let attempts = attempts.collect::<Vec<_>>();
-        let in_force = self.catalog.target(target).is_some();
-        if attempts.is_empty() || !in_force {
+        if attempts.is_empty() {
             let renew_at = self.clock.time;
             let result = CheckResult::Answered { renew_at };
             return self.checks.check_ended(self.clock.time, target, result);
@@ -91,10 +90,9 @@
     }
 
     fn send_check(&mut self, target: TargetIndex, attempts: Vec<AttemptId>) {
-        let Some(entry) = self.catalog.target(target) else {
+        let Some(address) = self.links[target].address else {
             return;
         };
-        let address = entry.spec.address;
         let lease_until = self.renewed_lease(target, &attempts);
         for id in &attempts {
             let task = self.task_mut(TaskRef::of(*id));
@@ -232,13 +230,12 @@
         mut attempts: Vec<AttemptId>,
     ) {
         attempts.retain(|id| self.current_attempt(*id).is_some());
-        let Some(entry) = self.catalog.target(target) else {
+        let Some(address) = self.links[target].address else {
             return;
         };
         if attempts.is_empty() {
             return;
         }
-        let address = entry.spec.address;
         self.counters.state_requests += 1;
         self.actions.push(EngineAction::Change {
             target,
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -14,6 +14,7 @@
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use filbertpitch_config::spec::Configuration;
@@ -87,6 +88,9 @@
 /// What the engine keeps per target beside placement.
 #[derive(Debug, Default)]
 struct TargetLink {
+    /// Where it listens, also after it left the configuration: the attempts that it still runs
+    /// are checked and stopped there.
+    address: Option<SocketAddr>,
     /// The attempts of this VM that may be running there.
     attempts: BTreeSet<AttemptId>,
     /// The target process that answered last.
@@ -290,10 +294,11 @@
         self.catalog.install(configuration);
         let home = self.catalog.intern_zone(&self.zone);
         self.targets.install(self.clock.time, &self.catalog, home);
-        for (index, _) in self.catalog.targets() {
+        for (index, entry) in self.catalog.targets() {
             while self.links.len() <= usize::from(index) {
                 self.links.push(TargetLink::default());
             }
+            self.links[index].address = Some(entry.spec.address);
         }
         self.health.install(&self.catalog);
         self.apply_health();
--- /dev/null
+++ b/crates/dispatch/tests/engine_targets.rs
@@ -0,0 +1,160 @@
+//! Guards the engine against what happens to targets while their attempts run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_config::spec::{Configuration, KindSpec, ServiceSpec, TargetSpec, TeamSpec};
+use filbertpitch_dispatch::engine::{
+    CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineSettings, FleetView, StateCommand,
+};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_dispatch::placement::SharePosition;
+use filbertpitch_types::caller::{JobRequest, TaskSpec};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::{
+    AttemptReport, AttemptState, AttemptVerdict, LoadReport, StateAnswer,
+};
+use filbertpitch_types::time::ClockReading;
+
+const THIS: IncarnationId = IncarnationId(7);
+
+fn at(millis: u64) -> ClockReading {
+    ClockReading {
+        time: TimePoint(millis * 1000),
+        wall: WallTime(1_000_000 + millis),
+    }
+}
+
+fn target_address() -> SocketAddr {
+    ([127, 0, 0, 1], 7500).into()
+}
+
+fn configuration(with_target: bool) -> Rc<Configuration> {
+    let kind: KindName = "check".parse().unwrap();
+    let service: ServiceName = "desk".parse().unwrap();
+    let typical = Duration::from_millis(50);
+    let target = TargetSpec {
+        zone: "dharan".parse().unwrap(),
+        address: target_address(),
+        slots: 8,
+        connections: 64,
+        takes: BTreeMap::from([(service.clone(), BTreeSet::from([kind.clone()]))]),
+    };
+    let spec = ServiceSpec {
+        kinds: BTreeMap::from([(kind, KindSpec { typical })]),
+        max_attempts: 3,
+        retry_percent: 10,
+    };
+    Rc::new(Configuration {
+        services: BTreeMap::from([(service, spec)]),
+        targets: with_target
+            .then(|| ("target".parse().unwrap(), target))
+            .into_iter()
+            .collect(),
+        teams: BTreeMap::from([("east".parse().unwrap(), TeamSpec::default())]),
+        ..Configuration::default()
+    })
+}
+
+fn request(epoch: EpochNumber) -> JobRequest {
+    JobRequest {
+        submission: SubmissionId::Prefixed {
+            prefix: OwnerPrefix {
+                zone: "dharan".parse().unwrap(),
+                address: ([127, 0, 0, 1], 7400).into(),
+                incarnation: THIS,
+                epoch,
+            },
+            key: "job".into(),
+        },
+        team: "east".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        deadline: Duration::from_secs(10),
+        tasks: vec![TaskSpec {
+            kind: "check".parse().unwrap(),
+            declared: Duration::from_millis(50),
+            repeatable: false,
+            input: "".into(),
+        }],
+    }
+}
+
+/// Guards against a VM that hangs: a target that left the configuration with a running attempt was
+/// due for a check again at once, for ever. Its attempts are checked where it listened.
+#[test]
+fn attempts_on_a_target_that_left_the_configuration_are_checked() {
+    let settings = EngineSettings::default();
+    let zone = "dharan".parse().unwrap();
+    let mut engine = DispatchEngine::new(settings, THIS, zone, at(0), 1);
+    engine.handle(
+        at(0),
+        EngineEvent::ConfigurationChanged(configuration(true)),
+    );
+    let alone = SharePosition {
+        position: 0,
+        vms: 1,
+    };
+    let fleet = FleetView {
+        zone: alone,
+        fleet: alone,
+        live_vms: 1,
+        populated: vec!["dharan".parse().unwrap()],
+    };
+    engine.handle(at(0), EngineEvent::FleetChanged(fleet));
+    let submitted = EngineEvent::JobSubmitted {
+        caller: CallerToken(1),
+        request: request(engine.current_epoch()),
+        traceparent: None,
+    };
+    engine.handle(at(1), submitted);
+    let actions = engine.take_actions();
+    let started = actions.iter().find_map(|action| match action {
+        EngineAction::Start {
+            target, request, ..
+        } => Some((*target, request.attempt)),
+        _ => None,
+    });
+    let (target, attempt) = started.expect("the task starts");
+
+    let removed = EngineEvent::ConfigurationChanged(configuration(false));
+    engine.handle(at(2), removed);
+    engine.handle(at(3000), EngineEvent::TimeAdvanced);
+    let actions = engine.take_actions();
+    let check = actions.iter().find_map(|action| match action {
+        EngineAction::Check {
+            address, request, ..
+        } => Some((*address, request.attempts.clone())),
+        _ => None,
+    });
+    assert_eq!(check, Some((target_address(), vec![attempt])));
+
+    let verdict = AttemptVerdict::Done {
+        output: "out".into(),
+        run_time: Duration::from_millis(50),
+    };
+    let answer = StateAnswer {
+        reports: vec![AttemptReport {
+            attempt,
+            state: AttemptState::Ended(verdict),
+        }],
+        load: LoadReport::default(),
+    };
+    let answered = EngineEvent::StatesAnswered {
+        target,
+        command: StateCommand::Check,
+        answer,
+    };
+    engine.handle(at(3001), answered);
+    let actions = engine.take_actions();
+    let complete = actions.iter().any(|action| match action {
+        EngineAction::Reply {
+            reply: CallerReply::Job(answer),
+            ..
+        } => answer.outcome == JobOutcome::Complete,
+        _ => false,
+    });
+    assert!(complete);
+    assert!(engine.is_idle());
+}
