Recognize gone seeds and gone keepers of handed-over outcomes

Cause: a peer of the settings file that was replaced before this VM started never was in its list, so it could not be dropped and its submissions were "unreachable" for ever. And a handover was followed for 15 minutes although the VM that took over was gone as well. Change: a seed that never was in the list and was not heard for the drop margin is judged like an unknown address; the state of the VM that took over decides about what it took over.

--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -425,13 +425,27 @@
         if prefix.incarnation == self.own.incarnation {
             return OwnerStatus::This;
         }
-        if let Some(notice) = self.successor(now, prefix.incarnation) {
-            return OwnerStatus::HandedOver(notice.clone());
+        let Some(notice) = self.successor(now, prefix.incarnation) else {
+            return self.process_status(now, prefix.address, prefix.incarnation);
+        };
+        let keeper = self.process_status(now, notice.address, notice.to);
+        match notice.to != self.own.incarnation && keeper == OwnerStatus::Gone {
+            true => OwnerStatus::Gone,
+            false => OwnerStatus::HandedOver(notice.clone()),
         }
-        if prefix.address == self.own.address {
+    }
+
+    /// What is known about another process, apart from handovers.
+    fn process_status(
+        &self,
+        now: TimePoint,
+        address: SocketAddr,
+        incarnation: IncarnationId,
+    ) -> OwnerStatus {
+        if address == self.own.address {
             return OwnerStatus::Gone;
         }
-        let Some(peer) = self.peers.get(&prefix.address) else {
+        let Some(peer) = self.peers.get(&address) else {
             // A VM that started after the owner was removed never had it in its table. The list
             // shows new VMs well within the margin, so an address that it lacked for that long
             // belongs to no VM.
@@ -440,13 +454,17 @@
                 false => OwnerStatus::Unreachable,
             };
         };
-        if peer.superseded.contains(&prefix.incarnation) {
+        if peer.superseded.contains(&incarnation) {
             return OwnerStatus::Gone;
         }
         if !peer.is_suspected(now, &self.settings) {
-            return OwnerStatus::Live(prefix.address);
+            return OwnerStatus::Live(address);
         }
-        match peer.is_dropped(&self.settings) {
+        // A seed that was replaced before this VM started is in the table and never was in the
+        // list.
+        let silent = now.since(peer.heard) >= self.settings.drop_margin;
+        let unlisted = !peer.listed && peer.dropped.is_none() && silent;
+        match peer.is_dropped(&self.settings) || (unlisted && self.is_unlisted_for_long(now)) {
             true => OwnerStatus::Gone,
             false => OwnerStatus::Unreachable,
         }
--- a/crates/dispatch/tests/membership_rules.rs
+++ b/crates/dispatch/tests/membership_rules.rs
@@ -293,3 +293,42 @@
     // A list that has not been read for long says nothing about a VM that started meanwhile.
     assert_eq!(table.owner(at(60), &owner), OwnerStatus::Unreachable);
 }
+
+/// Guards against a submission that is "unreachable" for ever: a seed of the settings file that was
+/// replaced before this VM started was never in the list that this VM reads.
+#[test]
+fn a_seed_that_was_never_listed_is_gone_after_the_margin() {
+    let mut table = table_of(1, &[2, 3]);
+    for second in 0..=40 {
+        exchange(&mut table, at(second), &[3]);
+        table.set_list(at(second), &list(&[1, 3]));
+        let expected = match second {
+            0..3 => OwnerStatus::Live(address(2)),
+            3..30 => OwnerStatus::Unreachable,
+            _ => OwnerStatus::Gone,
+        };
+        assert_eq!(
+            table.owner(at(second), &prefix(2, 2)),
+            expected,
+            "{second} s"
+        );
+    }
+}
+
+/// Guards against forwarding to a VM that took over outcomes and is gone itself, until the
+/// handover is forgotten after 15 minutes.
+#[test]
+fn an_owner_is_gone_with_the_vm_that_took_over_its_outcomes() {
+    let mut table = table_of(1, &[2, 3]);
+    exchange(&mut table, at(0), &[2, 3]);
+    let age = Duration::ZERO;
+    table.note_handover(at(0), &notice(2, 3), HandoverSource::Direct { age });
+    table.set_list(at(0), &list(&[1, 3]));
+    let handed_over = OwnerStatus::HandedOver(notice(2, 3));
+    assert_eq!(table.owner(at(0), &prefix(2, 2)), handed_over);
+    for second in 1..=40 {
+        exchange(&mut table, at(second), &[]);
+        table.set_list(at(second), &list(&[1]));
+    }
+    assert_eq!(table.owner(at(40), &prefix(2, 2)), OwnerStatus::Gone);
+}
