Remember bare keys longer than they can be claimed

Cause: a bare key counts from its first submission time, which may be 30 s ahead of the VM's clock, but its digest was dropped with the epoch in which it was accepted, 600 s after that epoch ended. In between the key was accepted and run again. Change: digests of bare keys are kept for a margin of 60 s more. The property test now expects that.

--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -20,6 +20,10 @@
     pub epoch_length: Duration,
     /// How long an epoch stays open after it has ended.
     pub window: Duration,
+    /// How much longer than their window bare keys are remembered. A client's clock may be ahead
+    /// (30 s by default), and clocks are adjusted, so a key can be claimed for longer than the
+    /// window after it was accepted.
+    pub key_margin: Duration,
     /// The memory for remembered submissions.
     pub byte_limit: ByteSize,
     /// The memory of one epoch after which the next one begins. Memory is released by epochs, so
@@ -32,6 +36,7 @@
         Self {
             epoch_length: Duration::from_secs(60),
             window: Duration::from_secs(600),
+            key_margin: Duration::from_secs(60),
             byte_limit: ByteSize::mib(32),
             epoch_bytes: ByteSize::mib(2),
         }
@@ -330,7 +335,8 @@
     /// Drops the bare keys that are too old to be claimed again. A bare key carries no epoch, so
     /// its digest must not be dropped earlier to release memory.
     fn drop_foreign(&mut self, now: TimePoint) {
-        let age_limit = self.settings.window + self.settings.epoch_length;
+        let age_limit =
+            self.settings.window + self.settings.epoch_length + self.settings.key_margin;
         let old = self.foreign.iter();
         let old = old.take_while(|(_, epoch)| now.since(epoch.began) >= age_limit);
         let old = old.map(|(&number, _)| number).collect::<Vec<_>>();
--- a/crates/dispatch/tests/submission_memory.rs
+++ b/crates/dispatch/tests/submission_memory.rs
@@ -40,6 +40,7 @@
     let settings = SubmissionSettings {
         epoch_length: Duration::from_secs(10),
         window: Duration::from_secs(60),
+        key_margin: Duration::from_secs(5),
         byte_limit: ByteSize::kib(16),
         epoch_bytes: ByteSize::kib(2),
     };
@@ -102,8 +103,9 @@
             }
             table.advance(at(now));
             for (since, submission) in &accepted {
-                // A bare key is refused by its age after the window.
-                let claimable = submission.prefix().is_some() || now - since <= 60;
+                // A bare key is refused by its age after the window, at the latest when the margin
+                // for clocks that are ahead has passed too.
+                let claimable = submission.prefix().is_some() || now - since <= 65;
                 prop_assert!(!claimable || !is_new(&table, submission));
             }
             for submission in &live {
@@ -152,3 +154,18 @@
     let late = table.lookup(&prefixed(first, 1));
     assert!(matches!(late, SubmissionVerdict::Expired));
 }
+
+/// Guards against a second run of a bare key whose client's clock was ahead: the claim table lets
+/// it through until its first submission time is older than the window.
+#[test]
+fn a_bare_key_is_remembered_beyond_the_window() {
+    let mut table = small_table();
+    // The end of an epoch is the worst case, because keys are dropped with their epoch.
+    table.advance(at(9));
+    table.accept(&bare(1), JobNumber(0), CONTENT);
+    finish(&mut table, &bare(1));
+    for second in 9..=9 + 65 {
+        table.advance(at(second));
+        assert!(!is_new(&table, &bare(1)), "new again after {second} s");
+    }
+}
--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -567,6 +567,7 @@
     if rng.random_bool(0.3) {
         engine.submissions.epoch_length = Duration::from_secs(6);
         engine.submissions.window = Duration::from_secs(60);
+        engine.submissions.key_margin = Duration::from_secs(4);
         claims.key_window = Duration::from_secs(60);
         claims.clock_margin = Duration::from_secs(2);
     }
