Find outcomes of bare keys after a handover, and stop without truncation

Routing now treats the owner by claim like the owner by prefix. - The process that took over ran a bare key that it did not know, although the owner may have run and forgotten it. They now have the rest of the time for draining.

The fault run follows the same order of checks.

--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use filbertpitch_types::peer::ForwardCommand;
 use filbertpitch_types::prelude::*;
 
 use crate::membership::OwnerStatus;
@@ -22,19 +23,15 @@
     },
     /// Nobody will ever run it; whether it ran is unknown.
     OwnerGone,
-    /// The log must decide who owns this bare key.
-    Claim,
 }
 
-/// Decides where a request for `submission` goes.
+/// Decides where a request for a submission of `owner` goes. The owner of a bare key is whoever
+/// claimed it.
 pub fn route_submission(
-    submission: &SubmissionId,
+    owner: &OwnerPrefix,
     this: IncarnationId,
     status: &OwnerStatus,
 ) -> RouteDecision {
-    let Some(prefix) = submission.prefix() else {
-        return RouteDecision::Claim;
-    };
     match status {
         OwnerStatus::This => RouteDecision::Local,
         OwnerStatus::HandedOver(notice) if notice.to == this => RouteDecision::Local,
@@ -45,8 +42,16 @@
         OwnerStatus::Gone => RouteDecision::OwnerGone,
         // An owner that missed heartbeats may answer a request all the same.
         OwnerStatus::Live(_) | OwnerStatus::Unreachable => RouteDecision::Forward {
-            address: prefix.address,
-            owner: prefix.incarnation,
+            address: owner.address,
+            owner: owner.incarnation,
         },
     }
 }
+
+/// What the process that took over from an owner is asked: it keeps outcomes and decides nothing.
+///
+/// It may lack outcomes that the owner had forgotten. To its engine, such a bare key would look
+/// like one that never ran.
+pub fn successor_command(command: &ForwardCommand) -> ForwardCommand {
+    ForwardCommand::Lookup(command.submission().clone())
+}
--- a/crates/filbertpitch/src/serve/callers.rs
+++ b/crates/filbertpitch/src/serve/callers.rs
@@ -5,8 +5,7 @@
 use filbertpitch_dispatch::claim::ClaimStatus;
 use filbertpitch_dispatch::engine::{CallerReply, EngineEvent};
 use filbertpitch_dispatch::job::unknown_answer;
-use filbertpitch_dispatch::membership::OwnerStatus;
-use filbertpitch_dispatch::route::{RouteDecision, route_submission};
+use filbertpitch_dispatch::route::{RouteDecision, route_submission, successor_command};
 use filbertpitch_types::caller::{JobAnswer, JobRequest, PrefixAnswer};
 use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand};
 use filbertpitch_types::prelude::*;
@@ -104,17 +103,41 @@
     }
 
     async fn answer_call(self: &Rc<Self>, call: SubmissionCall) -> ServerResponse {
-        let status = self.owner_status(&call.submission);
-        match route_submission(&call.submission, self.incarnation(), &status) {
-            RouteDecision::Local => self.decide_locally(call).await,
-            RouteDecision::OwnerGone => self.answer_gone(call.submission),
-            RouteDecision::Forward { address, owner } => {
+        let Some(owner) = call.submission.prefix().cloned() else {
+            return self.answer_bare(call).await;
+        };
+        self.answer_owned(&owner, call).await
+    }
+
+    /// Answers about a submission that `owner` may start.
+    async fn answer_owned(
+        self: &Rc<Self>,
+        owner: &OwnerPrefix,
+        call: SubmissionCall,
+    ) -> ServerResponse {
+        let status = self.prefix_status(owner);
+        match route_submission(owner, self.incarnation(), &status) {
+            RouteDecision::Local if owner.incarnation == self.incarnation() => {
+                self.decide_locally(call).await
+            }
+            RouteDecision::Local => self.answer_adopted(call).await,
+            RouteDecision::Forward { address, owner: to } => {
+                let origin = owner.incarnation;
                 let outcome = self
-                    .forward(address, owner, call.command, call.traceparent)
+                    .forward(address, to, origin, call.command, call.traceparent)
                     .await;
                 self.answer_forwarded(call.submission, outcome)
             }
-            RouteDecision::Claim => self.answer_bare(call).await,
+            RouteDecision::OwnerGone => self.answer_gone(call.submission),
+        }
+    }
+
+    /// Answers from the outcomes that another process handed over to this one.
+    async fn answer_adopted(self: &Rc<Self>, call: SubmissionCall) -> ServerResponse {
+        let command = successor_command(&call.command);
+        match self.decide(command, call.traceparent).await {
+            Some(CallerReply::NotFound) | None => self.answer_gone(call.submission),
+            Some(reply) => self.reply_response(reply),
         }
     }
 
@@ -158,21 +181,7 @@
         let may_claim = matches!(call.command, ForwardCommand::Submit(_));
         match self.claim_owner(&call.submission, may_claim).await {
             Some(ClaimStatus::Mine) => self.decide_locally(call).await,
-            Some(ClaimStatus::Theirs(owner)) => {
-                let status = self.prefix_status(&owner);
-                if status == OwnerStatus::Gone {
-                    return self.answer_gone(call.submission);
-                }
-                let outcome = self
-                    .forward(
-                        owner.address,
-                        owner.incarnation,
-                        call.command,
-                        call.traceparent,
-                    )
-                    .await;
-                self.answer_forwarded(call.submission, outcome)
-            }
+            Some(ClaimStatus::Theirs(owner)) => self.answer_owned(&owner, call).await,
             Some(ClaimStatus::Expired) => {
                 let answer = unknown_answer(call.submission, UnknownReason::Expired);
                 self.job_response(JobAnswer::clone(&answer))
--- a/crates/filbertpitch/src/serve/claims.rs
+++ b/crates/filbertpitch/src/serve/claims.rs
@@ -79,7 +79,8 @@
         }
     }
 
-    fn claim_status(&self, submission: &SubmissionId) -> ClaimStatus {
+    /// Who owns a bare key, as far as the stream has been read.
+    pub(super) fn claim_status(&self, submission: &SubmissionId) -> ClaimStatus {
         let wall = self.now().wall;
         self.claims.table.borrow().status(submission, wall)
     }
--- a/crates/filbertpitch/src/serve/forward.rs
+++ b/crates/filbertpitch/src/serve/forward.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use filbertpitch_dispatch::claim::ClaimStatus;
 use filbertpitch_dispatch::engine::CallerReply;
+use filbertpitch_dispatch::job::unknown_answer;
+use filbertpitch_dispatch::route::successor_command;
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand, ForwardRequest};
 use filbertpitch_types::prelude::*;
@@ -35,11 +38,13 @@
 }
 
 impl EntryNode {
-    /// Passes a request on to the process that owns its submission.
+    /// Passes a request on to `owner`, which is `origin`, the only process that may start the
+    /// submission, or the one that took over its outcomes.
     pub(super) async fn forward(
         self: &Rc<Self>,
         address: SocketAddr,
         owner: IncarnationId,
+        origin: IncarnationId,
         command: ForwardCommand,
         traceparent: Option<Box<str>>,
     ) -> ForwardOutcome {
@@ -51,7 +56,10 @@
             let request = ForwardRequest {
                 owner,
                 traceparent: span.as_ref().map(OpenSpan::traceparent),
-                command: command.clone(),
+                command: match owner == origin {
+                    true => command.clone(),
+                    false => successor_command(&command),
+                },
             };
             let answer = self.exchange(address, &request).await;
             if let Some(span) = span {
@@ -68,6 +76,10 @@
                 ForwardAnswer::HandedOver(notice) => {
                     (address, owner) = (notice.address, notice.to);
                 }
+                ForwardAnswer::NotFound if owner != origin => {
+                    let gone = ForwardAnswer::OwnerGone { incarnation: owner };
+                    return ForwardOutcome::Answered(gone);
+                }
                 answer => return ForwardOutcome::Answered(answer),
             }
         }
@@ -113,6 +125,13 @@
         if request.owner != self.incarnation() {
             return Some(self.disown(request.owner));
         }
+        let submission = request.command.submission();
+        // The age was checked before the request was forwarded, but it may have waited for long,
+        // for example while this process was paused. The engine may have forgotten the key.
+        if submission.prefix().is_none() && self.claim_status(submission) == ClaimStatus::Expired {
+            let answer = unknown_answer(submission.clone(), UnknownReason::Expired);
+            return Some(ForwardAnswer::Job(JobAnswer::clone(&answer)));
+        }
         // A request that its entry VM does not sample is not sampled here either.
         let traces = &self.observer().traces;
         let parent = request.traceparent.as_deref();
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -129,6 +129,7 @@
         // is no longer ready, and refusing that work would cut requests short.
         monoio::time::sleep(settings.drain_notice).await;
         self.node.driver().feed(EngineEvent::DrainStarted);
+        let end = self.node.now().time + settings.drain_timeout;
         let drained = self.wait_until_idle(settings.drain_timeout).await;
         if !drained {
             self.node.driver().feed(EngineEvent::DrainExpired);
@@ -138,7 +139,9 @@
         self.node.set_life(LifeState::Stopped);
         self.node.observer().log.report_suppressed();
         self.server.stop.stop();
-        let closing = monoio::time::timeout(settings.peer_timeout, self.server.done).await;
+        // Requests that were forwarded to other owners are answered when those answer.
+        let left = end.since(self.node.now().time).max(settings.peer_timeout);
+        let closing = monoio::time::timeout(left, self.server.done).await;
         drained && closing.is_ok()
     }
 
--- a/crates/filbertpitch/src/serve/node.rs
+++ b/crates/filbertpitch/src/serve/node.rs
@@ -151,14 +151,6 @@
         self.follower.borrow().configuration().limits.clone()
     }
 
-    /// What is known about the owner of a submission.
-    pub(super) fn owner_status(&self, submission: &SubmissionId) -> OwnerStatus {
-        match submission.prefix() {
-            Some(prefix) => self.prefix_status(prefix),
-            None => OwnerStatus::Unreachable,
-        }
-    }
-
     /// What is known about the process that a prefix names.
     pub(super) fn prefix_status(&self, prefix: &OwnerPrefix) -> OwnerStatus {
         let now = self.now().time;
--- a/crates/standins/src/bin/trial.rs
+++ b/crates/standins/src/bin/trial.rs
@@ -1,5 +1,6 @@
 //! Runs seeds of the fault run and prints what was found.
 
+use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
@@ -37,7 +38,7 @@
     Ok(number(first)?..number(end)?)
 }
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
     let args = argh::from_env::<TrialArgs>();
     let seeds = match (&args.seed, &args.seeds) {
         (Some(seed), _) => *seed..seed + 1,
@@ -64,8 +65,8 @@
         virtual_time.as_secs()
     );
     match broken {
-        0 => Ok(()),
-        _ => eyre::bail!("{broken} seeds broke invariants"),
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
     }
 }
 
--- a/crates/standins/src/trial/message.rs
+++ b/crates/standins/src/trial/message.rs
@@ -240,6 +240,10 @@
 pub struct ForwardCall {
     /// Who waits for the answer.
     pub caller: ExchangeId,
+    /// The only process that may start the submission.
+    pub origin: IncarnationId,
+    /// The process that was asked last.
+    pub asked: IncarnationId,
     /// The request.
     pub command: ForwardCommand,
     /// How many owners may still be asked.
@@ -289,14 +293,6 @@
     Final,
 }
 
-/// The submission that a command is about.
-pub fn submission_of(command: &ForwardCommand) -> &SubmissionId {
-    match command {
-        ForwardCommand::Submit(request) => &request.submission,
-        ForwardCommand::Lookup(submission) | ForwardCommand::Cancel(submission) => submission,
-    }
-}
-
 /// The notice that a handover ends with.
 pub fn handover_notice(
     from: IncarnationId,
--- a/crates/standins/src/trial/operator.rs
+++ b/crates/standins/src/trial/operator.rs
@@ -12,15 +12,16 @@
 use filbertpitch_config::record::ticket_body;
 use filbertpitch_config::spec::{Configuration, TeamSpec};
 use filbertpitch_config::ticket::ChangeTicket;
-use filbertpitch_types::platform::TICKET_STREAM;
+use filbertpitch_types::platform::{LogRecord, TICKET_STREAM};
 use filbertpitch_types::prelude::*;
+use filbertpitch_types::time::ClockReading;
 use rand::Rng;
 
 use super::message::{Call, Party, PoolKind, Request, SendOptions};
 use super::settings::FaultClass;
 use super::sim::{SimEvent, Simulation};
 use super::world_setup::{TEAMS, configuration, log_address, parse, target_name, target_spec};
-use crate::log_model::ReadResult;
+use crate::log_model::{READ_LIMIT, ReadResult};
 
 /// How soon an accepted ticket must be in effect on every VM that can read the log.
 const EFFECT_LIMIT: Duration = Duration::from_secs(2);
@@ -55,6 +56,32 @@
     seen: BTreeMap<usize, BTreeMap<TeamName, u32>>,
 }
 
+/// The rules for tickets in their plainest form, apart from the code under test.
+#[derive(Default)]
+struct WeightFold {
+    nonces: BTreeSet<TicketNonce>,
+    numbers: BTreeMap<ObjectName, TicketNumber>,
+    weights: BTreeMap<TeamName, u32>,
+}
+
+impl WeightFold {
+    fn apply(&mut self, ticket: &ChangeTicket) {
+        let names = || ticket.objects.iter().map(ObjectChange::name);
+        let fresh = self.nonces.insert(ticket.nonce.clone());
+        let higher = names().all(|name| self.numbers.get(&name) < Some(&ticket.number));
+        if !fresh || !higher {
+            return;
+        }
+        self.numbers
+            .extend(names().map(|name| (name, ticket.number)));
+        for object in &ticket.objects {
+            if let ObjectChange::Team(name, Some(spec)) = object {
+                self.weights.insert(name.clone(), spec.weight.0.get());
+            }
+        }
+    }
+}
+
 impl Simulation {
     /// Publishes the configuration of the run before any VM starts.
     pub fn append_first_ticket(&mut self) {
@@ -217,36 +244,35 @@
         }
     }
 
-    /// The weights that the tickets in the log amount to: a ticket counts unless its nonce was
-    /// used before or an object that it changes has an equal or higher number.
-    fn expected_weights(&mut self) -> Option<BTreeMap<TeamName, u32>> {
-        let mut clock = self.platform_clock();
-        clock.time = TimePoint(clock.time.0.saturating_sub(EFFECT_LIMIT.as_micros() as u64));
-        let log = &mut self.platform.log;
-        let ReadResult::Records(answer) = log.read(clock, TICKET_STREAM, LogOffset(0), 1000) else {
-            return None;
+    /// The weights after each ticket in the log, from those that must be in effect on: a ticket
+    /// counts unless its nonce was used before or an object that it changes has an equal or
+    /// higher number.
+    fn expected_weights(&mut self) -> Option<Vec<BTreeMap<TeamName, u32>>> {
+        let clock = self.platform_clock();
+        let settled = ClockReading {
+            time: clock.time - EFFECT_LIMIT,
+            ..clock
         };
-        let mut nonces = BTreeSet::new();
-        let mut numbers = BTreeMap::<ObjectName, TicketNumber>::new();
-        let mut weights = BTreeMap::new();
-        for record in &answer.records {
+        let settled = self.read_tickets_at(settled)?.len();
+        let mut fold = WeightFold::default();
+        let mut expected = Vec::new();
+        for (position, record) in self.read_tickets_at(clock)?.iter().enumerate() {
             let known = self.operators.tickets.iter();
             let mut known = known.map(|published| &published.ticket);
-            let ticket = known.find(|ticket| *ticket_body(ticket) == *record.body)?;
-            let names = || ticket.objects.iter().map(ObjectChange::name);
-            let fresh = nonces.insert(ticket.nonce.clone());
-            let higher = names().all(|name| numbers.get(&name) < Some(&ticket.number));
-            if !fresh || !higher {
-                continue;
-            }
-            numbers.extend(names().map(|name| (name, ticket.number)));
-            for object in &ticket.objects {
-                if let ObjectChange::Team(name, Some(spec)) = object {
-                    weights.insert(name.clone(), spec.weight.0.get());
-                }
+            fold.apply(known.find(|ticket| *ticket_body(ticket) == *record.body)?);
+            if position + 1 >= settled {
+                expected.push(fold.weights.clone());
             }
         }
-        Some(weights)
+        Some(expected)
+    }
+
+    fn read_tickets_at(&mut self, clock: ClockReading) -> Option<Vec<LogRecord>> {
+        let log = &mut self.platform.log;
+        match log.read(clock, TICKET_STREAM, LogOffset(0), READ_LIMIT) {
+            ReadResult::Records(answer) => Some(answer.records),
+            _ => None,
+        }
     }
 
     fn check_in_force(&mut self) {
@@ -266,15 +292,13 @@
                 continue;
             };
             let teams = &process.engine().catalog().configuration().teams;
-            for (name, weight) in &expected {
-                let actual = teams.get(name).map(|spec| spec.weight.0.get());
-                // A later ticket may already be in effect.
-                let later = actual.is_some_and(|actual| actual > *weight);
-                if actual != Some(*weight) && !later {
-                    behind.push(format!(
-                        "vm {vm} has weight {actual:?} of team {name} and not {weight}"
-                    ));
-                }
+            let weights = teams.iter();
+            let actual = weights
+                .map(|(name, spec)| (name.clone(), spec.weight.0.get()))
+                .collect::<BTreeMap<_, _>>();
+            if !expected.contains(&actual) {
+                let oldest = expected.first();
+                behind.push(format!("vm {vm} has weights {actual:?} and not {oldest:?}"));
             }
         }
         for text in behind {
--- a/crates/standins/src/trial/verify.rs
+++ b/crates/standins/src/trial/verify.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use filbertpitch_types::caller::JobAnswer;
+use filbertpitch_types::peer::HandoverNotice;
+use filbertpitch_types::platform::HANDOVER_STREAM;
 use filbertpitch_types::prelude::*;
 
 use super::client::JobRecord;
@@ -11,6 +13,7 @@
 use super::sim::Simulation;
 use crate::audit::audit_starts;
 use crate::ledger::{LedgerEntry, RunEnd};
+use crate::log_model::ReadResult;
 use crate::plan::{expected_output, text_digest};
 
 /// How long a target may get new work after the list showed that it is leaving.
@@ -181,6 +184,7 @@
         };
         let earlier = job_answers(record).find(|answer| answer.unknown.is_none());
         if let (Some(earlier), Some(reason)) = (earlier, last.unknown)
+            && earlier.not_run != Some(NotRunReason::Draining)
             && self.is_kept(submission)
         {
             let outcome = earlier.outcome;
@@ -190,8 +194,11 @@
         }
     }
 
-    /// Whether the outcome of a prefixed submission must still be known: its owner, or the
-    /// process that took over from it, has neither been killed nor forgotten it by its bounds.
+    /// Whether every VM must still know the outcome of a prefixed submission: its owner, or the
+    /// process that took over from it as announced in the log, has neither been killed nor
+    /// forgotten it by its bounds. Of an announcement that did not reach the log, VMs that started
+    /// after the successor ended learn nothing; they are VMs that lost the owner. A rejection
+    /// because of the stop itself may be younger than the handover; it only expires.
     fn is_kept(&self, submission: &SubmissionId) -> bool {
         let Some(prefix) = submission.prefix() else {
             return false;
@@ -199,14 +206,32 @@
         if !self.keeps_everything() {
             return false;
         }
+        let announced = self.announced_handovers();
         let mut keeper = prefix.incarnation;
         while let Some(&next) = self.evidence.handed.get(&keeper) {
+            if !announced.contains(&(keeper, next)) {
+                return false;
+            }
             keeper = next;
         }
         let host = self.vms.iter().find(|host| host.incarnation == keeper);
         host.is_some_and(|host| host.process.is_some())
     }
 
+    /// The handovers that the log announces.
+    fn announced_handovers(&self) -> BTreeSet<(IncarnationId, IncarnationId)> {
+        let mut log = self.platform.log.clone();
+        let read = log.read(self.platform_clock(), HANDOVER_STREAM, LogOffset(0), 1000);
+        let ReadResult::Records(answer) = read else {
+            return BTreeSet::new();
+        };
+        let records = answer.records.iter();
+        let notices = records.filter_map(|record| serde_json::from_str(&record.body).ok());
+        notices
+            .map(|notice: HandoverNotice| (notice.from, notice.to))
+            .collect()
+    }
+
     /// Whether the windows and the memory of this run's VMs exceed what happens in it.
     fn keeps_everything(&self) -> bool {
         let submissions = &self.vm_settings.engine.submissions;
--- a/crates/standins/src/trial/vm/callers.rs
+++ b/crates/standins/src/trial/vm/callers.rs
@@ -3,13 +3,12 @@
 use filbertpitch_dispatch::claim::ClaimStatus;
 use filbertpitch_dispatch::engine::CallerReply;
 use filbertpitch_dispatch::job::unknown_answer;
-use filbertpitch_dispatch::membership::OwnerStatus;
-use filbertpitch_dispatch::route::{RouteDecision, route_submission};
+use filbertpitch_dispatch::route::{RouteDecision, route_submission, successor_command};
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand};
 use filbertpitch_types::prelude::*;
 
-use super::super::message::{CallerAnswer, ExchangeId, submission_of};
+use super::super::message::{CallerAnswer, ExchangeId};
 use super::{EntryVm, ReplyTo};
 
 impl EntryVm {
@@ -17,15 +16,30 @@
         if matches!(command, ForwardCommand::Submit(_)) && !self.has_configuration() {
             return self.answer(caller, CallerAnswer::NotReady);
         }
-        let submission = submission_of(&command);
-        let status = self.owner_status(submission);
-        match route_submission(submission, self.incarnation, &status) {
-            RouteDecision::Local => self.call_engine(ReplyTo::Caller(caller), command),
-            RouteDecision::OwnerGone => self.answer_gone(caller, submission.clone()),
-            RouteDecision::Forward { address, owner } => {
-                self.forward(caller, address, owner, command);
+        match command.submission().prefix().cloned() {
+            Some(owner) => self.answer_owned(caller, &owner, command),
+            None => self.answer_bare(caller, command),
+        }
+    }
+
+    /// Answers about a submission that `owner` may start.
+    fn answer_owned(&mut self, caller: ExchangeId, owner: &OwnerPrefix, command: ForwardCommand) {
+        let status = self.prefix_status(owner);
+        let submission = command.submission().clone();
+        match route_submission(owner, self.incarnation, &status) {
+            RouteDecision::Local if owner.incarnation == self.incarnation => {
+                self.call_engine(ReplyTo::Caller(caller), command);
+            }
+            RouteDecision::Local => {
+                let to = ReplyTo::AdoptedCaller(caller, submission);
+                self.call_engine(to, successor_command(&command));
+            }
+            RouteDecision::Forward { address, owner: to } => {
+                self.forward(caller, address, to, owner.incarnation, command);
+            }
+            RouteDecision::OwnerGone => {
+                self.answer_gone(caller, submission);
             }
-            RouteDecision::Claim => self.answer_bare(caller, command),
         }
     }
 
@@ -38,14 +52,11 @@
         status: Option<ClaimStatus>,
     ) {
         let may_claim = matches!(command, ForwardCommand::Submit(_));
-        let submission = submission_of(&command).clone();
+        let submission = command.submission().clone();
         match status {
             Some(ClaimStatus::Mine) => self.call_engine(ReplyTo::Caller(caller), command),
             Some(ClaimStatus::Theirs(owner)) => {
-                if self.prefix_status(&owner) == OwnerStatus::Gone {
-                    return self.answer_gone(caller, submission);
-                }
-                self.forward(caller, owner.address, owner.incarnation, command);
+                self.answer_owned(caller, &owner, command);
             }
             Some(ClaimStatus::Expired) => {
                 let answer = unknown_answer(submission, UnknownReason::Expired);
@@ -61,7 +72,7 @@
         }
     }
 
-    fn answer_gone(&mut self, caller: ExchangeId, submission: SubmissionId) {
+    pub(super) fn answer_gone(&mut self, caller: ExchangeId, submission: SubmissionId) {
         let answer = unknown_answer(submission, UnknownReason::OwnerGone);
         let answer = self.job_answer(JobAnswer::clone(&answer));
         self.answer(caller, answer);
--- a/crates/standins/src/trial/vm/claims.rs
+++ b/crates/standins/src/trial/vm/claims.rs
@@ -8,7 +8,7 @@
 use filbertpitch_types::platform::CLAIM_STREAM;
 use filbertpitch_types::prelude::*;
 
-use super::super::message::{ExchangeId, Failure, Request, Response, VmCall, submission_of};
+use super::super::message::{ExchangeId, Failure, Request, Response, VmCall};
 use super::platform::{APPEND_TIMEOUT, READ_MARGIN, STREAM_LIMIT, STREAM_RETRY, STREAM_WAIT};
 use super::{EntryVm, VmTimer};
 
@@ -39,19 +39,19 @@
 
 impl EntryVm {
     pub(super) fn answer_bare(&mut self, caller: ExchangeId, command: ForwardCommand) {
-        let status = self.claim_status(submission_of(&command));
+        let status = self.claim_status(command.submission());
         let may_claim = matches!(command, ForwardCommand::Submit(_));
         if status != ClaimStatus::Unclaimed || !may_claim {
             return self.answer_claimed(caller, command, Some(status));
         }
-        self.claims.table.want(submission_of(&command).clone());
+        self.claims.table.want(command.submission().clone());
         self.claims.waiting.insert(caller, command);
         self.wake_after(CLAIM_TIMEOUT, VmTimer::ClaimTimeout(caller));
         self.claims.woken = true;
         self.wake_appends();
     }
 
-    fn claim_status(&self, submission: &SubmissionId) -> ClaimStatus {
+    pub(super) fn claim_status(&self, submission: &SubmissionId) -> ClaimStatus {
         self.claims.table.status(submission, self.clock.wall)
     }
 
@@ -122,10 +122,10 @@
 
     fn notify_claimed(&mut self, batch: &ClaimBatch) {
         let waiting = self.claims.waiting.iter();
-        let claimed = waiting.filter(|(_, command)| batch.keys.contains(submission_of(command)));
+        let claimed = waiting.filter(|(_, command)| batch.keys.contains(command.submission()));
         for caller in claimed.map(|(&caller, _)| caller).collect::<Vec<_>>() {
             if let Some(command) = self.claims.waiting.remove(&caller) {
-                let status = self.claim_status(submission_of(&command));
+                let status = self.claim_status(command.submission());
                 self.answer_claimed(caller, command, Some(status));
             }
         }
--- a/crates/standins/src/trial/vm/drain.rs
+++ b/crates/standins/src/trial/vm/drain.rs
@@ -35,7 +35,7 @@
     /// Work that did not end in time is stopped.
     Expiring(TimePoint),
     /// Outcomes go to another VM.
-    HandingOver(HandoverPlan),
+    HandingOver(Box<HandoverPlan>),
     /// Requests in progress are answered.
     Closing(TimePoint),
     /// The process has ended.
@@ -63,7 +63,8 @@
         match self.drain {
             DrainStage::Notice => {
                 self.feed(EngineEvent::DrainStarted);
-                self.drain = DrainStage::Draining(now + self.settings.drain_timeout);
+                self.drain_end = now + self.settings.drain_timeout;
+                self.drain = DrainStage::Draining(self.drain_end);
                 self.step_drain();
             }
             DrainStage::Draining(_) | DrainStage::Expiring(_) if self.engine.is_idle() => {
@@ -102,11 +103,11 @@
         candidates.retain(|peer| peer.ready && !peer.leaving);
         let home = &self.settings.zone;
         candidates.sort_by_key(|peer| (peer.zone != *home, peer.address));
-        self.drain = DrainStage::HandingOver(HandoverPlan {
+        self.drain = DrainStage::HandingOver(Box::new(HandoverPlan {
             candidates: candidates.into(),
             answers,
             sent: 0,
-        });
+        }));
         self.send_handover_part();
     }
 
@@ -155,7 +156,8 @@
     }
 
     pub(super) fn begin_closing(&mut self) {
-        self.drain = DrainStage::Closing(self.clock.time + PEER_TIMEOUT);
+        let end = self.drain_end.max(self.clock.time + PEER_TIMEOUT);
+        self.drain = DrainStage::Closing(end);
         self.out.push(VmOutput::StopListening);
         self.wake_after(Duration::ZERO, VmTimer::Drain);
     }
--- a/crates/standins/src/trial/vm/forward.rs
+++ b/crates/standins/src/trial/vm/forward.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use filbertpitch_dispatch::claim::ClaimStatus;
+use filbertpitch_dispatch::job::unknown_answer;
+use filbertpitch_dispatch::route::successor_command;
+use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{ForwardAnswer, ForwardCommand, ForwardRequest};
 use filbertpitch_types::prelude::*;
 
-use super::super::message::{
-    ExchangeId, Failure, ForwardCall, Request, Response, VmCall, submission_of,
-};
+use super::super::message::{ExchangeId, Failure, ForwardCall, Request, Response, VmCall};
 use super::{EntryVm, ReplyTo};
 
 /// The time beyond a job's deadline in which its owner still answers.
@@ -24,10 +26,13 @@
         caller: ExchangeId,
         address: SocketAddr,
         owner: IncarnationId,
+        origin: IncarnationId,
         command: ForwardCommand,
     ) {
         let call = ForwardCall {
             caller,
+            origin,
+            asked: owner,
             command,
             hops: HANDOVER_HOPS,
         };
@@ -36,38 +41,63 @@
 
     fn ask_owner(&mut self, address: SocketAddr, owner: IncarnationId, mut call: ForwardCall) {
         if call.hops == 0 {
-            let submission = submission_of(&call.command).clone();
+            let submission = call.command.submission().clone();
             return self.answer_forwarded(call.caller, submission, None);
         }
         call.hops -= 1;
-        let timeout = match &call.command {
+        call.asked = owner;
+        let command = match owner == call.origin {
+            true => call.command.clone(),
+            false => successor_command(&call.command),
+        };
+        let timeout = match &command {
             ForwardCommand::Submit(request) => request.deadline + DEADLINE_MARGIN,
             ForwardCommand::Lookup(_) | ForwardCommand::Cancel(_) => SHORT_TIMEOUT,
         };
         let request = Request::Forward(Box::new(ForwardRequest {
             owner,
             traceparent: None,
-            command: call.command.clone(),
+            command,
         }));
         self.send(address, request, timeout, VmCall::Forward(Box::new(call)));
     }
 
     pub(super) fn end_forward(&mut self, call: ForwardCall, result: Result<Response, Failure>) {
-        let submission = submission_of(&call.command).clone();
+        let submission = call.command.submission().clone();
         match result {
             Ok(Response::Forward(answer)) => match *answer {
                 ForwardAnswer::HandedOver(notice) => {
                     self.ask_owner(notice.address, notice.to, call);
                 }
+                ForwardAnswer::NotFound if call.asked != call.origin => {
+                    let incarnation = call.asked;
+                    let gone = ForwardAnswer::OwnerGone { incarnation };
+                    self.answer_forwarded(call.caller, submission, Some(gone));
+                }
                 answer => self.answer_forwarded(call.caller, submission, Some(answer)),
             },
             _ => self.answer_forwarded(call.caller, submission, None),
         }
     }
 
+    fn decide_forwarded(&mut self, exchange: ExchangeId, command: ForwardCommand) {
+        let submission = command.submission();
+        if submission.prefix().is_none() && self.claim_status(submission) == ClaimStatus::Expired {
+            let answer = unknown_answer(submission.clone(), UnknownReason::Expired);
+            let answer = ForwardAnswer::Job(JobAnswer::clone(&answer));
+            return self.answer_peer(exchange, answer);
+        }
+        self.call_engine(ReplyTo::Peer(exchange), command);
+    }
+
+    pub(super) fn answer_peer(&mut self, exchange: ExchangeId, answer: ForwardAnswer) {
+        self.open_calls.remove(&exchange);
+        self.reply(exchange, Response::Forward(Box::new(answer)));
+    }
+
     pub(super) fn answer_forward(&mut self, exchange: ExchangeId, request: ForwardRequest) {
         if request.owner == self.incarnation {
-            return self.call_engine(ReplyTo::Peer(exchange), request.command);
+            return self.decide_forwarded(exchange, request.command);
         }
         let successor = self.peers.handover_of(self.clock.time, request.owner);
         let answer = match successor {
@@ -76,7 +106,6 @@
                 incarnation: self.incarnation,
             },
         };
-        self.open_calls.remove(&exchange);
-        self.reply(exchange, Response::Forward(Box::new(answer)));
+        self.answer_peer(exchange, answer);
     }
 }
--- a/crates/standins/src/trial/vm/mod.rs
+++ b/crates/standins/src/trial/vm/mod.rs
@@ -91,9 +91,11 @@
 }
 
 /// Who waits for a reply of the engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum ReplyTo {
     Caller(ExchangeId),
+    /// A caller who asked about an outcome that another process handed over.
+    AdoptedCaller(ExchangeId, SubmissionId),
     Peer(ExchangeId),
 }
 
@@ -133,6 +135,7 @@
     fleet: Option<FleetView>,
     life: LifeState,
     drain: DrainStage,
+    drain_end: TimePoint,
     next_handover: LogOffset,
     next_caller: u64,
     replies: BTreeMap<CallerToken, ReplyTo>,
@@ -175,6 +178,7 @@
             fleet: None,
             life: LifeState::Starting,
             drain: DrainStage::Serving,
+            drain_end: TimePoint::default(),
             next_handover: LogOffset(0),
             next_caller: 0,
             replies: BTreeMap::new(),
@@ -349,10 +353,16 @@
                 let answer = self.caller_answer(reply);
                 self.answer(exchange, answer);
             }
+            Some(ReplyTo::AdoptedCaller(exchange, submission)) => match reply {
+                CallerReply::NotFound => self.answer_gone(exchange, submission),
+                reply => {
+                    let answer = self.caller_answer(reply);
+                    self.answer(exchange, answer);
+                }
+            },
             Some(ReplyTo::Peer(exchange)) => {
                 let answer = forward_answer(reply);
-                self.open_calls.remove(&exchange);
-                self.reply(exchange, Response::Forward(Box::new(answer)));
+                self.answer_peer(exchange, answer);
             }
             None => {}
         }
@@ -402,13 +412,6 @@
         self.follower.has_state()
     }
 
-    fn owner_status(&self, submission: &SubmissionId) -> OwnerStatus {
-        match submission.prefix() {
-            Some(prefix) => self.prefix_status(prefix),
-            None => OwnerStatus::Unreachable,
-        }
-    }
-
     fn prefix_status(&self, prefix: &OwnerPrefix) -> OwnerStatus {
         self.peers.owner(self.clock.time, prefix)
     }
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -60,6 +60,16 @@
     Cancel(SubmissionId),
 }
 
+impl ForwardCommand {
+    /// The submission that it is about.
+    pub fn submission(&self) -> &SubmissionId {
+        match self {
+            Self::Submit(request) => &request.submission,
+            Self::Lookup(submission) | Self::Cancel(submission) => submission,
+        }
+    }
+}
+
 /// The owner's reply to a forwarded request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardAnswer {
