--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -52,6 +52,13 @@
     done: oneshot::Receiver<()>,
 }
 
+impl<State> EntryLife<State> {
+    /// The VM, for status.
+    pub fn node(&self) -> Rc<EntryNode> {
+        Rc::clone(&self.node)
+    }
+}
+
 impl EntryLife<Starting> {
     /// Binds the server and starts the background tasks.
     ///
--- a/crates/filbertpitch/src/serve/mod.rs
+++ b/crates/filbertpitch/src/serve/mod.rs
@@ -18,6 +18,7 @@
 mod traffic;
 
 pub use self::lifecycle::{EntryLife, Starting};
+pub use self::node::EntryNode;
 pub use self::observe::{
     LoopCounts, NodeObserver, OverloadChange, OverloadWatch, PeerChange, PeerWatch, SeenPeer,
 };
--- a/crates/filbertpitch/src/traces/tree.rs
+++ b/crates/filbertpitch/src/traces/tree.rs
@@ -60,6 +60,13 @@
     }
 }
 
+/// Siblings follow their start. An empty wait in the queue starts together with the attempt that
+/// follows it, so the one that ends first comes first.
+fn order_of(placed: &PlacedSpan) -> (u64, u64, SpanNumber) {
+    let span = &placed.span;
+    (span.start_us, span.duration_us, span.span)
+}
+
 /// Spans that are being arranged.
 struct Arrangement {
     waiting: BTreeMap<SpanNumber, PlacedSpan>,
@@ -76,7 +83,7 @@
         }
         let mut children = BTreeMap::<_, Vec<_>>::new();
         let mut by_start = waiting.values().collect::<Vec<&PlacedSpan>>();
-        by_start.sort_by_key(|placed| (placed.span.start_us, placed.span.span));
+        by_start.sort_by_key(|placed| order_of(placed));
         for placed in by_start {
             if let Some(parent) = placed.span.parent {
                 children.entry(parent).or_default().push(placed.span.span);
@@ -97,7 +104,7 @@
             parent.is_none_or(|parent| !ids.contains(parent))
         };
         let mut roots = self.waiting.values().filter(is_root).collect::<Vec<_>>();
-        roots.sort_by_key(|placed| (placed.span.start_us, placed.span.span));
+        roots.sort_by_key(|placed| order_of(placed));
         roots.iter().map(|placed| placed.span.span).collect()
     }
 
