--- a/crates/filbertpitch/tests/command.rs
+++ b/crates/filbertpitch/tests/command.rs
@@ -15,6 +15,7 @@
     ConfigStatus, LifeState, PeerState, PeerStatus, QueueStatus, TargetState, TargetStatus,
     VmStatus,
 };
+use filbertpitch_types::trace::{SpanNumber, SpanRecord, TraceAnswer, TraceNumber};
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::runtime;
@@ -36,14 +37,23 @@
     address: SocketAddr,
     behaviour: JobBehaviour,
     submissions: Arc<Mutex<Vec<SubmissionId>>>,
+    /// The `traceparent` of the last job.
+    parent: Mutex<Option<String>>,
 }
 
 impl RequestHandler for StandInVm {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        let trace = request.path().strip_prefix("/v1/traces/");
+        if let Some(trace) = trace.and_then(|text| text.parse().ok()) {
+            return ServerResponse::json(StatusCode::OK, &self.trace(trace));
+        }
         match request.path() {
             "/v1/prefix" => ServerResponse::json(StatusCode::OK, &self.prefix()),
             "/v1/status" => ServerResponse::json(StatusCode::OK, &status(self.address)),
-            "/v1/jobs" => self.answer(request.decode(BodyFormat::Json).unwrap()),
+            "/v1/jobs" => {
+                *self.parent.lock().unwrap() = request.header("traceparent").map(str::to_owned);
+                self.answer(request.decode(BodyFormat::Json).unwrap())
+            }
             _ => ServerResponse::error(StatusCode::NOT_FOUND, "not_found", "no such path"),
         }
     }
@@ -57,6 +67,26 @@
         }
     }
 
+    /// One span under the one that the client announced, if it belongs to the trace.
+    fn trace(&self, trace: TraceNumber) -> TraceAnswer {
+        let parent = self.parent.lock().unwrap().clone().unwrap_or_default();
+        let parent = parent.strip_prefix(&format!("00-{trace}-"));
+        let parent = parent.and_then(|rest| rest.strip_suffix("-01"));
+        let span = parent.map(|parent| SpanRecord {
+            span: SpanNumber(7),
+            parent: Some(parent.parse().unwrap()),
+            name: "entry".into(),
+            start_us: 1_800_000_000_000_000,
+            duration_us: 1_000,
+            attributes: Default::default(),
+        });
+        TraceAnswer {
+            trace,
+            address: self.address,
+            spans: span.into_iter().collect(),
+        }
+    }
+
     fn answer(&self, job: JobRequest) -> ServerResponse {
         self.submissions
             .lock()
@@ -170,6 +200,7 @@
                     address,
                     behaviour,
                     submissions: shared,
+                    parent: Mutex::default(),
                 })
                 .await;
         })
@@ -301,6 +332,10 @@
 #[test_case(&["ticket", "show", "--help"], 0; "help of ticket show")]
 #[test_case(&["submit", "--help"], 0; "help of submit")]
 #[test_case(&["status", "--help"], 0; "help of status")]
+#[test_case(&["trace", "--help"], 0; "help of trace")]
+#[test_case(&["trace", "0af7", "--via", "127.0.0.1:1"], 2; "short trace id")]
+#[test_case(&["trace", "0af7651916cd43dd8448eb211c80319c"], 2; "trace without a VM")]
+#[test_case(&["trace", "0af7651916cd43dd8448eb211c80319c", "--via", "127.0.0.1:1,"], 2; "invalid list")]
 fn usage_exit_code(arguments: &[&str], code: i32) {
     let output = filbertpitch(arguments);
     assert_eq!(output.status.code(), Some(code), "{output:?}");
@@ -340,3 +375,42 @@
     assert_eq!(report["valid"], false);
     assert!(report["findings"].as_array().unwrap().len() > 4);
 }
+
+/// Guards against a trace that the client announces and cannot show, and against a response whose
+/// fields move when it is traced.
+#[test]
+fn submit_shows_its_trace() {
+    let (address, _) = start(JobBehaviour::Answer(JobOutcome::Complete));
+    let output = submit(&["--via", &address, "--trace"]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let (table, errors) = (text(&output.stdout), text(&output.stderr));
+    let trace = errors.lines().find_map(|line| line.strip_prefix("trace: "));
+    let trace = trace.unwrap();
+    assert!(
+        table.contains(&format!("trace {trace}: 2 spans")),
+        "{table}"
+    );
+    let line = |name: &str| table.lines().position(|line| line.contains(name)).unwrap();
+    assert!(line("  submit ") < line("    entry "), "{table}");
+    let listed = filbertpitch(&["trace", trace, "--via", &format!("{address},{address}")]);
+    assert_eq!(listed.status.code(), Some(0), "{listed:?}");
+    assert!(text(&listed.stdout).contains("1 spans"), "{listed:?}");
+    let json = submit(&["--via", &address, "--trace", "--json"]).stdout;
+    let value: serde_json::Value = serde_json::from_slice(&json).unwrap();
+    assert_eq!(value["trace"]["spans"][0]["process"], "client");
+    assert_eq!(value["trace"]["spans"][1]["name"], "entry");
+    let answer: JobAnswer = serde_json::from_slice(&json).unwrap();
+    assert_eq!(answer.outcome, JobOutcome::Complete);
+}
+
+/// Guards against confusing a lost trace with an unreachable VM.
+#[test]
+fn trace_exit_code() {
+    let (address, _) = start(JobBehaviour::Invalid);
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let run = |via: &str| filbertpitch(&["trace", trace, "--via", via]).status.code();
+    let down = nobody();
+    assert_eq!(run(&down), Some(3));
+    assert_eq!(run(&address), Some(1), "no VM keeps the trace");
+    assert_eq!(run(&format!("{down},{address}")), Some(1));
+}
