Test killed, paused and stopped VMs with real processes

The fault-injection run drives the engine from a virtual clock, so the serve loop, the sockets and the signals had no test of at-most-once across processes. These tests start `filbertpitch serve` and `standin` processes on free loopback ports and judge them by the answers and by the targets' ledgers.

Covered: kill -9 of an owner, a paused owner that resumes, SIGTERM under load with and without the log, and a log outage with a new VM and a ticket afterwards.

--- /dev/null
+++ b/crates/standins/tests/process/support/mod.rs
@@ -0,0 +1,17 @@
+//! Starts systems of processes, talks to them and judges what they did.
+
+pub mod client;
+pub mod evidence;
+pub mod jobs;
+pub mod load;
+pub mod ports;
+pub mod process;
+pub mod system;
+pub mod wait;
+
+pub use client::{EntryClient, Reply};
+pub use evidence::Evidence;
+pub use jobs::{JobDraft, TaskDraft};
+pub use load::{LoadPlan, LoadRun};
+pub use system::{SystemPlan, TestSystem, run_test};
+pub use wait::{sleep, wait_for};
--- /dev/null
+++ b/crates/standins/tests/process/support/ports.rs
@@ -0,0 +1,76 @@
+//! Free ports on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+use filbertpitch_standins::declare::control_address;
+
+/// Blocks lie below the ports that Linux gives to outgoing connections, so that no connection
+/// takes the port of a process that is being restarted. The same holds for control ports.
+const FIRST_PORT: u16 = 11_000;
+const BLOCKS: u16 = 90;
+const BLOCK_SIZE: u16 = 64;
+const TARGET_OFFSET: u16 = 32;
+
+/// Consecutive ports that no other test uses, as long as this value exists.
+pub struct PortBlock {
+    base: u16,
+    /// Holds the first port, which marks the block as taken for other test processes as well.
+    _guard: TcpListener,
+}
+
+impl PortBlock {
+    /// Takes a block.
+    ///
+    /// # Panics
+    /// When no block is free.
+    pub fn take() -> Self {
+        let start = rand::random_range(0..BLOCKS);
+        let blocks = (0..BLOCKS).map(|step| (start + step) % BLOCKS);
+        let mut bases = blocks.map(|block| FIRST_PORT + block * BLOCK_SIZE);
+        let block = bases.find_map(|base| {
+            let guard = TcpListener::bind(loopback(base)).ok()?;
+            let block = Self {
+                base,
+                _guard: guard,
+            };
+            block.is_free().then_some(block)
+        });
+        block.expect("a block of free ports")
+    }
+
+    fn is_free(&self) -> bool {
+        let mut addresses = (1..BLOCK_SIZE).flat_map(|offset| {
+            let address = self.at(offset);
+            [address, control_address(address)]
+        });
+        addresses.all(|address| TcpListener::bind(address).is_ok())
+    }
+
+    fn at(&self, offset: u16) -> SocketAddr {
+        loopback(self.base + offset)
+    }
+
+    /// The log service.
+    pub fn log(&self) -> SocketAddr {
+        self.at(1)
+    }
+
+    /// The VM list.
+    pub fn vm_list(&self) -> SocketAddr {
+        self.at(2)
+    }
+
+    /// An entry VM.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.at(10 + u16::try_from(index).expect("a small index"))
+    }
+
+    /// A target.
+    pub fn target(&self, index: usize) -> SocketAddr {
+        self.at(TARGET_OFFSET + u16::try_from(index).expect("a small index"))
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
