--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -109,6 +109,9 @@
     213 LogInconsistent "log_inconsistent" Error
         "The log has returned records out of order or ends before records that were read."
         "Check the log service; it may have lost records.";
+    214 SnapshotPublished "snapshot_published" Info
+        "This VM has appended a snapshot of the configuration to the log."
+        "None.";
     300 PeerLive "peer_live" Info
         "Another entry VM responds to heartbeats."
         "None.";
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -83,6 +83,7 @@
         monoio::spawn(Rc::clone(&node).run_follower());
         monoio::spawn(Rc::clone(&node).run_vm_list());
         monoio::spawn(Rc::clone(&node).run_heartbeats());
+        monoio::spawn(Rc::clone(&node).run_snapshots());
         monoio::spawn(Rc::clone(&node).run_handovers());
         monoio::spawn(Rc::clone(&node).run_claim_appends());
         monoio::spawn(Rc::clone(&node).run_claim_reads());
--- a/crates/filbertpitch/src/serve/mod.rs
+++ b/crates/filbertpitch/src/serve/mod.rs
@@ -13,6 +13,7 @@
 mod request;
 mod router;
 mod settings;
+mod snapshots;
 mod status;
 mod targets;
 mod traffic;
