--- a/crates/standins/src/trial/network.rs
+++ b/crates/standins/src/trial/network.rs
@@ -198,6 +198,16 @@
         }
     }
 
+    /// Closes the connections to a party that carry no request.
+    pub fn close_idle(&mut self, host: Party) {
+        let idle = self.pools.values().flat_map(|pool| &pool.idle);
+        let idle = idle.map(|&(connection, _)| connection);
+        let hosted = |connection: &u64| self.connections[connection].host == host;
+        for connection in idle.filter(hosted).collect::<Vec<_>>() {
+            self.close(connection);
+        }
+    }
+
     /// The connections of a process that ended, in order, and the exchanges that use them.
     pub fn connections_with(&self, party: Party) -> Vec<u64> {
         let matching = self.connections.iter();
--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -122,6 +122,8 @@
     pub born: TimePoint,
     /// Whether it is frozen.
     pub frozen: bool,
+    /// Whether it reads no more requests.
+    pub closing: bool,
     skew: i64,
     held: Vec<SimEvent>,
     wakes_at_sample: u64,
@@ -307,6 +309,11 @@
     }
 
     fn arrive(&mut self, exchange: ExchangeId, host: Party, request: Request) {
+        if self.is_closing(host) {
+            // The server closed the connection before it read the request.
+            let failure = Failure { maybe_sent: true };
+            return self.end_exchange(exchange, Err(failure));
+        }
         let word = request.word();
         if !matches!(word, "hello" | "read" | "list") {
             self.note(format_args!("{word} #{} at {host:?}", exchange.0));
@@ -332,8 +339,19 @@
         }
     }
 
+    /// Whether the exchange is on a connection to a VM that reads no more requests.
+    fn is_host_closing(&self, exchange: ExchangeId) -> bool {
+        let connection = self.network.connection_of(exchange);
+        connection.is_some_and(|known| self.is_closing(known.host))
+    }
+
+    fn is_closing(&self, party: Party) -> bool {
+        matches!(party, Party::Vm(vm) if self.vms[vm].closing)
+    }
+
     fn end_exchange(&mut self, exchange: ExchangeId, result: Result<Response, Failure>) {
-        let Some(known) = self.network.end(self.now, exchange, result.is_ok()) else {
+        let keep = result.is_ok() && !self.is_host_closing(exchange);
+        let Some(known) = self.network.end(self.now, exchange, keep) else {
             return;
         };
         match (known.from, known.call) {
@@ -410,6 +428,8 @@
                 }
             }
             VmOutput::StopListening => {
+                self.vms[vm].closing = true;
+                self.network.close_idle(from);
                 let address = self.vms[vm].address;
                 if self.addresses.get(&address) == Some(&from) {
                     self.addresses.remove(&address);
@@ -431,6 +451,7 @@
             incarnation,
             born: self.now,
             frozen: false,
+            closing: false,
             skew,
             held: Vec::new(),
             wakes_at_sample: 0,
