--- a/crates/standins/src/trial/client.rs
+++ b/crates/standins/src/trial/client.rs
@@ -35,6 +35,15 @@
 /// The time for an answer to a cancellation or a lookup.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Faults in which leases matter, and therefore tasks that run longer than the shortest lease.
+const LEASE_CLASSES: [FaultClass; 5] = [
+    FaultClass::Straggle,
+    FaultClass::ZoneCut,
+    FaultClass::OneWayCut,
+    FaultClass::TargetFreeze,
+    FaultClass::Freeze,
+];
+
 /// Something that a client does.
 #[derive(Clone, Copy, Debug)]
 pub enum ClientEvent {
@@ -93,7 +102,7 @@
             prefixes: vec![Vec::new(); CLIENTS],
             duplicates: if eager { 0.6 } else { 0.15 },
             bare: [0.0, 0.15, 0.5][rng.random_range(0..3)],
-            stragglers: plan.contains(FaultClass::Straggle),
+            stragglers: LEASE_CLASSES.iter().any(|&class| plan.contains(class)),
         }
     }
 }
--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -39,6 +39,9 @@
 /// How often the limits of the network and the pools are looked at.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How far each wall clock may be off. Two of them differ by less than the lease margin of 1 s.
+const SKEW_LIMIT_MS: i64 = 450;
+
 /// Something that happens.
 #[derive(Debug)]
 pub enum SimEvent {
@@ -175,7 +178,7 @@
             ..LogSettings::default()
         });
         let targets = (0..target_count)
-            .map(|number| TargetHost::new(number, rng.random_range(-150..=150)))
+            .map(|number| TargetHost::new(number, rng.random_range(-SKEW_LIMIT_MS..=SKEW_LIMIT_MS)))
             .collect();
         let vm_settings = draw_vm_settings(&mut rng);
         let addresses = [(log_address(), Party::Log), (list_address(), Party::List)];
@@ -443,7 +446,7 @@
     fn start_vm(&mut self, zone: usize, address: SocketAddr) {
         let vm = self.vms.len();
         let incarnation = IncarnationId(self.rng.random());
-        let skew = self.rng.random_range(-150..=150);
+        let skew = self.rng.random_range(-SKEW_LIMIT_MS..=SKEW_LIMIT_MS);
         self.vms.push(VmHost {
             process: None,
             zone,
