--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -39,6 +39,9 @@
 /// How often the limits of the network and the pools are looked at.
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How far each wall clock may be off. Two of them differ by less than the lease margin of 1 s.
+const SKEW_LIMIT_MS: i64 = 450;
+
 /// Something that happens.
 #[derive(Debug)]
 pub enum SimEvent {
@@ -122,6 +125,8 @@
     pub born: TimePoint,
     /// Whether it is frozen.
     pub frozen: bool,
+    /// Whether it reads no more requests.
+    pub closing: bool,
     skew: i64,
     held: Vec<SimEvent>,
     wakes_at_sample: u64,
@@ -173,7 +178,7 @@
             ..LogSettings::default()
         });
         let targets = (0..target_count)
-            .map(|number| TargetHost::new(number, rng.random_range(-150..=150)))
+            .map(|number| TargetHost::new(number, rng.random_range(-SKEW_LIMIT_MS..=SKEW_LIMIT_MS)))
             .collect();
         let vm_settings = draw_vm_settings(&mut rng);
         let addresses = [(log_address(), Party::Log), (list_address(), Party::List)];
@@ -307,6 +312,11 @@
     }
 
     fn arrive(&mut self, exchange: ExchangeId, host: Party, request: Request) {
+        if self.is_closing(host) {
+            // The server closed the connection before it read the request.
+            let failure = Failure { maybe_sent: true };
+            return self.end_exchange(exchange, Err(failure));
+        }
         let word = request.word();
         if !matches!(word, "hello" | "read" | "list") {
             self.note(format_args!("{word} #{} at {host:?}", exchange.0));
@@ -332,8 +342,19 @@
         }
     }
 
+    /// Whether the exchange is on a connection to a VM that reads no more requests.
+    fn is_host_closing(&self, exchange: ExchangeId) -> bool {
+        let connection = self.network.connection_of(exchange);
+        connection.is_some_and(|known| self.is_closing(known.host))
+    }
+
+    fn is_closing(&self, party: Party) -> bool {
+        matches!(party, Party::Vm(vm) if self.vms[vm].closing)
+    }
+
     fn end_exchange(&mut self, exchange: ExchangeId, result: Result<Response, Failure>) {
-        let Some(known) = self.network.end(self.now, exchange, result.is_ok()) else {
+        let keep = result.is_ok() && !self.is_host_closing(exchange);
+        let Some(known) = self.network.end(self.now, exchange, keep) else {
             return;
         };
         match (known.from, known.call) {
@@ -410,6 +431,8 @@
                 }
             }
             VmOutput::StopListening => {
+                self.vms[vm].closing = true;
+                self.network.close_idle(from);
                 let address = self.vms[vm].address;
                 if self.addresses.get(&address) == Some(&from) {
                     self.addresses.remove(&address);
@@ -423,7 +446,7 @@
     fn start_vm(&mut self, zone: usize, address: SocketAddr) {
         let vm = self.vms.len();
         let incarnation = IncarnationId(self.rng.random());
-        let skew = self.rng.random_range(-150..=150);
+        let skew = self.rng.random_range(-SKEW_LIMIT_MS..=SKEW_LIMIT_MS);
         self.vms.push(VmHost {
             process: None,
             zone,
@@ -431,6 +454,7 @@
             incarnation,
             born: self.now,
             frozen: false,
+            closing: false,
             skew,
             held: Vec::new(),
             wakes_at_sample: 0,
