Test tickets, targets, bare keys, bad input and replacement as processes

Covered: lost append answers, racing operators, foreign records in the ticket stream, simultaneous bare keys, a target that fails quickly, one that restarts empty, one that leaves, silent connections, invalid jobs, tickets and settings, and the replacement of every VM with the log down for a part.

--- a/crates/standins/tests/process/main.rs
+++ b/crates/standins/tests/process/main.rs
@@ -5,7 +5,12 @@
 //! may be missing or old. Each test judges the system by the answers that callers got and by the
 //! start ledgers of the targets, which the code under test does not write.
 
+mod bad_input;
+mod bare_keys;
 mod log_outage;
 mod owner_loss;
+mod replacement;
 mod shutdown;
 mod support;
+mod targets;
+mod tickets;
