Pick the jobs of the test load at random

The test load took jobs and VMs in turn from one counter, so with two VMs every job went to the same VM, or each kind of job to a VM of its own. The test of ejection then waited for a VM that had no work. Jobs are now picked at random.

--- a/crates/standins/tests/process/support/load.rs
+++ b/crates/standins/tests/process/support/load.rs
@@ -20,7 +20,7 @@
 
 /// What callers submit.
 pub struct LoadPlan {
-    /// The jobs, in turn.
+    /// The jobs, of which each caller picks at random.
     pub jobs: Vec<JobDraft>,
     /// How many callers there are.
     pub callers: usize,
@@ -50,7 +50,7 @@
     plan: LoadPlan,
     /// The VMs that the balancer knows, and whether each was ready.
     rotation: RefCell<Vec<(EntryClient, bool)>>,
-    next: Cell<usize>,
+    next_entry: Cell<usize>,
     stop: Cell<bool>,
     records: RefCell<Vec<LoadRecord>>,
 }
@@ -69,7 +69,7 @@
         let state = Rc::new(LoadState {
             plan,
             rotation: RefCell::new(rotation.collect()),
-            next: Cell::new(0),
+            next_entry: Cell::new(0),
             stop: Cell::new(false),
             records: RefCell::default(),
         });
@@ -114,14 +114,8 @@
         }
     }
 
-    fn turn(&self) -> usize {
-        let turn = self.next.get();
-        self.next.set(turn + 1);
-        turn
-    }
-
     fn entry(&self) -> Option<EntryClient> {
-        let turn = self.turn();
+        let turn = self.next_entry.replace(self.next_entry.get() + 1);
         let rotation = self.rotation.borrow();
         let ready = rotation.iter().filter(|(_, ready)| *ready);
         let ready = ready.collect::<Vec<_>>();
@@ -131,7 +125,9 @@
 
     async fn call(self: Rc<Self>) {
         while !self.stop.get() {
-            let draft = self.plan.jobs[self.turn() % self.plan.jobs.len()].clone();
+            // At random, because turns would tie each job to one VM.
+            let index = rand::random_range(0..self.plan.jobs.len());
+            let draft = self.plan.jobs[index].clone();
             if let Some(record) = self.run_job(draft).await {
                 self.records.borrow_mut().push(record);
             } else {
