Report ejected and probed targets in the status

`/v1/status` described every target that was neither leaving nor unreachable as available, because the engine's view lacked the health gate. An operator could not see that a target gets no work. The view now carries the gate.

--- a/crates/dispatch/src/engine/view.rs
+++ b/crates/dispatch/src/engine/view.rs
@@ -5,6 +5,7 @@
 use filbertpitch_types::prelude::*;
 
 use super::DispatchEngine;
+use crate::placement::TargetGate;
 
 /// What a team has in the queue.
 #[derive(Clone, Debug)]
@@ -32,6 +33,8 @@
     pub leaving: bool,
     /// Whether the last check got no answer.
     pub unreachable: bool,
+    /// Which work it takes, by its health.
+    pub gate: TargetGate,
 }
 
 /// A snapshot of the engine.
@@ -62,6 +65,7 @@
             share: self.targets.share(target).slots,
             leaving: self.targets.is_leaving(target),
             unreachable: self.links[target].unreachable,
+            gate: self.health.gate(target),
         });
         EngineView {
             live_jobs: self.jobs.len(),
--- a/crates/filbertpitch/src/serve/status.rs
+++ b/crates/filbertpitch/src/serve/status.rs
@@ -4,6 +4,7 @@
 
 use filbertpitch_dispatch::engine::{DispatchEngine, EngineCounters, TargetView};
 use filbertpitch_dispatch::membership::PeerView;
+use filbertpitch_dispatch::placement::TargetGate;
 use filbertpitch_types::status::{
     ConfigStatus, PeerState, PeerStatus, QueueStatus, TargetState, TargetStatus, VmStatus,
 };
@@ -80,7 +81,11 @@
     } else if view.unreachable {
         TargetState::Unreachable
     } else {
-        TargetState::Available
+        match view.gate {
+            TargetGate::Open => TargetState::Available,
+            TargetGate::Closed => TargetState::Ejected,
+            TargetGate::Probe => TargetState::Probing,
+        }
     };
     TargetStatus {
         target: view.target.clone(),
