Start a task again on its target when no other one can run it

A refused or failed attempt excludes its target from the next placements of the task. With one capable target, or with the others ejected or leaving, the task then waited until its deadline: the exclusions are only cleared after several refusals, which can no longer happen. In the process test a repeatable task whose target restarted after 200 ms ended as unknown after 10 s, its deadline. The exclusion is now dropped when no other target takes the kind of work. Refusals in a row are still delayed as before.

`restarted_target_leaves_unknown_outcomes` failed before and passes now.

--- a/crates/dispatch/src/engine/attempts.rs
+++ b/crates/dispatch/src/engine/attempts.rs
@@ -13,7 +13,7 @@
 use crate::entity::TargetIndex;
 use crate::health::ResultRecord;
 use crate::job::{JobPhase, LiveTask, TaskState};
-use crate::placement::{HoldEnd, HoldSource};
+use crate::placement::{HoldEnd, HoldSource, TargetGate};
 
 /// Refusals in a row after which a task waits before it is queued again.
 const REFUSALS_BEFORE_DELAY: u8 = 3;
@@ -238,9 +238,9 @@
         let task = self.task_mut(task_ref);
         task.starts -= 1;
         task.refusals = task.refusals.saturating_add(1);
-        task.exclude(target);
         let exhausted = task.next_attempt >= ATTEMPT_NUMBER_LIMIT;
         let refusals = task.refusals;
+        self.avoid_target(task_ref, target);
         match phase {
             JobPhase::Failing(reason) => self.abandon_task(task_ref, reason),
             JobPhase::Running if exhausted => {
@@ -265,11 +265,30 @@
         self.counters.retries += 1;
         let task = self.task_mut(task_ref);
         task.refusals = 0;
-        task.exclude(target);
         task.last_end = Some(outcome);
+        self.avoid_target(task_ref, target);
         self.enqueue(task_ref, QueueEnd::Front);
     }
 
+    /// Excludes a target from the next placements of a task, unless no other one takes its kind.
+    /// The task would otherwise wait until its deadline.
+    fn avoid_target(&mut self, task_ref: TaskRef, target: TargetIndex) {
+        let task = self.task_mut(task_ref);
+        task.exclude(target);
+        let kind = task.kind;
+        let task = &self.jobs[&task_ref.job].tasks[task_ref.position()];
+        let takes_work = |other: &TargetIndex| {
+            !task.excluded.contains(other)
+                && !self.targets.is_leaving(*other)
+                && self.health.gate(*other) == TargetGate::Open
+        };
+        let capable = self.catalog.kind(kind).map(|entry| &entry.targets);
+        let others = capable.is_some_and(|targets| targets.iter().any(takes_work));
+        if !others {
+            self.task_mut(task_ref).excluded.clear();
+        }
+    }
+
     fn may_retry(&mut self, task_ref: TaskRef) -> bool {
         let job = &self.jobs[&task_ref.job];
         let task = &job.tasks[task_ref.position()];
