Avoid further silent connections after one was found

When established connections stop responding, a task whose answer was lost is placed again after a check. Its next start reused an idle connection of the next target, which had failed as well, and waited for another check. In the process test three of 120 jobs of 50 ms took 4.07 s, one check interval for each of four targets.

Starts after the first one of a task now use a new connection, and closing a connection that was found silent closes the idle ones to that target too. Ruled out: a field in `CloseConnection` that tells silent connections from those of stopped attempts; closing idle connections after a stop costs a reconnect of less than 1 ms.

--- a/crates/filbertpitch/src/serve/targets.rs
+++ b/crates/filbertpitch/src/serve/targets.rs
@@ -60,7 +60,13 @@
     settings: TargetClientSettings,
     start_pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
     state_pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
-    open_starts: Rc<RefCell<HashMap<AttemptId, oneshot::Sender<()>>>>,
+    open_starts: Rc<RefCell<HashMap<AttemptId, OpenStart>>>,
+}
+
+/// A start that waits for its answer. Dropping it ends the wait.
+struct OpenStart {
+    pool: Rc<ConnectionPool>,
+    _close: oneshot::Sender<()>,
 }
 
 impl TargetClient {
@@ -87,7 +93,11 @@
                 let exchange = self.start_exchange(address, &request, traceparent);
                 let (close, closed) = oneshot::channel();
                 let id = request.attempt;
-                self.open_starts.borrow_mut().insert(id, close);
+                let open = OpenStart {
+                    pool: Rc::clone(&exchange.pool),
+                    _close: close,
+                };
+                self.open_starts.borrow_mut().insert(id, open);
                 let open_starts = Rc::clone(&self.open_starts);
                 monoio::spawn(async move {
                     let event = monoio::select! {
@@ -126,9 +136,14 @@
     }
 
     /// Closes the connection that waits for the answer to `attempt`.
+    ///
+    /// Idle connections to the same target are closed as well: when one connection no longer
+    /// responds, the others have often failed with it, and each would delay a task by a check.
     pub fn close(&self, attempt: AttemptId) {
-        // Dropping the sender ends the wait.
-        drop(self.open_starts.borrow_mut().remove(&attempt));
+        let open = self.open_starts.borrow_mut().remove(&attempt);
+        if let Some(open) = open {
+            open.pool.close_idle();
+        }
     }
 
     /// Closes connections that have been idle for too long.
@@ -147,6 +162,7 @@
         traceparent: Option<Box<str>>,
     ) -> StartExchange {
         let pool = self.pool(&self.start_pools, address, self.settings.start_connections);
+        let attempt = request.attempt.attempt;
         let mut request = encode("/v1/tasks", request);
         if let Some(value) = traceparent.and_then(|text| text.parse().ok()) {
             let name = http::HeaderName::from_static("traceparent");
@@ -157,6 +173,9 @@
             request,
             options: RequestOptions {
                 timeout: self.settings.start_timeout,
+                // A task that was delayed by a connection that no longer responds must not meet
+                // another one at its next target.
+                fresh_connection: attempt > AttemptNumber(0),
                 ..RequestOptions::default()
             },
         }
