--- a/crates/dispatch/src/engine/settings.rs
+++ b/crates/dispatch/src/engine/settings.rs
@@ -56,7 +56,6 @@
             // first task on, which raised the light team's p99 by more than the bound of 1.3.
             queue: QueueSettings {
                 resume_allowance: Duration::from_secs(2),
-                ..QueueSettings::default()
             },
             admission: AdmissionSettings::default(),
             health: HealthSettings::default(),
