Say in messages which form of a value is expected

Host names in place of addresses got "invalid socket address syntax", numbers without a unit in settings "expected a string", and an address that is not the log's "does not answer" although something answers. Messages now name the form. Errors in a job file no longer repeat the task's path, status and ticket tables round times to milliseconds as the submit table does, and the help text says that work that was not run needs a new key, because the answer is final for its submission.

--- a/crates/filbertpitch/src/cli/arguments.rs
+++ b/crates/filbertpitch/src/cli/arguments.rs
@@ -9,13 +9,15 @@
 use filbertpitch_types::text::ParseError;
 use filbertpitch_types::trace::TraceNumber;
 
+use crate::settings::ADDRESS_FORM;
+
 /// Dispatches short tasks to the targets that can run them.
 #[derive(Debug, FromArgs)]
 #[argh(error_code(0, "The command did what was asked."))]
 #[argh(error_code(1, "The command was carried out and failed."))]
 #[argh(error_code(2, "The arguments or a file are not valid; nothing was done."))]
 #[argh(error_code(3, "No VM or log could be reached."))]
-#[argh(error_code(4, "The work certainly did not run and may be submitted again."))]
+#[argh(error_code(4, "The work certainly did not run; submit it again with a new key."))]
 #[argh(error_code(5, "It is not known whether the work ran."))]
 pub struct Arguments {
     /// the command
@@ -91,10 +93,10 @@
     #[argh(positional, arg_name = "FILE")]
     pub file: PathBuf,
     /// the address of the log
-    #[argh(option, arg_name = "ADDRESS")]
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub log: SocketAddr,
     /// the address of an entry VM whose state is reported; may be repeated
-    #[argh(option, arg_name = "ADDRESS")]
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub via: Vec<SocketAddr>,
     /// print the result as JSON
     #[argh(switch)]
@@ -106,7 +108,7 @@
 #[argh(subcommand, name = "list")]
 pub struct TicketListCommand {
     /// the address of the log
-    #[argh(option, arg_name = "ADDRESS")]
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub log: SocketAddr,
     /// print the result as JSON
     #[argh(switch)]
@@ -121,7 +123,7 @@
     #[argh(positional, arg_name = "NUMBER")]
     pub number: TicketNumber,
     /// the address of the log
-    #[argh(option, arg_name = "ADDRESS")]
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub log: SocketAddr,
     /// print the result as JSON
     #[argh(switch)]
@@ -138,13 +140,14 @@
     /// the job as YAML or JSON: team, service, deadline and tasks
     #[argh(positional, arg_name = "FILE")]
     pub file: PathBuf,
-    /// the address of an entry VM; further ones are tried when it does not respond
-    #[argh(option, arg_name = "ADDRESS")]
+    /// the address of an entry VM, at least one; further ones are tried when it does not respond
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub via: Vec<SocketAddr>,
     /// the client's part of the identifier, random if absent
     #[argh(option, arg_name = "KEY")]
     pub key: Option<String>,
-    /// the identifier of an earlier submission of the same job
+    /// the identifier of an earlier submission of the same job, or a bare key with the time of
+    /// its first submission: KEY@UNIX_MILLISECONDS
     #[argh(option, arg_name = "SUBMISSION")]
     pub submission: Option<SubmissionId>,
     /// trace the job and print its spans after the response
@@ -160,7 +163,7 @@
 #[argh(subcommand, name = "status")]
 pub struct StatusCommand {
     /// the address of the VM
-    #[argh(option, arg_name = "ADDRESS")]
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
     pub via: SocketAddr,
     /// print the state as JSON
     #[argh(switch)]
@@ -177,7 +180,7 @@
     /// the trace id: 32 hexadecimal digits
     #[argh(positional, arg_name = "TRACE_ID")]
     pub trace: TraceNumber,
-    /// the addresses of entry VMs, separated by commas; may be repeated
+    /// the addresses of entry VMs, separated by commas; at least one, may be repeated
     #[argh(option, arg_name = "ADDRESSES")]
     pub via: Vec<AddressList>,
     /// print the spans as JSON
@@ -193,9 +196,16 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        let error = |part| ParseError::new("address", part, "expected IP:PORT");
-        let parts = text.split(',');
-        let addresses = parts.map(|part| part.parse().map_err(|_| error(part)));
+        let addresses = text.split(',').map(address);
         addresses.collect::<Result<_, _>>().map(Self)
     }
 }
+
+fn address(text: &str) -> Result<SocketAddr, ParseError> {
+    let error = |_| ParseError::new("address", text, ADDRESS_FORM);
+    text.parse().map_err(error)
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    address(text).map_err(|error| error.to_string())
+}
--- a/crates/filbertpitch/src/cli/exit.rs
+++ b/crates/filbertpitch/src/cli/exit.rs
@@ -13,7 +13,7 @@
     BadInput,
     /// No VM or log could be reached. A submission may be repeated with the same identifier.
     Unreachable,
-    /// The work certainly did not run and may be submitted again.
+    /// The work certainly did not run. It may be submitted again with a new key.
     NotRun,
     /// It is not known whether the work ran.
     Unknown,
--- a/crates/filbertpitch/src/cli/status.rs
+++ b/crates/filbertpitch/src/cli/status.rs
@@ -4,11 +4,10 @@
 
 use eyre::WrapErr;
 use filbertpitch_types::status::VmStatus;
-use filbertpitch_types::units::DurationText;
 use filbertpitch_wire::runtime;
 use http::Uri;
 
-use super::table::{one_line, optional, print_json, print_text};
+use super::table::{one_line, optional, print_json, print_text, rounded};
 use super::{CommandError, ExitStatus, StatusCommand, TextTable, VmClient};
 
 /// A VM responds from memory, so a longer wait does not help.
@@ -44,7 +43,7 @@
 }
 
 fn general(status: &VmStatus) -> TextTable {
-    let age = status.config.log_age.map(DurationText);
+    let age = status.config.log_age.map(rounded);
     let mut table = TextTable::default();
     table.add(&["incarnation", &status.incarnation.to_string()]);
     table.add(&["address", &status.address.to_string()]);
@@ -59,7 +58,7 @@
 fn peers(status: &VmStatus) -> TextTable {
     let mut table = TextTable::new(&["PEER", "ZONE", "STATE", "HEARTBEAT", "INCARNATION"]);
     for peer in &status.peers {
-        let age = peer.heartbeat_age.map(DurationText);
+        let age = peer.heartbeat_age.map(rounded);
         table.add(&[
             peer.address.to_string(),
             optional(peer.zone.as_ref()),
@@ -92,7 +91,7 @@
         table.add(&[
             queue.team.to_string(),
             queue.depth.to_string(),
-            DurationText(queue.work).to_string(),
+            rounded(queue.work),
         ]);
     }
     table
--- a/crates/filbertpitch/src/cli/submit/file.rs
+++ b/crates/filbertpitch/src/cli/submit/file.rs
@@ -34,7 +34,7 @@
             .map_err(CommandError::bad_input)?;
         let deserializer = serde_norway::Deserializer::from_str(&text);
         let job = serde_path_to_error::deserialize::<_, Self>(deserializer)
-            .wrap_err_with(|| format!("{file} is not a valid job"))
+            .map_err(|error| eyre!("{file} is not a valid job: {}", describe(&error)))
             .map_err(CommandError::bad_input)?;
         if job.tasks.is_empty() {
             let error = eyre!("{file} is not a valid job: tasks: there is none");
@@ -53,3 +53,18 @@
         }
     }
 }
+
+/// The field and what is wrong with it. The parser repeats the element of a list that the field
+/// belongs to, which is left out.
+fn describe(error: &serde_path_to_error::Error<serde_norway::Error>) -> String {
+    let path = error.path().to_string();
+    let message = error.inner().to_string();
+    let message = match message.split_once(": ") {
+        Some((place, rest)) if path.starts_with(place) => rest,
+        _ => &message,
+    };
+    match path.as_str() {
+        "." => message.to_owned(),
+        path => format!("{path}: {message}"),
+    }
+}
--- a/crates/filbertpitch/src/cli/submit/report.rs
+++ b/crates/filbertpitch/src/cli/submit/report.rs
@@ -4,10 +4,9 @@
 
 use filbertpitch_types::caller::{JobAnswer, JobRequest, TaskAnswer};
 use filbertpitch_types::outcome::TaskOutcome;
-use filbertpitch_types::units::DurationText;
 
 use crate::cli::TextTable;
-use crate::cli::table::{one_line, optional};
+use crate::cli::table::{one_line, optional, rounded};
 
 /// The longest output or reason in a table, in characters; `--json` prints all of it.
 const DETAIL_LIMIT: usize = 60;
@@ -62,10 +61,3 @@
         TaskOutcome::Unknown { reason } => ("unknown", reason.to_string()),
     }
 }
-
-/// A duration in whole milliseconds, for people.
-fn rounded(duration: Duration) -> String {
-    let millis = duration.as_micros().div_ceil(1000);
-    let millis = u64::try_from(millis).unwrap_or(u64::MAX);
-    DurationText(Duration::from_millis(millis)).to_string()
-}
--- a/crates/filbertpitch/src/cli/table.rs
+++ b/crates/filbertpitch/src/cli/table.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 use std::io::{self, Write};
+use std::time::Duration;
 
 use eyre::{Report, WrapErr};
+use filbertpitch_types::units::DurationText;
 use serde::Serialize;
 
 use super::CommandError;
@@ -61,6 +63,13 @@
     value.map_or_else(|| "-".to_string(), T::to_string)
 }
 
+/// A duration in whole milliseconds, for people.
+pub(super) fn rounded(duration: Duration) -> String {
+    let millis = duration.as_micros().div_ceil(1000);
+    let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+    DurationText(Duration::from_millis(millis)).to_string()
+}
+
 /// The first line of a text, shortened, with control characters replaced so that a target's
 /// output cannot change the terminal.
 pub(super) fn one_line(text: &str, limit: usize) -> String {
--- a/crates/filbertpitch/src/cli/ticket/apply.rs
+++ b/crates/filbertpitch/src/cli/ticket/apply.rs
@@ -9,12 +9,11 @@
 use filbertpitch_config::ticket::ChangeTicket;
 use filbertpitch_types::platform::TICKET_STREAM;
 use filbertpitch_types::prelude::*;
-use filbertpitch_types::units::DurationText;
 use filbertpitch_wire::client::SentState;
 use filbertpitch_wire::runtime;
 use serde::Serialize;
 
-use super::super::table::{print_json, print_text};
+use super::super::table::{print_json, print_text, rounded};
 use super::super::{CommandError, ExitStatus, TextTable, TicketApplyCommand};
 use super::fleet::{ForceState, VmForce, await_force};
 use super::reader::TicketReader;
@@ -175,9 +174,7 @@
             ForceState::Late => "not in force in time",
             ForceState::Unreachable => "could not be asked",
         };
-        let millis = Duration::from_millis(vm.after.as_millis() as u64);
-        let after = DurationText(millis).to_string();
-        table.add(&[vm.address.to_string(), state.to_string(), after]);
+        table.add(&[vm.address.to_string(), state.to_string(), rounded(vm.after)]);
     }
     text.push_str(&table.to_string());
     text
--- a/crates/filbertpitch/src/cli/ticket/reader.rs
+++ b/crates/filbertpitch/src/cli/ticket/reader.rs
@@ -143,6 +143,6 @@
 }
 
 fn log_unreachable(log: SocketAddr) -> CommandError {
-    let report = eyre!("the log at {log} does not answer");
+    let report = eyre!("nothing at {log} answers as the log does");
     CommandError::new(ExitStatus::Unreachable, report)
 }
--- a/crates/filbertpitch/src/settings/load.rs
+++ b/crates/filbertpitch/src/settings/load.rs
@@ -12,6 +12,12 @@
 use super::rules::{check_rules, complete};
 use super::sections::{Settings, SettingsFile};
 
+/// What an address must look like, for messages.
+pub const ADDRESS_FORM: &str = "expected IP:PORT; host names are not resolved";
+
+/// The message of the standard library for text that is no address.
+const INVALID_ADDRESS: &str = "invalid socket address syntax";
+
 /// Reads a settings file.
 ///
 /// # Errors
@@ -72,7 +78,7 @@
         findings.push(SettingsFinding {
             line: locate(text, &path),
             field: field_name(error.path()),
-            message: error.inner().to_string().into(),
+            message: explain(error.inner().to_string()),
         });
         if !remove(&mut value, &path) {
             return SettingsFile::default();
@@ -80,6 +86,17 @@
     }
 }
 
+/// Adds what the deserializers do not know: the forms of addresses and of values with a unit.
+fn explain(message: String) -> Box<str> {
+    if message == INVALID_ADDRESS {
+        ADDRESS_FORM.into()
+    } else if message.starts_with("invalid type") && message.ends_with("expected a string") {
+        format!("{message}; a value with a unit is expected, for example `30s`").into()
+    } else {
+        message.into()
+    }
+}
+
 fn field_name(path: &serde_path_to_error::Path) -> Box<str> {
     match path.to_string() {
         path if path == "." => "".into(),
--- a/crates/filbertpitch/src/settings/mod.rs
+++ b/crates/filbertpitch/src/settings/mod.rs
@@ -10,7 +10,7 @@
 mod units;
 
 pub use findings::{SettingsFinding, SettingsFindings};
-pub use load::{load_settings, parse_settings};
+pub use load::{ADDRESS_FORM, load_settings, parse_settings};
 pub use sections::{
     HeartbeatSettings, LeaseSettings, LifecycleSettings, ObservabilitySettings, OutcomeSettings,
     PlatformSettings, ServerSettings, Settings,
--- a/crates/filbertpitch/tests/command.rs
+++ b/crates/filbertpitch/tests/command.rs
@@ -347,6 +347,60 @@
     assert!(!printed.is_empty());
 }
 
+/// The values of `field` in the objects of the example tickets.
+fn ticket_values(field: &str) -> Vec<serde_norway::Value> {
+    let tickets = std::fs::read_dir(example("tickets")).unwrap();
+    let tickets = tickets.map(|entry| std::fs::read_to_string(entry.unwrap().path()).unwrap());
+    let tickets = tickets.map(|text| serde_norway::from_str::<serde_norway::Value>(&text).unwrap());
+    let objects = tickets.flat_map(|ticket| ticket["objects"].as_sequence().unwrap().clone());
+    objects
+        .filter_map(|object| object.get(field).cloned())
+        .collect()
+}
+
+/// Guards against example jobs that the command refuses, or that name what the example tickets do
+/// not declare.
+#[test]
+fn example_jobs_are_submitted() {
+    let (address, submissions) = start(JobBehaviour::Answer(JobOutcome::Complete));
+    let (teams, services) = (ticket_values("team"), ticket_values("service"));
+    let kinds = ticket_values("kinds");
+    let mut count = 0;
+    for entry in std::fs::read_dir(example("jobs")).unwrap() {
+        let file = entry.unwrap().path();
+        let output = filbertpitch(&["submit", file.to_str().unwrap(), "--via", &address]);
+        assert_eq!(output.status.code(), Some(0), "{output:?}");
+        let job = std::fs::read_to_string(&file).unwrap();
+        let job = serde_norway::from_str::<serde_norway::Value>(&job).unwrap();
+        assert!(teams.contains(&job["team"]), "{file:?}");
+        let service = services.iter().position(|name| *name == job["service"]);
+        let kinds = &kinds[service.unwrap_or_else(|| panic!("{file:?}: no such service"))];
+        for task in job["tasks"].as_sequence().unwrap() {
+            assert!(kinds.get(&task["kind"]).is_some(), "{file:?}: {task:?}");
+        }
+        count += 1;
+    }
+    assert_eq!(submissions.lock().unwrap().len(), count);
+    assert!(count > 0, "there are no examples");
+}
+
+/// Guards against messages about wrong values that do not say what is expected.
+#[test]
+fn messages_name_the_expected_form() {
+    let output = filbertpitch(&["status", "--via", "localhost:7400"]);
+    assert!(text(&output.stderr).contains("expected IP:PORT; host names are not resolved"));
+    let job = std::fs::read_to_string(example("jobs/stock-check.yaml")).unwrap();
+    let file = std::env::temp_dir().join(format!("filbertpitch-job-{}.yaml", std::process::id()));
+    std::fs::write(&file, job.replacen("declared: 50ms", "declared: 50", 1)).unwrap();
+    let output = filbertpitch(&["submit", file.to_str().unwrap(), "--via", "127.0.0.1:1"]);
+    std::fs::remove_file(&file).unwrap();
+    let message = text(&output.stderr);
+    assert!(
+        message.contains("job: tasks[0].declared: `50` is not a valid duration"),
+        "{message}"
+    );
+}
+
 /// Guards against reporting an unreachable VM as a failure of the job.
 #[test]
 fn unreachable_vm_has_its_own_exit_code() {
--- a/crates/filbertpitch/tests/settings.rs
+++ b/crates/filbertpitch/tests/settings.rs
@@ -121,6 +121,18 @@
     assert!(message("server.colour").contains("unknown field"));
 }
 
+/// Guards against messages about host names and missing units that do not say what is expected.
+#[test]
+fn messages_name_the_expected_form() {
+    let text = MINIMAL.replace("127.0.0.1:7400", "localhost:7400");
+    let found = findings(&format!("{text}lifecycle: {{drain_timeout: 30}}\n"));
+    let messages = found.iter().map(|found| found.2.as_str());
+    let messages = messages.collect::<Vec<_>>();
+    assert_eq!(messages.len(), 2, "{messages:?}");
+    assert_eq!(messages[0], "expected IP:PORT; host names are not resolved");
+    assert!(messages[1].ends_with("for example `30s`"), "{messages:?}");
+}
+
 /// Guards against values that are valid alone and make no sense.
 #[test_case("heartbeat: {interval: 5s}", "heartbeat.interval"; "heartbeat too rare")]
 #[test_case("heartbeat: {interval: 1ms}", "heartbeat.interval"; "heartbeat too frequent")]
