--- /dev/null
+++ b/crates/dispatch/examples/engine_cost.rs
@@ -0,0 +1,62 @@
+//! Measures the processor time of the engine alone per task, with the cost of the test's callers
+//! and targets, at several numbers of live tasks, targets, teams and tasks per job.
+//!
+//! Run with `cargo run --release -p filbertpitch-dispatch --example engine_cost`.
+
+mod support;
+
+use filbertpitch_dispatch::engine::EngineSettings;
+use support::fleet::{FleetShape, TestFleet};
+use support::{least_and_greatest, processor_ns};
+
+const TASKS: usize = 300_000;
+
+/// Nanoseconds per task, and how many of the live tasks were running.
+fn measure(shape: FleetShape, live: usize) -> (f64, usize) {
+    let mut fleet = TestFleet::new(shape, EngineSettings::default());
+    fleet.run(live, TASKS / 3);
+    let begun = processor_ns();
+    fleet.run(live, TASKS);
+    let cost = (processor_ns() - begun) / TASKS as f64;
+    (cost, fleet.running())
+}
+
+fn print_row(shape: FleetShape, live: usize) {
+    let mut running = 0;
+    let (least, greatest) = least_and_greatest(|| {
+        let (cost, now_running) = measure(shape, live);
+        running = now_running;
+        cost
+    });
+    let FleetShape {
+        targets,
+        teams,
+        job_tasks,
+    } = shape;
+    println!("{live} {running} {targets} {teams} {job_tasks} {least:.0} {greatest:.0}");
+}
+
+fn main() {
+    println!("live running targets teams tasks/job ns/task(least) ns/task(greatest)");
+    let base = FleetShape {
+        targets: 500,
+        teams: 3,
+        job_tasks: 10,
+    };
+    for live in [1_000, 10_000, 100_000] {
+        print_row(base, live);
+    }
+    for live in [1_000, 10_000, 100_000] {
+        let targets = 12_500;
+        print_row(FleetShape { targets, ..base }, live);
+    }
+    for targets in [50, 500, 3_800] {
+        print_row(FleetShape { targets, ..base }, 1_000);
+    }
+    for teams in [3, 30, 140] {
+        print_row(FleetShape { teams, ..base }, 10_000);
+    }
+    for job_tasks in [1, 10, 100, 730] {
+        print_row(FleetShape { job_tasks, ..base }, 7_300);
+    }
+}
--- a/crates/dispatch/examples/placement_cost.rs
+++ b/crates/dispatch/examples/placement_cost.rs
@@ -2,10 +2,12 @@
 //!
 //! Run with `cargo run --release -p filbertpitch-dispatch --example placement_cost`.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use filbertpitch_config::spec::{Configuration, KindSpec, ServiceSpec, TargetSpec};
 use filbertpitch_dispatch::catalog::ConfigCatalog;
@@ -17,6 +19,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
+use support::processor_ns;
 
 const SLOTS: u16 = 8;
 const ROUNDS: u32 = 1_000_000;
@@ -96,7 +99,7 @@
     while holds.len() < live {
         holds.extend(start(&mut table, now));
     }
-    let begun = Instant::now();
+    let begun = processor_ns();
     for _ in 0..ROUNDS {
         now = now + Duration::from_micros(50_000 / live as u64 + 1);
         let hold = holds.pop_front().expect("attempts are live");
@@ -113,15 +116,15 @@
         table.report_load(now, target, &load);
         holds.extend(start(&mut table, now));
     }
-    let cycle = begun.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+    let cycle = (processor_ns() - begun) / f64::from(ROUNDS);
     while let Some(hold) = start(&mut table, now) {
         holds.push_back(hold);
     }
-    let begun = Instant::now();
+    let begun = processor_ns();
     for _ in 0..ROUNDS {
         assert!(start(&mut table, now).is_none());
     }
-    (cycle, begun.elapsed().as_nanos() as f64 / f64::from(ROUNDS))
+    (cycle, (processor_ns() - begun) / f64::from(ROUNDS))
 }
 
 fn main() {
--- a/crates/dispatch/examples/queue_cost.rs
+++ b/crates/dispatch/examples/queue_cost.rs
@@ -2,13 +2,16 @@
 //! and numbers of teams:
 //! `cargo run --release -p filbertpitch-dispatch --example queue_cost`.
 
-use std::time::{Duration, Instant};
+mod support;
+
+use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{KindIndex, ServiceIndex, TaskKey, TeamIndex};
 use filbertpitch_dispatch::estimate::{EstimateSettings, RunEstimator, SizeClass};
 use filbertpitch_dispatch::queue::{FairQueue, LaneChoice, LaneKey, QueueEntry, SchedulingRound};
 use filbertpitch_types::prelude::*;
 use slotmap::SlotMap;
+use support::processor_ns;
 
 const ROUNDS: u64 = 400_000;
 const KINDS: u64 = 6;
@@ -68,21 +71,21 @@
     let mut estimator = RunEstimator::new(EstimateSettings::default());
     let kind = KindIndex::from(0);
     estimator.configure(kind, ServiceIndex::from(0), Duration::from_millis(100));
-    let begin = Instant::now();
+    let begin = processor_ns();
     for number in 0..ROUNDS {
         let run = Duration::from_millis(50 + number % 100);
         std::hint::black_box(estimator.predict(kind, run));
         estimator.observe(kind, run, run * 2);
     }
-    let cost = begin.elapsed().as_nanos() / u128::from(ROUNDS);
-    println!("ns/predict+observe {cost}");
+    let cost = (processor_ns() - begin) / ROUNDS as f64;
+    println!("ns/predict+observe {cost:.0}");
 }
 
 fn main() {
     print_estimate_cost();
     println!("tasks teams ns/push+pop+settle ns/work_ahead");
     for tasks in [1_000, 10_000, 100_000] {
-        for teams in [3, 20, 140] {
+        for teams in [3, 30, 140] {
             let mut probe = CostProbe {
                 queue: FairQueue::default(),
                 tasks: SlotMap::with_key(),
@@ -91,14 +94,14 @@
                 pushed: 0,
             };
             (0..tasks).for_each(|_| probe.push(TimePoint(0)));
-            let begin = Instant::now();
+            let begin = processor_ns();
             for number in 0..ROUNDS {
                 let now = TimePoint(number * 10);
                 probe.push(now);
                 probe.pop(now);
             }
-            let cost = begin.elapsed().as_nanos() / u128::from(ROUNDS);
-            let begin = Instant::now();
+            let cost = (processor_ns() - begin) / ROUNDS as f64;
+            let begin = processor_ns();
             let calls = ROUNDS / 40;
             for number in 0..calls {
                 let team = TeamIndex::from((number % teams) as usize);
@@ -106,8 +109,8 @@
                 let ahead = probe.queue.work_ahead_among(team, Duration::ZERO, few);
                 std::hint::black_box(ahead);
             }
-            let ahead = begin.elapsed().as_nanos() / u128::from(calls);
-            println!("{tasks} {teams} {cost} {ahead}");
+            let ahead = (processor_ns() - begin) / calls as f64;
+            println!("{tasks} {teams} {cost:.0} {ahead:.0}");
         }
     }
 }
--- /dev/null
+++ b/crates/dispatch/examples/support/fleet.rs
@@ -0,0 +1,186 @@
+//! An engine with callers and targets that answer at once, in virtual time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use filbertpitch_dispatch::engine::{
+    CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineSettings, FleetView,
+};
+use filbertpitch_dispatch::entity::TargetIndex;
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_dispatch::placement::SharePosition;
+use filbertpitch_types::caller::{JobRequest, TaskSpec};
+use filbertpitch_types::outcome::JobOutcome;
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::target::{AttemptVerdict, LoadReport, StartAnswer};
+use filbertpitch_types::time::ClockReading;
+
+use crate::support::{configuration_of, kind_names, service_name, team_name, zone_name};
+
+const THIS: IncarnationId = IncarnationId(7);
+const RUN_TIME: Duration = Duration::from_millis(50);
+
+/// What a fleet consists of.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetShape {
+    /// Targets with 8 slots each.
+    pub targets: usize,
+    /// Teams, which submit in turn.
+    pub teams: usize,
+    /// Tasks per job.
+    pub job_tasks: usize,
+}
+
+/// The engine, its callers and its targets.
+pub struct TestFleet {
+    shape: FleetShape,
+    engine: DispatchEngine,
+    now: TimePoint,
+    /// Attempts in the order of their starts; each ends a run time later.
+    running: VecDeque<(TargetIndex, AttemptId)>,
+    submitted: u64,
+    /// Jobs that completed.
+    pub completed: u64,
+}
+
+impl TestFleet {
+    /// An engine of the only entry VM, with a configuration and no job.
+    pub fn new(shape: FleetShape, settings: EngineSettings) -> Self {
+        let now = TimePoint(0);
+        let clock = reading(now);
+        let engine = DispatchEngine::new(settings, THIS, zone_name(), clock, 1);
+        let mut fleet = Self {
+            shape,
+            engine,
+            now,
+            running: VecDeque::new(),
+            submitted: 0,
+            completed: 0,
+        };
+        let configuration = configuration_of(shape.targets, shape.teams);
+        fleet.feed(EngineEvent::ConfigurationChanged(configuration));
+        fleet.feed(EngineEvent::FleetChanged(fleet_view(0, 1)));
+        fleet
+    }
+
+    /// The engine.
+    pub fn engine(&self) -> &DispatchEngine {
+        &self.engine
+    }
+
+    /// Lets the engine react to an event and keeps what it started.
+    pub fn feed(&mut self, event: EngineEvent) {
+        self.engine.handle(reading(self.now), event);
+        let mut ended = 0;
+        for action in self.engine.take_actions() {
+            match action {
+                EngineAction::Start {
+                    target, request, ..
+                } => {
+                    self.running.push_back((target, request.attempt));
+                }
+                EngineAction::Reply { reply, .. } => {
+                    assert_complete(&reply);
+                    ended += 1;
+                }
+                _ => {}
+            }
+        }
+        self.completed += ended;
+    }
+
+    /// Submits one job of the next team.
+    pub fn submit(&mut self) {
+        let number = self.submitted;
+        self.submitted += 1;
+        let [kind, ..] = kind_names();
+        let task = TaskSpec {
+            kind,
+            declared: RUN_TIME,
+            repeatable: true,
+            input: "0123456789abcdef0123456789abcdef".into(),
+        };
+        let request = JobRequest {
+            submission: SubmissionId::Prefixed {
+                prefix: OwnerPrefix {
+                    zone: zone_name(),
+                    address: ([127, 0, 0, 1], 7400).into(),
+                    incarnation: THIS,
+                    epoch: self.engine.current_epoch(),
+                },
+                key: format!("job-{number}").into(),
+            },
+            team: team_name((number % self.shape.teams as u64) as usize),
+            service: service_name(),
+            deadline: Duration::from_secs(600),
+            tasks: vec![task; self.shape.job_tasks],
+        };
+        self.feed(EngineEvent::JobSubmitted {
+            caller: CallerToken(number),
+            request,
+            traceparent: None,
+        });
+    }
+
+    /// Ends the oldest attempt. Time advances so that each attempt takes its run time.
+    pub fn end_oldest(&mut self) {
+        let running = self.running.len().max(1) as u64;
+        self.now = self.now + RUN_TIME / running as u32;
+        let (target, attempt) = self.running.pop_front().expect("an attempt is running");
+        let answer = StartAnswer {
+            attempt,
+            verdict: AttemptVerdict::Done {
+                output: "0123456789abcdef".into(),
+                run_time: RUN_TIME,
+            },
+            load: LoadReport {
+                slots: 8,
+                running: 4,
+                boot: 1,
+                ..LoadReport::default()
+            },
+        };
+        self.feed(EngineEvent::StartAnswered { target, answer });
+    }
+
+    /// Attempts that are running.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Keeps `live` tasks live while `tasks` of them end.
+    pub fn run(&mut self, live: usize, tasks: usize) {
+        let jobs = (live / self.shape.job_tasks) as u64;
+        for _ in 0..tasks {
+            while self.submitted - self.completed < jobs {
+                self.submit();
+            }
+            self.end_oldest();
+        }
+    }
+}
+
+/// This VM's place among the entry VMs of a zone and of all zones.
+pub fn fleet_view(position: u32, vms: u32) -> FleetView {
+    let share = SharePosition { position, vms };
+    FleetView {
+        zone: share,
+        fleet: share,
+        live_vms: vms,
+        populated: vec![zone_name()],
+    }
+}
+
+fn reading(now: TimePoint) -> ClockReading {
+    ClockReading {
+        time: now,
+        wall: WallTime(1_700_000_000_000 + now.0 / 1000),
+    }
+}
+
+fn assert_complete(reply: &CallerReply) {
+    let CallerReply::Job(answer) = reply else {
+        panic!("unexpected reply {reply:?}");
+    };
+    assert_eq!(answer.outcome, JobOutcome::Complete, "{answer:?}");
+}
