--- a/crates/dispatch/examples/engine_cost.rs
+++ b/crates/dispatch/examples/engine_cost.rs
@@ -5,15 +5,16 @@
 
 mod support;
 
-use filbertpitch_dispatch::engine::EngineSettings;
+use filbertpitch_dispatch::engine::EngineEvent;
+use filbertpitch_dispatch::job::CallerToken;
 use support::fleet::{FleetShape, TestFleet};
 use support::{least_and_greatest, processor_ns};
 
-const TASKS: usize = 300_000;
+const TASKS: usize = 200_000;
 
 /// Nanoseconds per task, and how many of the live tasks were running.
 fn measure(shape: FleetShape, live: usize) -> (f64, usize) {
-    let mut fleet = TestFleet::new(shape, EngineSettings::default());
+    let mut fleet = TestFleet::new(shape);
     fleet.run(live, TASKS / 3);
     let begun = processor_ns();
     fleet.run(live, TASKS);
@@ -36,6 +37,27 @@
     println!("{live} {running} {targets} {teams} {job_tasks} {least:.0} {greatest:.0}");
 }
 
+/// Nanoseconds for one caller that leaves while its job is live.
+fn print_leaving(live: usize) {
+    const CALLERS: u64 = 200;
+    let shape = FleetShape {
+        targets: 500,
+        teams: 3,
+        job_tasks: 1,
+    };
+    let mut fleet = TestFleet::new(shape);
+    (0..live).for_each(|_| fleet.submit());
+    let (least, greatest) = least_and_greatest(|| {
+        let begun = processor_ns();
+        for number in 0..CALLERS {
+            let caller = CallerToken(number);
+            fleet.feed(EngineEvent::CallerLeft { caller });
+        }
+        (processor_ns() - begun) / CALLERS as f64
+    });
+    println!("{live} {least:.0} {greatest:.0}");
+}
+
 fn main() {
     println!("live running targets teams tasks/job ns/task(least) ns/task(greatest)");
     let base = FleetShape {
@@ -59,4 +81,8 @@
     for job_tasks in [1, 10, 100, 730] {
         print_row(FleetShape { job_tasks, ..base }, 7_300);
     }
+    println!("live-jobs ns/leaving-caller(least) ns/leaving-caller(greatest)");
+    for live in [1_000, 10_000, 100_000] {
+        print_leaving(live);
+    }
 }
--- a/crates/dispatch/examples/install_cost.rs
+++ b/crates/dispatch/examples/install_cost.rs
@@ -9,7 +9,7 @@
 
 use filbertpitch_config::spec::Configuration;
 use filbertpitch_dispatch::catalog::ConfigCatalog;
-use filbertpitch_dispatch::engine::{EngineEvent, EngineSettings};
+use filbertpitch_dispatch::engine::EngineEvent;
 use filbertpitch_types::platform::{VmEntry, VmList, VmRole, VmState};
 use support::fleet::{FleetShape, TestFleet, fleet_view};
 use support::{configuration_of, least_and_greatest, processor_ns};
@@ -50,7 +50,7 @@
     let configuration = configuration_of(targets, shape.teams);
     let mut catalog = ConfigCatalog::default();
     let compile = micros(|_| catalog.install(Rc::clone(&configuration)));
-    let mut fleet = TestFleet::new(shape, EngineSettings::default());
+    let mut fleet = TestFleet::new(shape);
     fleet.run(1_000, 10_000);
     let install = micros(|_| {
         fleet.feed(EngineEvent::ConfigurationChanged(Rc::clone(&configuration)));
--- a/crates/dispatch/examples/memory_cost.rs
+++ b/crates/dispatch/examples/memory_cost.rs
@@ -1,13 +1,12 @@
 //! Measures the resident memory per live task, per remembered outcome and per forgotten digest.
 //! Each part needs a process of its own, because freed memory is not returned to the system:
-//! `cargo run --release -p filbertpitch-dispatch --example memory_cost -- live|outcomes|digests`.
+//! `cargo run --release -p filbertpitch-dispatch --example memory_cost -- queued|running|outcomes|digests`.
 
 mod support;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_dispatch::engine::EngineSettings;
 use filbertpitch_dispatch::submission::{ContentDigest, SubmissionSettings, SubmissionTable};
 use filbertpitch_types::caller::{JobAnswer, TaskAnswer};
 use filbertpitch_types::outcome::{JobOutcome, TaskOutcome};
@@ -17,28 +16,23 @@
 
 const THIS: IncarnationId = IncarnationId(7);
 
-fn print_live() {
-    for (targets, name) in [(50, "queued"), (12_500, "running")] {
-        let shape = FleetShape {
-            targets,
-            teams: 3,
-            job_tasks: 10,
-        };
-        let mut fleet = TestFleet::new(shape, EngineSettings::default());
-        let empty = resident_bytes();
-        let mut jobs = 0;
-        for live in [10_000, 30_000, 100_000] {
-            while jobs * shape.job_tasks < live {
-                fleet.submit();
-                jobs += 1;
-            }
-            let bytes = resident_bytes() - empty;
-            let running = fleet.running();
-            println!(
-                "{name}: {live} live, {running} running: {} bytes/task",
-                bytes / live as u64
-            );
+fn print_live(name: &str, targets: usize) {
+    let shape = FleetShape {
+        targets,
+        teams: 3,
+        job_tasks: 10,
+    };
+    let mut fleet = TestFleet::new(shape);
+    let empty = resident_bytes();
+    let mut jobs = 0;
+    for live in [10_000, 30_000, 100_000] {
+        while jobs * shape.job_tasks < live {
+            fleet.submit();
+            jobs += 1;
         }
+        let bytes = (resident_bytes() - empty) / live as u64;
+        let running = fleet.running();
+        println!("{name}: {live} live, {running} running: {bytes} bytes/task");
     }
 }
 
@@ -134,11 +128,12 @@
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
-        Some("live") => print_live(),
+        Some("queued") => print_live("queued", 50),
+        Some("running") => print_live("running", 12_500),
         Some("outcomes") => print_outcomes(),
         Some("digests") => print_digests(),
         _ => {
-            eprintln!("usage: memory_cost live|outcomes|digests");
+            eprintln!("usage: memory_cost queued|running|outcomes|digests");
             std::process::exit(2);
         }
     }
--- a/crates/dispatch/examples/support/fleet.rs
+++ b/crates/dispatch/examples/support/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use filbertpitch_dispatch::admission::AdmissionSettings;
 use filbertpitch_dispatch::engine::{
     CallerReply, DispatchEngine, EngineAction, EngineEvent, EngineSettings, FleetView,
 };
@@ -18,6 +19,7 @@
 use crate::support::{configuration_of, kind_names, service_name, team_name, zone_name};
 
 const THIS: IncarnationId = IncarnationId(7);
+const FAR_AWAY: Duration = Duration::from_secs(1_000_000);
 const RUN_TIME: Duration = Duration::from_millis(50);
 
 /// What a fleet consists of.
@@ -44,8 +46,13 @@
 }
 
 impl TestFleet {
-    /// An engine of the only entry VM, with a configuration and no job.
-    pub fn new(shape: FleetShape, settings: EngineSettings) -> Self {
+    /// An engine of the only entry VM, with a configuration and no job. Admission accepts every
+    /// job, so that the number of live tasks is the one that is measured.
+    pub fn new(shape: FleetShape) -> Self {
+        let settings = EngineSettings {
+            admission: open_admission(),
+            ..EngineSettings::default()
+        };
         let now = TimePoint(0);
         let clock = reading(now);
         let engine = DispatchEngine::new(settings, THIS, zone_name(), clock, 1);
@@ -112,7 +119,7 @@
             },
             team: team_name((number % self.shape.teams as u64) as usize),
             service: service_name(),
-            deadline: Duration::from_secs(600),
+            deadline: FAR_AWAY,
             tasks: vec![task; self.shape.job_tasks],
         };
         self.feed(EngineEvent::JobSubmitted {
@@ -171,6 +178,13 @@
     }
 }
 
+fn open_admission() -> AdmissionSettings {
+    AdmissionSettings {
+        wait_limit: FAR_AWAY,
+        ..AdmissionSettings::default()
+    }
+}
+
 fn reading(now: TimePoint) -> ClockReading {
     ClockReading {
         time: now,
--- a/crates/dispatch/src/membership.rs
+++ b/crates/dispatch/src/membership.rs
@@ -4,7 +4,7 @@
 //! The list lags and may be stale or empty. It introduces VMs and confirms that they are gone, but
 //! only heartbeats decide which VMs share the slots.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -353,7 +353,7 @@
         }
         let first = self.list_reads.map_or(now, |(first, _)| first);
         self.list_reads = Some((first, now));
-        let listed = entries().map(|vm| vm.address).collect::<Vec<_>>();
+        let listed = entries().map(|vm| vm.address).collect::<BTreeSet<_>>();
         for &address in &listed {
             if let Some(peer) = self.peer_mut(now, address) {
                 peer.listed = true;
