--- a/crates/filbertpitch/src/cli/ticket/reader.rs
+++ b/crates/filbertpitch/src/cli/ticket/reader.rs
@@ -28,6 +28,7 @@
     traffic: ControlTraffic,
     follower: LogFollower,
     started: Instant,
+    answered: bool,
 }
 
 impl TicketReader {
@@ -42,6 +43,7 @@
             traffic: ControlTraffic::default(),
             follower: LogFollower::new(settings),
             started: Instant::now(),
+            answered: false,
         }
     }
 
@@ -69,7 +71,7 @@
     /// Reads to the end of the stream.
     ///
     /// # Errors
-    /// When the log does not answer in time.
+    /// When the log does not answer in time, or does not keep enough to compute the state.
     pub async fn catch_up(&mut self) -> Result<(), CommandError> {
         self.read_until(|follower| follower.has_state()).await
     }
@@ -90,13 +92,24 @@
         let end = self.now() + LOG_TIMEOUT;
         while !reached(&self.follower) {
             if self.now() >= end {
-                return Err(log_unreachable(self.pool.address()));
+                return Err(self.not_reached());
             }
             self.step().await;
         }
         Ok(())
     }
 
+    /// Why the state could not be computed in time.
+    fn not_reached(&self) -> CommandError {
+        let log = self.pool.address();
+        if !self.answered || self.follower.has_state() {
+            return log_unreachable(log);
+        }
+        CommandError::failed(eyre!(
+            "the log at {log} keeps neither the whole history of tickets nor a usable snapshot"
+        ))
+    }
+
     async fn step(&mut self) {
         let read = match self.follower.next_read(self.now()) {
             ReadStep::Read(read) => read,
@@ -109,6 +122,7 @@
         };
         let outcome = read_stream(&self.traffic, &self.pool, TICKET_STREAM, &read).await;
         let now = self.now();
+        self.answered |= !matches!(outcome, ReadOutcome::Outage);
         match outcome {
             ReadOutcome::Read(answer) => self.follower.on_read(now, &answer),
             ReadOutcome::Expired(answer) => self.follower.on_expired(now, &answer),
