--- a/crates/standins/src/trial/fault.rs
+++ b/crates/standins/src/trial/fault.rs
@@ -7,7 +7,7 @@
 use super::evidence::LeavingWindow;
 use super::fault_plan::Victim;
 use super::message::Party;
-use super::network::Place;
+use super::network::{Direction, Place};
 use super::settings::FaultClass;
 use super::sim::{SimEvent, Simulation};
 use super::world_setup::{ZONES, target_entry, target_name, vm_entry, vm_name};
@@ -24,6 +24,7 @@
             FaultClass::Drain => self.begin_drain(),
             FaultClass::Freeze => self.begin_freeze(fault.end.since(fault.begin)),
             FaultClass::ZoneCut | FaultClass::OneWayCut => self.begin_cut(fault.class),
+            FaultClass::TargetCut => self.begin_target_cut(),
             FaultClass::PlatformCut => self.begin_platform_cut(),
             FaultClass::LogDown => {
                 self.platform.log.set_outage(true);
@@ -86,6 +87,7 @@
                 self.cut_zones(1 - zone, false);
             }
             (FaultClass::OneWayCut, Victim::Zone(zone)) => self.cut_zones(zone, false),
+            (FaultClass::TargetCut, Victim::Target(target)) => self.end_target_cut(target),
             (FaultClass::PlatformCut, Victim::Zone(zone)) => self.cut_platform(zone, false),
             (FaultClass::PlatformCut, Victim::Vm(vm)) => {
                 self.network.isolate(Party::Vm(vm), false);
@@ -193,6 +195,28 @@
         self.release_stalled();
     }
 
+    fn begin_target_cut(&mut self) -> Victim {
+        let target = self.rng.random_range(0..self.targets.len());
+        let party = Party::Target(target);
+        let directions = [Direction::Inbound, Direction::Outbound];
+        let chosen = self.rng.random_range(0..3);
+        for (index, direction) in directions.into_iter().enumerate() {
+            // The third choice is both.
+            if chosen == index || chosen == directions.len() {
+                self.network.sever(party, direction, true);
+                self.note(format_args!("target-{target} loses {direction:?}"));
+            }
+        }
+        Victim::Target(target)
+    }
+
+    fn end_target_cut(&mut self, target: usize) {
+        let party = Party::Target(target);
+        self.network.sever(party, Direction::Inbound, false);
+        self.network.sever(party, Direction::Outbound, false);
+        self.release_stalled();
+    }
+
     fn begin_platform_cut(&mut self) -> Victim {
         match self.draw_vm() {
             Some(vm) if self.rng.random_bool(0.5) => {
