Drop jobs of closed epochs without scanning the other running jobs

When a job ended after its own epoch had been closed, the table went through all running jobs of the epoch (HashMap::retain, 85% of the samples of a profile). Epochs close early when the running jobs alone exceed the byte limit, which 65,536 running jobs do, so every end was then linear in the number of running jobs. The ended job is now removed alone; a closed epoch has no outcomes.

engine_cost, 500 targets, 1 task per job, 100,000 live tasks, least and greatest of three, processor time at a load average of 20 to 29: before 231,670 to 251,608 ns per task (45,000 tasks per repetition), after 12,875 to 16,419 ns per task (200,000 tasks per repetition). 1,000 and 10,000 live tasks: before 8,162 to 13,449, after 11,851 to 20,005, within the spread of runs on this machine. All tests of the crate pass, with a new one for jobs that outlive an epoch.

--- a/crates/dispatch/examples/engine_cost.rs
+++ b/crates/dispatch/examples/engine_cost.rs
@@ -65,6 +65,10 @@
         teams: 3,
         job_tasks: 10,
     };
+    for live in [1_000, 10_000, 100_000] {
+        let job_tasks = 1;
+        print_row(FleetShape { job_tasks, ..base }, live);
+    }
     for live in [1_000, 10_000, 100_000] {
         print_row(base, live);
     }
@@ -72,10 +76,6 @@
         let targets = 12_500;
         print_row(FleetShape { targets, ..base }, live);
     }
-    for live in [1_000, 10_000, 100_000] {
-        let job_tasks = 1;
-        print_row(FleetShape { job_tasks, ..base }, live);
-    }
     for targets in [50, 500, 3_800] {
         print_row(FleetShape { targets, ..base }, 1_000);
     }
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -446,6 +446,9 @@
             return;
         };
         let live = matches!(state, SubmissionState::Live(..));
+        if side == EpochSide::Own && epoch < self.oldest_open && !live {
+            return self.drop_ended(epoch, &submission);
+        }
         let released = match submissions.states.insert(submission, state) {
             Some(SubmissionState::Live(..)) => {
                 submissions.live -= 1;
@@ -457,10 +460,22 @@
         submissions.live += usize::from(live);
         submissions.bytes = submissions.bytes + bytes - released;
         self.bytes = self.bytes + bytes - released;
-        let closed = side == EpochSide::Own && epoch < self.oldest_open;
-        if closed && !live {
-            self.forget_answers(side, epoch);
-            self.drop_closed(side, epoch);
+    }
+
+    /// Drops a job that ended after its own epoch was closed; a closed epoch keeps no outcomes. The
+    /// cost must not depend on how many other jobs of the epoch are running.
+    fn drop_ended(&mut self, epoch: EpochNumber, submission: &SubmissionId) {
+        let Some(submissions) = self.own.get_mut(&epoch) else {
+            return;
+        };
+        if submissions.states.remove(submission).is_some() {
+            // A closed epoch contains running jobs only.
+            submissions.live -= 1;
+            submissions.bytes -= Self::ENTRY_BYTES;
+            self.bytes -= Self::ENTRY_BYTES;
+        }
+        if submissions.states.is_empty() {
+            self.own.remove(&epoch);
         }
     }
 
--- a/crates/dispatch/tests/submission_memory.rs
+++ b/crates/dispatch/tests/submission_memory.rs
@@ -169,3 +169,30 @@
         assert!(!is_new(&table, &bare(1)), "new again after {second} s");
     }
 }
+
+/// Guards against jobs that outlive their epoch: each must free its memory when it ends, and must
+/// neither become new again nor affect the other running jobs of the epoch.
+#[test]
+fn a_job_that_ends_after_its_epoch_closed_is_dropped_alone() {
+    let mut table = small_table();
+    let epoch = table.current_epoch();
+    let jobs = (0..3).map(|key| prefixed(epoch, key)).collect::<Vec<_>>();
+    for (number, submission) in (0..).zip(&jobs) {
+        table.accept(submission, JobNumber(number), CONTENT);
+    }
+    (0..=80).for_each(|second| table.advance(at(second)));
+    for ended in 0..jobs.len() {
+        finish(&mut table, &jobs[ended]);
+        finish(&mut table, &jobs[ended]);
+        assert_eq!(table.len(), jobs.len() - ended - 1);
+        for (index, submission) in jobs.iter().enumerate() {
+            let verdict = table.lookup(submission);
+            let expected = match index <= ended {
+                true => matches!(verdict, SubmissionVerdict::Expired),
+                false => matches!(verdict, SubmissionVerdict::Live { .. }),
+            };
+            assert!(expected, "{submission} is {verdict:?}");
+        }
+    }
+    assert_eq!(table.bytes(), ByteSize(0));
+}
