--- a/crates/dispatch/examples/memory_cost.rs
+++ b/crates/dispatch/examples/memory_cost.rs
@@ -1,6 +1,6 @@
 //! Measures the resident memory per live task, per remembered outcome and per forgotten digest.
 //! Each part needs a process of its own, because freed memory is not returned to the system:
-//! `cargo run --release -p filbertpitch-dispatch --example memory_cost -- queued|running|outcomes|digests`.
+//! `cargo run --release -p filbertpitch-dispatch --example memory_cost -- queued|running|single|outcomes|digests`.
 
 mod support;
 
@@ -16,11 +16,11 @@
 
 const THIS: IncarnationId = IncarnationId(7);
 
-fn print_live(name: &str, targets: usize) {
+fn print_live(name: &str, targets: usize, job_tasks: usize) {
     let shape = FleetShape {
         targets,
         teams: 3,
-        job_tasks: 10,
+        job_tasks,
     };
     let mut fleet = TestFleet::new(shape);
     let empty = resident_bytes();
@@ -128,12 +128,13 @@
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
-        Some("queued") => print_live("queued", 50),
-        Some("running") => print_live("running", 12_500),
+        Some("queued") => print_live("queued", 50, 10),
+        Some("running") => print_live("running", 12_500, 10),
+        Some("single") => print_live("queued, 1 task per job", 50, 1),
         Some("outcomes") => print_outcomes(),
         Some("digests") => print_digests(),
         _ => {
-            eprintln!("usage: memory_cost queued|running|outcomes|digests");
+            eprintln!("usage: memory_cost queued|running|single|outcomes|digests");
             std::process::exit(2);
         }
     }
