Split handovers by size, and count remembered tasks as measured

A part of 200 answers of 730 tasks is 12.9 MB (message_cost), three times the limit of a request body, so a planned stop lost all outcomes. Parts are now bounded by about 1 MiB; an answer above 3 MiB is left out. A remembered task takes 94 bytes beside its output (memory_cost) and was counted as 176, which halved the remembered time. Claim batches keep their distance also while more keys wait, because one VM could take two thirds of the log's append rate.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod entity;
 pub mod estimate;
+pub mod handover;
 pub mod health;
 pub mod histogram;
 pub mod job;
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -154,7 +154,7 @@
     const ENTRY_BYTES: u64 = 512;
     /// The memory of one task answer beside its output, in bytes: the answer and the allocations
     /// of its texts.
-    const TASK_BYTES: u64 = 176;
+    const TASK_BYTES: u64 = 96;
     /// The memory of a forgotten submission, in bytes, at the usual fill of a hash set.
     const DIGEST_BYTES: u64 = 32;
 
--- a/crates/filbertpitch/src/serve/claims.rs
+++ b/crates/filbertpitch/src/serve/claims.rs
@@ -92,8 +92,9 @@
         let woken = self.claims.woken.borrow_mut().take();
         let mut woken = woken.expect("one task appends claims");
         while woken.next().await.is_some() {
-            monoio::time::sleep(BATCH_DELAY).await;
             loop {
+                // Also between two batches, because the log's append rate is shared by all VMs.
+                monoio::time::sleep(BATCH_DELAY).await;
                 let owner = self.own_prefix();
                 let batch = self.claims.table.borrow_mut().take_batch(owner);
                 let Some(batch) = batch else {
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::engine::{DispatchEngine, EngineEvent};
+use filbertpitch_dispatch::handover::split_answers;
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{HandoverNotice, HandoverRequest, PeerHello};
 use filbertpitch_types::platform::{AppendRequest, HANDOVER_STREAM};
@@ -30,8 +31,6 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 /// How long stopped work is awaited after the time for draining.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(3);
-/// The most outcomes in one handover message.
-const HANDOVER_PART: usize = 200;
 
 /// It serves health checks and peers, and has no configuration yet.
 pub struct Starting;
@@ -175,19 +174,21 @@
         if answers.is_empty() {
             return;
         }
+        let count = answers.len();
+        let parts = split_answers(answers);
         let log = &self.node.observer().log;
         for peer in self.candidates() {
-            if self.send_outcomes(&peer, &answers).await {
+            if self.send_outcomes(&peer, &parts).await {
                 self.announce(&peer).await;
                 let address = peer.address.to_string();
                 log.record(
                     LogEvent::HandoverSent,
-                    b!("to" => &address, "outcomes" => answers.len()),
+                    b!("to" => &address, "outcomes" => count),
                 );
                 return;
             }
         }
-        log.record(LogEvent::HandoverFailed, b!("outcomes" => answers.len()));
+        log.record(LogEvent::HandoverFailed, b!("outcomes" => count));
     }
 
     fn candidates(&self) -> Vec<PeerHello> {
@@ -200,13 +201,12 @@
         candidates
     }
 
-    async fn send_outcomes(&self, peer: &PeerHello, answers: &[JobAnswer]) -> bool {
-        let parts = answers.chunks(HANDOVER_PART);
+    async fn send_outcomes(&self, peer: &PeerHello, parts: &[Vec<JobAnswer>]) -> bool {
         let count = parts.len();
-        for (index, part) in parts.enumerate() {
+        for (index, part) in parts.iter().enumerate() {
             let request = HandoverRequest {
                 from: self.node.incarnation(),
-                answers: part.to_vec(),
+                answers: part.clone(),
                 last: index + 1 == count,
             };
             let path = "/peer/handover";
