--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -13,7 +13,7 @@
 mod settings;
 mod view;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -22,6 +22,7 @@
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::target::LoadReport;
 use filbertpitch_types::time::ClockReading;
+use fnv::FnvHashMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
@@ -110,7 +111,7 @@
     clock: ClockReading,
     catalog: ConfigCatalog,
     submissions: SubmissionTable,
-    jobs: HashMap<JobNumber, LiveJob>,
+    jobs: FnvHashMap<JobNumber, LiveJob>,
     task_refs: SlotMap<TaskKey, TaskRef>,
     next_job: JobNumber,
     queue: FairQueue,
@@ -161,7 +162,7 @@
             zone,
             clock,
             catalog: ConfigCatalog::default(),
-            jobs: HashMap::new(),
+            jobs: FnvHashMap::default(),
             task_refs: SlotMap::with_key(),
             next_job: JobNumber(0),
             quota: TeamQuota::default(),
--- a/crates/dispatch/src/submission.rs
+++ b/crates/dispatch/src/submission.rs
@@ -223,20 +223,19 @@
 
     /// Whether an unknown submission may still be accepted.
     fn accepts(&self, submission: &SubmissionId) -> bool {
-        let digest = self.hasher.digest(submission);
+        let is_forgotten = |epoch: &EpochSubmissions| {
+            !epoch.forgotten.is_empty() && epoch.forgotten.contains(&self.hasher.digest(submission))
+        };
         match submission.prefix() {
             Some(prefix) => {
                 let open = self.oldest_open..=self.current;
                 prefix.incarnation == self.incarnation
                     && open.contains(&prefix.epoch)
-                    && !self.own[&prefix.epoch].forgotten.contains(&digest)
+                    && !is_forgotten(&self.own[&prefix.epoch])
             }
             // The claim table has checked the age of a bare key before it comes here. Its digest
             // is kept for longer than a key of that age can be claimed.
-            None => {
-                let mut epochs = self.foreign.values();
-                !epochs.any(|epoch| epoch.forgotten.contains(&digest))
-            }
+            None => !self.foreign.values().any(is_forgotten),
         }
     }
 
