--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -51,6 +51,8 @@
         exchange: ExchangeId,
         /// Where it arrives.
         host: Party,
+        /// The run of the host's process that accepted the connection.
+        generation: u64,
         /// The request.
         request: Box<Request>,
     },
@@ -270,8 +272,14 @@
             SimEvent::Arrive {
                 exchange,
                 host,
+                generation,
                 request,
-            } => self.arrive(exchange, host, *request),
+            } => {
+                // A connection ends with the process that accepted it.
+                if generation == self.generation_of(host) {
+                    self.arrive(exchange, host, *request);
+                }
+            }
             SimEvent::Respond { exchange, response } => self.respond(exchange, *response),
             SimEvent::Answer { exchange, response } => self.end_exchange(exchange, Ok(*response)),
             SimEvent::Fail { exchange, failure } => self.end_exchange(exchange, Err(failure)),
--- a/crates/standins/src/trial/wiring.rs
+++ b/crates/standins/src/trial/wiring.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Numbers the runs of a target's process; a replaced VM is another party.
+    pub fn generation_of(&self, party: Party) -> u64 {
+        match party {
+            Party::Target(target) => self.targets[target].model.load().boot,
+            _ => 0,
+        }
+    }
+
     fn delay(&mut self, from: Party, to: Party) -> Duration {
         let micros = match (self.place_of(from), self.place_of(to)) {
             (Place::Zone(from), Place::Zone(to)) if from == to => 100,
@@ -145,6 +153,7 @@
         let event = SimEvent::Arrive {
             exchange,
             host,
+            generation: self.generation_of(host),
             request: Box::new(request),
         };
         self.carry(from, host, event);
