--- a/crates/standins/src/trial/client.rs
+++ b/crates/standins/src/trial/client.rs
@@ -91,7 +91,8 @@
     prefixes: Vec<Vec<OwnerPrefix>>,
     duplicates: f64,
     bare: f64,
-    stragglers: bool,
+    /// Whether tasks outlive their leases.
+    long: bool,
 }
 
 impl ClientFleet {
@@ -103,7 +104,7 @@
             prefixes: vec![Vec::new(); CLIENTS],
             duplicates: if eager { 0.6 } else { 0.15 },
             bare: [0.0, 0.15, 0.5][rng.random_range(0..3)],
-            stragglers: LEASE_CLASSES.iter().any(|&class| plan.contains(class)),
+            long: LEASE_CLASSES.iter().any(|&class| plan.contains(class)),
         }
     }
 }
@@ -247,19 +248,27 @@
             submission,
             team: parse(TEAMS[self.rng.random_range(0..TEAMS.len())]),
             service: parse(SERVICE),
-            deadline: Duration::from_millis(self.rng.random_range(800..12_000)),
+            deadline: self.draw_deadline(),
             tasks,
         }
     }
 
     fn draw_run(&mut self) -> u64 {
-        let long = if self.clients.stragglers { 0.15 } else { 0.05 };
-        match self.rng.random_bool(long) {
-            true => self.rng.random_range(1_000..9_000),
+        let (share, limit) = match self.clients.long {
+            true => (0.15, 16_000),
+            false => (0.05, 6_000),
+        };
+        match self.rng.random_bool(share) {
+            true => self.rng.random_range(1_000..limit),
             false => self.rng.random_range(5..250),
         }
     }
 
+    fn draw_deadline(&mut self) -> Duration {
+        let limit = if self.clients.long { 28_000 } else { 12_000 };
+        Duration::from_millis(self.rng.random_range(800..limit))
+    }
+
     /// Asks a VM about a job.
     pub fn ask(&mut self, job: usize, question: Question) {
         let record = &self.clients.jobs[job];
--- a/crates/standins/src/trial/fault_plan.rs
+++ b/crates/standins/src/trial/fault_plan.rs
@@ -143,6 +143,7 @@
                 _ => 60_000..75_000,
             },
             FaultClass::TargetFreeze => 500..20_000,
+            FaultClass::TargetCut => 2_000..20_000,
             FaultClass::TargetRestart => 50..8_000,
             FaultClass::Kill | FaultClass::Drain => 300..12_000,
             FaultClass::Leave => 4_000..25_000,
