Keep fresh start connections within the target's limit

Ruled out: closing one inside the pool for every fresh request, because the pool promises to keep idle connections (connections_are_reused_newest_first). Change: the start closes the oldest idle connection first.

--- a/crates/filbertpitch/src/serve/targets.rs
+++ b/crates/filbertpitch/src/serve/targets.rs
@@ -253,6 +253,10 @@
 
 impl StartExchange {
     async fn run(self, target: TargetIndex, attempt: AttemptId) -> EngineEvent {
+        if self.options.fresh_connection {
+            // Otherwise every second attempt would add a connection, up to the target's limit.
+            self.pool.close_oldest_idle();
+        }
         let result = self.pool.request(&self.request, &self.options).await;
         match decode_answer::<StartAnswer>(result) {
             Ok(answer) => EngineEvent::StartAnswered { target, answer },
--- a/crates/wire/src/client/pool.rs
+++ b/crates/wire/src/client/pool.rs
@@ -118,6 +118,15 @@
         drop(self.state.idle.take());
     }
 
+    /// Closes the connection that has been idle for the longest time. Called before a request on a
+    /// new connection, it keeps the pool from holding more connections than requests were in
+    /// progress at once.
+    pub fn close_oldest_idle(&self) {
+        let oldest = self.state.idle.borrow_mut().pop_front();
+        // Dropping the connection changes the state, so it must not be borrowed here.
+        drop(oldest);
+    }
+
     /// Closes the connections that have been idle for too long or that the server has closed.
     pub fn prune(&self) {
         let expired = |idle: &IdleConnection| idle.since.elapsed() >= self.limits.idle_timeout;
