Answer forwarded requests when the time for draining is over

The fault run follows the serve loop in this and in what changed meanwhile: handover parts by size, distance between claim batches, and fresh connections after a first attempt. Its windows of leaving targets end when the list shows the target as live, also where two faults overlapped.

--- a/crates/filbertpitch/src/serve/forward.rs
+++ b/crates/filbertpitch/src/serve/forward.rs
@@ -13,9 +13,14 @@
 use filbertpitch_wire::client::RequestOptions;
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ClientRequest, ServerRequest, ServerResponse};
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{Either, Shared, select};
 use http::{StatusCode, Uri};
 use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
+use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use super::node::EntryNode;
@@ -28,6 +33,29 @@
 /// How often a forwarded request follows a handover.
 const HANDOVER_HOPS: usize = 4;
 
+/// Ends the waits for other owners when a stopping VM can wait no longer.
+pub struct ForwardGate {
+    open: RefCell<Option<oneshot::Sender<()>>>,
+    closed: Shared<oneshot::Receiver<()>>,
+}
+
+impl ForwardGate {
+    /// An open gate.
+    pub fn new() -> Self {
+        let (open, closed) = oneshot::channel();
+        Self {
+            open: RefCell::new(Some(open)),
+            closed: closed.shared(),
+        }
+    }
+
+    /// Ends the present and all later waits; their callers get "unreachable".
+    pub fn close(&self) {
+        // Dropping the sender completes the receivers.
+        drop(self.open.borrow_mut().take());
+    }
+}
+
 /// What became of a forwarded request.
 #[derive(Clone, Debug)]
 pub enum ForwardOutcome {
@@ -97,7 +125,12 @@
         };
         let target = Uri::from_static("/peer/forward");
         let request = ClientRequest::post(target, BodyFormat::MessagePack, request).ok()?;
-        let response = self.pool(address).request(&request, &options).await.ok()?;
+        let pool = self.pool(address);
+        let response = pin!(pool.request(&request, &options));
+        let response = match select(response, self.forwards.closed.clone()).await {
+            Either::Left((response, _)) => response.ok()?,
+            Either::Right(_) => return None,
+        };
         if response.status != StatusCode::OK {
             return None;
         }
--- a/crates/filbertpitch/src/serve/lifecycle.rs
+++ b/crates/filbertpitch/src/serve/lifecycle.rs
@@ -130,8 +130,8 @@
     /// Finishes the work in progress, hands the outcomes over and closes the server.
     ///
     /// Returns whether all work ended within the time for draining.
-    pub async fn finish(self) -> bool {
-        let settings = self.node.settings();
+    pub async fn finish(mut self) -> bool {
+        let settings = self.node.settings().clone();
         // New work is still accepted for a moment, because the balancer learns late that the VM
         // is no longer ready, and refusing that work would cut requests short.
         monoio::time::sleep(settings.drain_notice).await;
@@ -148,8 +148,14 @@
         self.server.stop.stop();
         // Requests that were forwarded to other owners are answered when those answer.
         let left = end.since(self.node.now().time).max(settings.peer_timeout);
-        let closing = monoio::time::timeout(left, self.server.done).await;
-        drained && closing.is_ok()
+        let done = &mut self.server.done;
+        let mut closed = monoio::time::timeout(left, &mut *done).await.is_ok();
+        if !closed {
+            self.node.forwards.close();
+            let closing = monoio::time::timeout(settings.peer_timeout, done).await;
+            closed = closing.is_ok();
+        }
+        drained && closed
     }
 
     async fn wait_until_idle(&self, limit: Duration) -> bool {
--- a/crates/filbertpitch/src/serve/node.rs
+++ b/crates/filbertpitch/src/serve/node.rs
@@ -20,6 +20,7 @@
 use super::claims::ClaimDesk;
 use super::clock::SystemClock;
 use super::driver::EngineDriver;
+use super::forward::ForwardGate;
 use super::observe::NodeObserver;
 use super::settings::NodeSettings;
 use super::targets::TargetClient;
@@ -34,6 +35,7 @@
     pub(super) peers: RefCell<PeerTable>,
     pub(super) follower: RefCell<LogFollower>,
     pub(super) claims: ClaimDesk,
+    pub(super) forwards: ForwardGate,
     pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
     fleet: RefCell<Option<FleetView>>,
     observer: Rc<NodeObserver>,
@@ -83,6 +85,7 @@
             peers: RefCell::new(peers),
             follower: RefCell::new(LogFollower::new(FollowerSettings::default())),
             claims: ClaimDesk::new(claims),
+            forwards: ForwardGate::new(),
             pools: RefCell::default(),
             fleet: RefCell::default(),
             observer,
--- a/crates/standins/src/trial/fault.rs
+++ b/crates/standins/src/trial/fault.rs
@@ -288,12 +288,9 @@
         self.inject(target, TargetFault::Stay);
         let now = self.now;
         self.change_list(VmChange::Add(target_entry(target)));
-        let windows = self.evidence.leaving.iter_mut().rev();
-        let window = windows
-            .into_iter()
-            .find(|window| window.target == target && window.until > now);
-        if let Some(window) = window {
-            window.until = now;
-        }
+        // The list shows the target as live again, whatever made it leave.
+        let windows = self.evidence.leaving.iter_mut();
+        let open = windows.filter(|window| window.target == target && window.until > now);
+        open.for_each(|window| window.until = now);
     }
 }
--- a/crates/standins/src/trial/network.rs
+++ b/crates/standins/src/trial/network.rs
@@ -127,6 +127,13 @@
     /// Finds a connection as the product's pools do: the most recently used one first.
     pub fn route(&mut self, now: TimePoint, key: PoolKey, options: &SendOptions) -> Route {
         let pool = self.pools.entry(key).or_default();
+        if options.fresh
+            && key.kind == PoolKind::Start
+            && let Some((oldest, _)) = pool.idle.pop_front()
+            && self.connections.remove(&oldest).is_some()
+        {
+            pool.open -= 1;
+        }
         while !options.fresh
             && let Some((connection, since)) = pool.idle.pop_back()
         {
@@ -208,6 +215,16 @@
         }
     }
 
+    /// Closes the idle connections of the pool that an exchange uses.
+    pub fn close_idle_beside(&mut self, exchange: ExchangeId) {
+        let pool = self.connection_of(exchange).map(|known| known.pool);
+        let idle = pool.and_then(|pool| self.pools.get(&pool));
+        let idle = idle.into_iter().flat_map(|pool| &pool.idle);
+        for connection in idle.map(|&(id, _)| id).collect::<Vec<_>>() {
+            self.close(connection);
+        }
+    }
+
     /// Closes the connections to a party that carry no request.
     pub fn close_idle(&mut self, host: Party) {
         let idle = self.pools.values().flat_map(|pool| &pool.idle);
--- a/crates/standins/src/trial/sim.rs
+++ b/crates/standins/src/trial/sim.rs
@@ -435,6 +435,7 @@
             }
             VmOutput::CloseStart(attempt) => {
                 if let Some(exchange) = self.open_starts.remove(&(vm, attempt)) {
+                    self.network.close_idle_beside(exchange);
                     self.network.end(self.now, exchange, false);
                 }
             }
--- a/crates/standins/src/trial/vm/callers.rs
+++ b/crates/standins/src/trial/vm/callers.rs
@@ -84,6 +84,7 @@
         submission: SubmissionId,
         outcome: Option<ForwardAnswer>,
     ) {
+        self.forwards.remove(&caller);
         let answer = match outcome {
             Some(ForwardAnswer::Job(answer)) => self.job_answer(answer),
             Some(ForwardAnswer::NotFound) => CallerAnswer::NotFound,
--- a/crates/standins/src/trial/vm/claims.rs
+++ b/crates/standins/src/trial/vm/claims.rs
@@ -15,7 +15,7 @@
 /// How long a caller waits for its key to be claimed.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long keys are collected before a batch is appended.
-const BATCH_DELAY: Duration = Duration::from_millis(10);
+pub(super) const BATCH_DELAY: Duration = Duration::from_millis(10);
 
 /// Claims and the callers that wait for them.
 pub struct ClaimDesk {
--- a/crates/standins/src/trial/vm/drain.rs
+++ b/crates/standins/src/trial/vm/drain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::engine::EngineEvent;
+use filbertpitch_dispatch::handover::split_answers;
 use filbertpitch_types::caller::JobAnswer;
 use filbertpitch_types::peer::{HandoverRequest, PeerHello};
 use filbertpitch_types::platform::HANDOVER_STREAM;
@@ -20,8 +21,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long stopped work is awaited after the time for draining.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(3);
-/// The most outcomes in one handover message.
-const HANDOVER_PART: usize = 200;
 
 /// How far a planned stop is.
 #[derive(Debug)]
@@ -38,6 +37,8 @@
     HandingOver(Box<HandoverPlan>),
     /// Requests in progress are answered.
     Closing(TimePoint),
+    /// Requests that were forwarded to other owners are given up.
+    EndingForwards(TimePoint),
     /// The process has ended.
     Ended,
 }
@@ -46,7 +47,7 @@
 #[derive(Debug)]
 pub struct HandoverPlan {
     candidates: VecDeque<PeerHello>,
-    answers: Vec<JobAnswer>,
+    parts: Vec<Vec<JobAnswer>>,
     sent: usize,
 }
 
@@ -76,12 +77,22 @@
                 self.step_drain();
             }
             DrainStage::Expiring(end) if now >= end => self.begin_handover(),
-            DrainStage::Closing(end) if now >= end || self.open_calls.is_empty() => {
+            DrainStage::Closing(end) if now >= end && !self.open_calls.is_empty() => {
+                self.drain = DrainStage::EndingForwards(now + PEER_TIMEOUT);
+                self.end_forwards();
+                self.step_drain();
+            }
+            DrainStage::Closing(end) | DrainStage::EndingForwards(end)
+                if now >= end || self.open_calls.is_empty() =>
+            {
                 self.drain = DrainStage::Ended;
                 self.life = LifeState::Stopped;
                 self.out.push(VmOutput::Exit);
             }
-            DrainStage::Draining(_) | DrainStage::Expiring(_) | DrainStage::Closing(_) => {
+            DrainStage::Draining(_)
+            | DrainStage::Expiring(_)
+            | DrainStage::Closing(_)
+            | DrainStage::EndingForwards(_) => {
                 self.wake_after(POLL_INTERVAL, VmTimer::Drain);
             }
             DrainStage::Serving | DrainStage::HandingOver(_) | DrainStage::Ended => {}
@@ -105,7 +116,7 @@
         candidates.sort_by_key(|peer| (peer.zone != *home, peer.address));
         self.drain = DrainStage::HandingOver(Box::new(HandoverPlan {
             candidates: candidates.into(),
-            answers,
+            parts: split_answers(answers),
             sent: 0,
         }));
         self.send_handover_part();
@@ -119,11 +130,10 @@
             return self.begin_closing();
         };
         let address = peer.address;
-        let end = (plan.sent + HANDOVER_PART).min(plan.answers.len());
         let request = Request::Handover(HandoverRequest {
             from: self.incarnation,
-            answers: plan.answers[plan.sent..end].to_vec(),
-            last: end == plan.answers.len(),
+            answers: plan.parts[plan.sent].clone(),
+            last: plan.sent + 1 == plan.parts.len(),
         });
         self.send(address, request, PEER_TIMEOUT, VmCall::Handover);
     }
@@ -137,8 +147,8 @@
             plan.sent = 0;
             return self.send_handover_part();
         }
-        plan.sent = (plan.sent + HANDOVER_PART).min(plan.answers.len());
-        if plan.sent < plan.answers.len() {
+        plan.sent += 1;
+        if plan.sent < plan.parts.len() {
             return self.send_handover_part();
         }
         let Some(peer) = plan.candidates.pop_front() else {
--- a/crates/standins/src/trial/vm/forward.rs
+++ b/crates/standins/src/trial/vm/forward.rs
@@ -29,6 +29,7 @@
         origin: IncarnationId,
         command: ForwardCommand,
     ) {
+        self.forwards.insert(caller, command.submission().clone());
         let call = ForwardCall {
             caller,
             origin,
@@ -39,6 +40,13 @@
         self.ask_owner(address, owner, call);
     }
 
+    /// Ends the waits for other owners; their callers get "unreachable".
+    pub(super) fn end_forwards(&mut self) {
+        for (caller, submission) in std::mem::take(&mut self.forwards) {
+            self.answer_forwarded(caller, submission, None);
+        }
+    }
+
     fn ask_owner(&mut self, address: SocketAddr, owner: IncarnationId, mut call: ForwardCall) {
         if call.hops == 0 {
             let submission = call.command.submission().clone();
@@ -63,6 +71,10 @@
     }
 
     pub(super) fn end_forward(&mut self, call: ForwardCall, result: Result<Response, Failure>) {
+        // A stopping VM may have answered before.
+        if !self.forwards.contains_key(&call.caller) {
+            return;
+        }
         let submission = call.command.submission().clone();
         match result {
             Ok(Response::Forward(answer)) => match *answer {
--- a/crates/standins/src/trial/vm/mod.rs
+++ b/crates/standins/src/trial/vm/mod.rs
@@ -31,7 +31,7 @@
 use super::message::{
     CallerAnswer, ExchangeId, Failure, PoolKind, Request, Response, SendOptions, VmCall,
 };
-use claims::ClaimDesk;
+use claims::{BATCH_DELAY, ClaimDesk};
 use drain::DrainStage;
 
 /// The time for a heartbeat or another short request.
@@ -136,6 +136,7 @@
     life: LifeState,
     drain: DrainStage,
     drain_end: TimePoint,
+    forwards: BTreeMap<ExchangeId, SubmissionId>,
     next_handover: LogOffset,
     next_caller: u64,
     replies: BTreeMap<CallerToken, ReplyTo>,
@@ -179,6 +180,7 @@
             life: LifeState::Starting,
             drain: DrainStage::Serving,
             drain_end: TimePoint::default(),
+            forwards: BTreeMap::new(),
             next_handover: LogOffset(0),
             next_caller: 0,
             replies: BTreeMap::new(),
@@ -264,7 +266,7 @@
             VmCall::VmList => self.end_vm_list(result),
             VmCall::FollowHandovers => self.end_handover_read(result),
             VmCall::FollowClaims => self.end_claim_read(result),
-            VmCall::AppendClaims => self.append_next_claims(),
+            VmCall::AppendClaims => self.wake_after(BATCH_DELAY, VmTimer::AppendClaims),
             VmCall::Forward(call) => self.end_forward(*call, result),
             VmCall::Handover => self.end_handover_part(result.is_ok()),
             VmCall::Announce => self.begin_closing(),
--- a/crates/standins/src/trial/vm/targets.rs
+++ b/crates/standins/src/trial/vm/targets.rs
@@ -36,7 +36,7 @@
                 address,
                 options: SendOptions {
                     timeout: START_TIMEOUT,
-                    fresh: false,
+                    fresh: request.attempt.attempt > AttemptNumber(0),
                     pool: PoolKind::Start,
                     limit: START_CONNECTIONS,
                 },
