--- a/crates/dispatch/src/claim.rs
+++ b/crates/dispatch/src/claim.rs
@@ -5,7 +5,6 @@
 //! that the log's append rate does not limit the submissions.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertpitch_types::platform::LogRecord;
@@ -187,11 +186,6 @@
             }
         }
     }
-
-    /// The address behind a claim, for forwarding.
-    pub fn owner_address(owner: &OwnerPrefix) -> SocketAddr {
-        owner.address
-    }
 }
 
 /// Reads the text of a claim record.
