--- a/crates/dispatch/src/entity.rs
+++ b/crates/dispatch/src/entity.rs
@@ -51,6 +51,10 @@
     /// A target.
     TargetIndex, "target"
 );
+entity_index!(
+    /// An entry VM.
+    VmIndex, "vm"
+);
 entity_index!(
     /// An availability zone.
     ZoneIndex, "zone"
--- a/crates/filbertpitch/src/cli/arguments.rs
+++ b/crates/filbertpitch/src/cli/arguments.rs
@@ -31,6 +31,8 @@
 pub enum Command {
     /// Runs an entry VM.
     Serve(ServeCommand),
+    /// Runs an entry VM of a fleet whose targets run tasks under leases.
+    Fleet(FleetCommand),
     /// Checks a settings file.
     Check(CheckCommand),
     /// Applies and shows tickets.
@@ -52,10 +54,22 @@
     pub settings: PathBuf,
 }
 
+/// Run an entry VM of a fleet whose targets run tasks under leases, until SIGTERM or SIGINT.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fleet")]
+pub struct FleetCommand {
+    /// the settings file; it is read again on SIGHUP and when it changes
+    #[argh(option, arg_name = "FILE")]
+    pub settings: PathBuf,
+}
+
 /// Check a settings file and report everything that is wrong with it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
+    /// the file is for `fleet`, not for `serve`
+    #[argh(switch)]
+    pub fleet: bool,
     /// the settings file
     #[argh(option, arg_name = "FILE")]
     pub settings: PathBuf,
--- a/crates/filbertpitch/src/cli/check.rs
+++ b/crates/filbertpitch/src/cli/check.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::{CheckCommand, CommandError, ExitStatus, table};
-use crate::settings::{SettingsFinding, load_settings};
+use crate::settings::{SettingsFinding, load_fleet_settings, load_settings};
 
 /// The result as JSON.
 #[derive(Serialize)]
@@ -16,7 +16,10 @@
 /// Checks a settings file.
 pub(super) fn run(command: &CheckCommand) -> Result<ExitStatus, CommandError> {
     let file = command.settings.display().to_string();
-    let result = load_settings(&command.settings);
+    let result = match command.fleet {
+        true => load_fleet_settings(&command.settings).map(drop),
+        false => load_settings(&command.settings).map(drop),
+    };
     if command.json {
         table::print_json(&CheckReport {
             file: &file,
--- a/crates/filbertpitch/src/cli/mod.rs
+++ b/crates/filbertpitch/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod error;
 mod exit;
+mod fleet;
 mod remote;
 mod serve;
 mod status;
@@ -13,7 +14,7 @@
 mod trace;
 
 pub use arguments::{
-    AddressList, Arguments, CheckCommand, Command, ServeCommand, StatusCommand, SubmitCommand,
+    AddressList, Arguments, CheckCommand, Command, FleetCommand, ServeCommand, StatusCommand, SubmitCommand,
     TicketAction, TicketApplyCommand, TicketCommand, TicketListCommand, TicketShowCommand,
     TraceCommand,
 };
@@ -67,6 +68,7 @@
 fn execute(command: Command) -> Result<ExitStatus, CommandError> {
     match command {
         Command::Serve(command) => serve::run(&command),
+        Command::Fleet(command) => fleet::run(&command),
         Command::Check(command) => check::run(&command),
         Command::Ticket(command) => match &command.action {
             TicketAction::Apply(command) => ticket::apply(command),
--- a/crates/filbertpitch/src/events/page.rs
+++ b/crates/filbertpitch/src/events/page.rs
@@ -9,7 +9,7 @@
 filbertpitch writes one JSON object per line to the standard output stream. `event` is the number
 of the event, `name` its name, `level` its severity, `ts` the time; further fields depend on the
 event. Numbers are never reused. At most 20 lines of one event are written in a burst and 2 a
-second in the long run; `lines_suppressed` counts the others. The one line without a number is
+second in the long run, of events from 900 on 400 and 200; `lines_suppressed` counts the others. The one line without a number is
 written when lines were dropped because the consumer of the stream was too slow; it contains their
 count.
 
--- a/crates/filbertpitch/src/events/rate.rs
+++ b/crates/filbertpitch/src/events/rate.rs
@@ -24,6 +24,14 @@
     }
 }
 
+impl LineRate {
+    /// The rate of events that occur for each request: all lines of a VM at its usual load.
+    pub const PER_REQUEST: Self = Self {
+        burst: 400.0,
+        per_second: 200.0,
+    };
+}
+
 #[derive(Clone, Copy, Debug)]
 struct EventBucket {
     lines: f64,
@@ -49,7 +57,10 @@
 
     /// Whether a line may be written.
     pub fn admit(&mut self, now: Instant, event: LogEvent) -> bool {
-        let rate = self.rate;
+        let rate = match event.spec().per_request() {
+            true => LineRate::PER_REQUEST,
+            false => self.rate,
+        };
         let bucket = self.buckets.entry(event).or_insert(EventBucket {
             lines: rate.burst,
             updated: now,
--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -2,6 +2,10 @@
 
 use slog::Level;
 
+/// The first number of the events that occur for each request. They may be written more often than
+/// others.
+const FIRST_REQUEST_EVENT: u16 = 900;
+
 /// What the catalogue says about an event.
 #[derive(Clone, Copy, Debug)]
 pub struct EventSpec {
@@ -67,6 +71,18 @@
     106 LinesSuppressed "lines_suppressed" Warning
         "Lines of an event were left out because it occurred too often."
         "See the event that `suppressed` names; the metrics count all occurrences.";
+    107 SettingsReloaded "settings_reloaded" Info
+        "The settings file was read again, on SIGHUP or because it has changed."
+        "None; only `seed_peers` takes effect without a restart.";
+    108 SettingsUnreadable "settings_unreadable" Warning
+        "The settings file cannot be read again; the settings in force stay."
+        "Correct what the event names; `check` shows all findings.";
+    109 ReloadUnavailable "reload_unavailable" Warning
+        "SIGHUP cannot be received; changes of the settings file need a restart."
+        "Check the limit on open files.";
+    110 ProcessPaused "process_paused" Warning
+        "The process was not scheduled for a while; what it believed is reviewed."
+        "Check the VM if this repeats.";
     200 ConfigurationLoaded "configuration_loaded" Info
         "A configuration was loaded from the log or from a peer."
         "None.";
@@ -112,6 +128,18 @@
     214 SnapshotPublished "snapshot_published" Info
         "This VM has appended a snapshot of the configuration to the log."
         "None.";
+    215 ConfigurationApplied "configuration_applied" Info
+        "A published configuration is in effect on this VM."
+        "None.";
+    216 StoreUnreachable "store_unreachable" Warning
+        "The platform's store does not answer; what was read from it stays in use."
+        "Check the platform if the state lasts for longer than a minute.";
+    217 StoreReachable "store_reachable" Info
+        "The platform's store answers again."
+        "None.";
+    218 RecordUnreadable "record_unreadable" Warning
+        "A record in the platform's store cannot be read; it is ignored."
+        "Find out which program wrote it.";
     300 PeerLive "peer_live" Info
         "Another entry VM responds to heartbeats."
         "None.";
@@ -178,4 +206,47 @@
     700 MetricsFailed "metrics_failed" Warning
         "Metrics cannot be sent."
         "Check `observability.metrics`.";
+    800 TargetClaimed "target_claimed" Info
+        "This VM holds a target and alone gives it orders."
+        "None.";
+    801 TargetReleased "target_released" Info
+        "This VM does not hold a target any more; `reason` says why."
+        "None; if many targets are `fenced` again and again, check the clocks of the VMs.";
+    802 TargetRestarted "target_restarted" Warning
+        "A target has started anew; what ran on it is lost."
+        "Check the target if this repeats.";
+    803 TargetUnlisted "target_unlisted" Info
+        "A target is draining or no longer listed and gets no new tasks."
+        "None.";
+    900 JobAccepted "job_accepted" Info
+        "A job was accepted."
+        "None.";
+    901 JobAnswered "job_answered" Info
+        "A job was answered; `outcome` says how."
+        "None.";
+    902 JobRejected "job_rejected" Info
+        "A job was not accepted; nothing of it has run. `reason` and `wait_ms` say why."
+        "Add targets if `overloaded` lasts for longer than a burst.";
+    903 JobAbandoned "job_abandoned" Info
+        "The client of a job has closed its connection; the job's tasks are stopped."
+        "None.";
+    904 TaskPlaced "task_placed" Info
+        "The holder of a target was asked to run a task."
+        "None.";
+    905 PlaceRefused "place_refused" Info
+        "The holder did not run a task; it is placed again."
+        "None; `reason` says why.";
+    906 StartRefused "start_refused" Info
+        "A target did not start a run; the task is placed again."
+        "Check the target if `reason` is `unhealthy` again and again.";
+    907 RunEnded "run_ended" Info
+        "A run has ended without being done; `end` says how."
+        "Look for other runs on the same target.";
+}
+
+impl EventSpec {
+    /// Whether the event occurs for each request.
+    pub fn per_request(&self) -> bool {
+        self.number >= FIRST_REQUEST_EVENT
+    }
 }
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -0,0 +1,195 @@
+//! Feeds the engine with events and carries out its actions.
+//!
+//! Everything runs on one thread. The engine is borrowed only while it handles an event, never
+//! across an await.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::engine::{FleetAction, FleetEngine, FleetEvent};
+use filbertpitch_types::fleet::{JobReply, PeerEnvelope, PeerReceipt};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::time::ClockReading;
+use futures_channel::{mpsc, oneshot};
+use futures_util::StreamExt;
+
+use super::clock::FleetClock;
+use super::metrics::FleetMetrics;
+use super::notices::record_notice;
+use super::peers::PeerPools;
+use super::targets::TargetPools;
+use crate::events::EventLog;
+
+/// Runs the engine of this process.
+pub(super) struct FleetDriver {
+    clock: FleetClock,
+    engine: RefCell<FleetEngine>,
+    targets: TargetPools,
+    peers: PeerPools,
+    replies: RefCell<HashMap<CallerToken, oneshot::Sender<JobReply>>>,
+    next_caller: Cell<u64>,
+    timer_due: Cell<Option<TimePoint>>,
+    timer_signal: mpsc::UnboundedSender<()>,
+    log: EventLog,
+    metrics: Rc<FleetMetrics>,
+}
+
+/// Tells the engine that a client has left unless its reply was taken.
+struct CallerGuard {
+    driver: Rc<FleetDriver>,
+    caller: CallerToken,
+    answered: bool,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.driver.replies.borrow_mut().remove(&self.caller);
+            self.driver.feed(FleetEvent::CallerLeft(self.caller));
+        }
+    }
+}
+
+impl FleetDriver {
+    /// A driver for `engine`, and the receiver for [`Self::run_timer`].
+    pub(super) fn new(
+        clock: FleetClock,
+        engine: FleetEngine,
+        log: EventLog,
+        metrics: Rc<FleetMetrics>,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
+        let (timer_signal, timer_events) = mpsc::unbounded();
+        let driver = Self {
+            clock,
+            engine: RefCell::new(engine),
+            targets: TargetPools::default(),
+            peers: PeerPools::default(),
+            replies: RefCell::default(),
+            next_caller: Cell::new(0),
+            timer_due: Cell::new(None),
+            timer_signal,
+            log,
+            metrics,
+        };
+        (Rc::new(driver), timer_events)
+    }
+
+    /// Reads both clocks.
+    pub(super) fn now(&self) -> ClockReading {
+        self.clock.read()
+    }
+
+    /// Lets the engine react to an event and carries out what follows.
+    pub(super) fn feed(self: &Rc<Self>, event: FleetEvent) {
+        let now = self.clock.read();
+        self.engine.borrow_mut().handle(now, event);
+        self.perform_actions();
+    }
+
+    /// Takes over an envelope of a peer.
+    pub(super) fn receive(self: &Rc<Self>, envelope: PeerEnvelope) -> PeerReceipt {
+        let now = self.clock.read();
+        let receipt = self.engine.borrow_mut().receive_envelope(now, envelope);
+        self.perform_actions();
+        receipt
+    }
+
+    /// Looks at the engine between events.
+    pub(super) fn inspect<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&FleetEngine) -> T,
+    {
+        look(&self.engine.borrow())
+    }
+
+    /// Submits a job and waits for the reply. Dropping the future abandons the job.
+    pub(super) async fn submit<F>(self: &Rc<Self>, event: F) -> Option<JobReply>
+    where
+        F: FnOnce(CallerToken) -> FleetEvent,
+    {
+        let caller = CallerToken(self.next_caller.get());
+        self.next_caller.set(caller.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.replies.borrow_mut().insert(caller, sender);
+        let mut guard = CallerGuard {
+            driver: Rc::clone(self),
+            caller,
+            answered: false,
+        };
+        self.feed(event(caller));
+        let reply = receiver.await.ok();
+        guard.answered = true;
+        reply
+    }
+
+    fn perform_actions(self: &Rc<Self>) {
+        let (actions, due) = {
+            let mut engine = self.engine.borrow_mut();
+            (engine.take_actions(), engine.next_due())
+        };
+        for action in actions {
+            self.perform(action);
+        }
+        self.arm_timer(due);
+    }
+
+    fn perform(self: &Rc<Self>, action: FleetAction) {
+        match action {
+            FleetAction::Reply { caller, reply } => {
+                if let Some(sender) = self.replies.borrow_mut().remove(&caller) {
+                    // The client may have closed its connection.
+                    let _ = sender.send(reply);
+                }
+            }
+            FleetAction::SendEnvelope {
+                peer,
+                address,
+                envelope,
+            } => self.peers.send(self, peer, address, envelope),
+            FleetAction::Disconnect(address) => self.targets.disconnect(address),
+            FleetAction::Notice(notice) => {
+                self.metrics.see_notice(&notice);
+                record_notice(&self.log, &notice);
+            }
+            FleetAction::Start { .. } | FleetAction::Stop { .. } | FleetAction::Look { .. } => {
+                self.targets.send(self, action);
+            }
+        }
+    }
+
+    fn arm_timer(&self, due: Option<TimePoint>) {
+        let armed = self.timer_due.get();
+        let earlier = match (due, armed) {
+            (Some(due), Some(armed)) => due < armed,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if earlier {
+            self.timer_due.set(due);
+            // The receiver lives as long as the timer task.
+            let _ = self.timer_signal.unbounded_send(());
+        }
+    }
+
+    /// Feeds [`FleetEvent::TimeAdvanced`] when the engine's timers are due. Runs forever.
+    pub(super) async fn run_timer(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<()>) {
+        loop {
+            let Some(due) = self.timer_due.get() else {
+                if events.next().await.is_none() {
+                    return;
+                }
+                continue;
+            };
+            let delay = due.since(self.clock.read().time);
+            monoio::select! {
+                () = monoio::time::sleep(delay) => {
+                    self.timer_due.set(None);
+                    self.feed(FleetEvent::TimeAdvanced);
+                }
+                _ = events.next() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -0,0 +1,246 @@
+//! Follows the platform's store: the configuration, the list of targets, and other entry VMs.
+//!
+//! Each follower reads the newest state once and then the changes. When changes were removed before
+//! they were read, or the store was away, it reads the newest state again.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_fleet::engine::FleetEvent;
+use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
+use filbertpitch_platform::listing::read_target;
+use filbertpitch_platform::store::{
+    KeyedRecord, OPERATOR_TOPIC, ReadAnswer, StoreError, TARGET_TOPIC, VM_TOPIC, decode_value,
+    encode_value,
+};
+use filbertpitch_types::fleet::{PeerIdentity, TargetNotice};
+use filbertpitch_types::prelude::*;
+use slog::b;
+
+use super::node::FleetNode;
+use crate::events::LogEvent;
+
+/// How long a read of the configuration waits for a change. A connection that has gone silent is
+/// noticed after this time and the margin of a read.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
+/// The time between reads of the list of targets. Targets write every second or two, so that a
+/// read that waits for a change would return at once nearly always.
+const LISTING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between reads of the list of entry VMs. New VMs make themselves known directly.
+const VM_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The time before a failed call is repeated.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What a follower keeps: the topic, and whether the store answers.
+struct TopicState {
+    topic: &'static str,
+    reachable: bool,
+}
+
+impl TopicState {
+    fn new(topic: &'static str) -> Self {
+        Self {
+            topic,
+            reachable: true,
+        }
+    }
+
+    /// Logs a change of reachability.
+    fn note(&mut self, node: &FleetNode, error: Option<&StoreError>) {
+        let reachable = error.is_none();
+        if reachable == std::mem::replace(&mut self.reachable, reachable) {
+            return;
+        }
+        match error {
+            Some(error) => {
+                let text = error.to_string();
+                node.log().record(
+                    LogEvent::StoreUnreachable,
+                    b!("topic" => self.topic, "error" => &text),
+                );
+            }
+            None => node
+                .log()
+                .record(LogEvent::StoreReachable, b!("topic" => self.topic)),
+        }
+    }
+}
+
+impl FleetNode {
+    /// Keeps the configuration in force up to date. Runs forever.
+    pub(super) async fn follow_configuration(self: Rc<Self>) {
+        let mut state = TopicState::new(OPERATOR_TOPIC);
+        loop {
+            match self.store().newest(OPERATOR_TOPIC).await {
+                Ok(newest) => {
+                    state.note(&self, None);
+                    self.apply_configuration(&newest.records);
+                    self.read_configurations(&mut state, newest.next).await;
+                }
+                Err(error) => {
+                    state.note(&self, Some(&error));
+                    monoio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Reads changes until some were missed.
+    async fn read_configurations(&self, state: &mut TopicState, mut next: LogOffset) {
+        loop {
+            let read = self.store().read(OPERATOR_TOPIC, next, CONFIGURATION_WAIT);
+            match read.await {
+                Ok(ReadAnswer::Records { records, next: end }) => {
+                    state.note(self, None);
+                    self.apply_configuration(&records);
+                    next = end;
+                }
+                Ok(ReadAnswer::Expired) => return,
+                Err(error) => {
+                    state.note(self, Some(&error));
+                    monoio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn apply_configuration(&self, records: &[KeyedRecord]) {
+        let published = records
+            .iter()
+            .filter(|record| &*record.key == CONFIGURATION_KEY);
+        for value in published.filter_map(|record| record.value.as_ref()) {
+            match read_configuration(value) {
+                Ok(configuration) => {
+                    let configuration = Rc::new(configuration);
+                    self.driver().feed(FleetEvent::Configured(configuration));
+                }
+                Err(error) => {
+                    let text = error.to_string();
+                    self.log().record(
+                        LogEvent::RecordUnreadable,
+                        b!("topic" => OPERATOR_TOPIC, "key" => CONFIGURATION_KEY, "error" => &text),
+                    );
+                }
+            }
+        }
+    }
+
+    /// Keeps the list of targets up to date. Runs forever.
+    pub(super) async fn follow_targets(self: Rc<Self>) {
+        let mut state = TopicState::new(TARGET_TOPIC);
+        let mut known = BTreeSet::new();
+        loop {
+            match self.store().newest(TARGET_TOPIC).await {
+                Ok(newest) => {
+                    state.note(&self, None);
+                    self.replace_targets(&mut known, &newest.records);
+                    self.read_targets(&mut state, &mut known, newest.next).await;
+                }
+                Err(error) => {
+                    state.note(&self, Some(&error));
+                    monoio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Takes over the whole list; targets that are not in it any more are removed.
+    fn replace_targets(&self, known: &mut BTreeSet<TargetName>, records: &[KeyedRecord]) {
+        let mut notices = read_notices(records);
+        let listed = notices.iter().map(|notice| target_of(notice).clone());
+        let listed = listed.collect::<BTreeSet<_>>();
+        let gone = known.difference(&listed).cloned();
+        notices.extend(gone.map(TargetNotice::Removed));
+        *known = listed;
+        self.driver().feed(FleetEvent::TargetsChanged(notices));
+        self.driver().feed(FleetEvent::TargetsListed);
+    }
+
+    /// Reads changes until some were missed.
+    async fn read_targets(
+        &self,
+        state: &mut TopicState,
+        known: &mut BTreeSet<TargetName>,
+        mut next: LogOffset,
+    ) {
+        loop {
+            monoio::time::sleep(LISTING_INTERVAL).await;
+            match self.store().read(TARGET_TOPIC, next, Duration::ZERO).await {
+                Ok(ReadAnswer::Records { records, next: end }) => {
+                    state.note(self, None);
+                    next = end;
+                    if records.is_empty() {
+                        continue;
+                    }
+                    let notices = read_notices(&records);
+                    known.extend(notices.iter().map(|notice| target_of(notice).clone()));
+                    self.driver().feed(FleetEvent::TargetsChanged(notices));
+                }
+                Ok(ReadAnswer::Expired) => return,
+                Err(error) => state.note(self, Some(&error)),
+            }
+        }
+    }
+
+    /// Makes this VM known and finds the others. Runs forever.
+    pub(super) async fn follow_vms(self: Rc<Self>) {
+        let mut state = TopicState::new(VM_TOPIC);
+        let mut announced = false;
+        loop {
+            match self.store().newest(VM_TOPIC).await {
+                Ok(newest) => {
+                    state.note(&self, None);
+                    let values = newest.records.iter();
+                    let values = values.filter_map(|record| record.value.as_ref());
+                    // A damaged record names no VM.
+                    let peers = values.filter_map(|value| decode_value::<PeerIdentity>(value));
+                    let peers = peers.collect::<Vec<_>>();
+                    announced |= peers.contains(self.identity());
+                    self.driver().feed(FleetEvent::PeersFound(peers));
+                }
+                Err(error) => state.note(&self, Some(&error)),
+            }
+            if !announced {
+                announced = self.announce(&mut state).await;
+            }
+            let interval = match announced && state.reachable {
+                true => VM_INTERVAL,
+                false => RETRY_INTERVAL,
+            };
+            monoio::time::sleep(interval).await;
+        }
+    }
+
+    async fn announce(&self, state: &mut TopicState) -> bool {
+        let identity = self.identity();
+        let Some(value) = encode_value(identity) else {
+            return false;
+        };
+        let key = identity.vm.as_str();
+        match self.store().publish(VM_TOPIC, key, &value).await {
+            Ok(()) => true,
+            Err(error) => {
+                state.note(self, Some(&error));
+                false
+            }
+        }
+    }
+}
+
+fn read_notices(records: &[KeyedRecord]) -> Vec<TargetNotice> {
+    let notices = records
+        .iter()
+        .filter_map(|record| read_target(&record.key, record.value.as_deref()));
+    notices.collect()
+}
+
+fn target_of(notice: &TargetNotice) -> &TargetName {
+    match notice {
+        TargetNotice::Listed(entry) => &entry.name,
+        TargetNotice::Removed(name) | TargetNotice::Unreadable(name) => name,
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -0,0 +1,155 @@
+//! Counters and histograms of an entry VM of a fleet, served over HTTP in the text format of
+//! Prometheus.
+
+use std::rc::Rc;
+
+use filbertpitch_fleet::engine::{FleetCounters, FleetEngine, FleetNotice};
+use filbertpitch_types::fleet::JobReply;
+use filbertpitch_wire::message::{ServerRequest, ServerResponse};
+use filbertpitch_wire::server::RequestHandler;
+use http::{HeaderValue, StatusCode};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use super::node::FleetNode;
+
+/// The smallest bucket of the histograms, in seconds; each further one is twice as large.
+const SMALLEST_BUCKET: f64 = 0.005;
+const BUCKETS: u16 = 12;
+
+/// The histograms.
+#[derive(Debug)]
+pub struct FleetMetrics {
+    answered: Histogram,
+    placed: Histogram,
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKETS));
+        Self {
+            answered: histogram(),
+            placed: histogram(),
+        }
+    }
+}
+
+impl FleetMetrics {
+    /// Takes over what a notice measures.
+    pub(super) fn see_notice(&self, notice: &FleetNotice) {
+        match notice {
+            FleetNotice::JobAnswered {
+                reply: JobReply::Completed,
+                took,
+                ..
+            } => self.answered.observe(took.as_secs_f64()),
+            FleetNotice::TaskPlaced { waited, .. } => self.placed.observe(waited.as_secs_f64()),
+            _ => {}
+        }
+    }
+
+    /// All metrics as text.
+    fn page(&self, engine: &FleetEngine) -> String {
+        let mut registry = Registry::with_prefix("filbertpitch");
+        register_counters(&mut registry, &engine.counters());
+        register_gauges(&mut registry, engine);
+        registry.register_with_unit(
+            "job_time",
+            "From the arrival of a completed job to its answer",
+            Unit::Seconds,
+            self.answered.clone(),
+        );
+        registry.register_with_unit(
+            "place_time",
+            "From the arrival of a job to the request to run one of its tasks",
+            Unit::Seconds,
+            self.placed.clone(),
+        );
+        let mut page = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut page, &registry);
+        page
+    }
+}
+
+fn register_counters(registry: &mut Registry, counters: &FleetCounters) {
+    let values = [
+        ("jobs_accepted", "Jobs that were accepted", counters.jobs_accepted),
+        ("jobs_completed", "Jobs answered as completed", counters.jobs_completed),
+        ("jobs_failed", "Jobs answered as failed", counters.jobs_failed),
+        ("jobs_rejected", "Jobs rejected; nothing of them has run", counters.jobs_rejected),
+        ("jobs_unknown", "Jobs given up after parts may have run", counters.jobs_unknown),
+        ("jobs_abandoned", "Jobs whose client has left", counters.jobs_abandoned),
+        ("tasks_placed", "Requests to holders to run a task", counters.tasks_placed),
+        ("tasks_refused", "Tasks that a holder did not run", counters.tasks_refused),
+        ("starts_sent", "Start orders to targets", counters.starts_sent),
+        ("starts_lost", "Start orders without an answer", counters.starts_lost),
+        ("starts_refused", "Start orders that a target refused", counters.starts_refused),
+        ("looks_sent", "Looks at targets", counters.looks_sent),
+        ("looks_lost", "Looks without an answer", counters.looks_lost),
+        ("runs_done", "Runs that were done", counters.runs_done),
+        ("runs_not_done", "Runs that ended otherwise", counters.runs_not_done),
+        ("offers_sent", "Offers of room to other VMs", counters.offers_sent),
+        ("envelopes_sent", "Envelopes to other VMs", counters.envelopes_sent),
+        ("targets_claimed", "Targets that were claimed", counters.targets_claimed),
+        ("targets_fenced", "Targets found with another holder", counters.targets_fenced),
+    ];
+    for (name, help, value) in values {
+        let counter = Counter::<u64>::default();
+        counter.inc_by(value);
+        registry.register(name, help, counter);
+    }
+}
+
+fn register_gauges(registry: &mut Registry, engine: &FleetEngine) {
+    let view = engine.view();
+    let values = [
+        ("live_jobs", "Jobs without an answer", view.live_jobs),
+        ("waiting_tasks", "Tasks that wait for room", view.waiting_tasks),
+        ("held_targets", "Targets that this VM holds", view.held_targets),
+        ("held_runs", "Runs on held targets", view.held_runs),
+        ("live_peers", "Other entry VMs that are heard", view.live_peers),
+        ("listed_targets", "Targets in the platform's list", view.listed_targets),
+    ];
+    for (name, help, value) in values {
+        let gauge = Gauge::<i64>::default();
+        gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        registry.register(name, help, gauge);
+    }
+    if let Some(version) = view.version {
+        let gauge = Gauge::<i64>::default();
+        gauge.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        registry.register("configuration_version", "The configuration in force", gauge);
+    }
+}
+
+/// Serves the metrics.
+pub(super) struct MetricsHandler {
+    node: Rc<FleetNode>,
+}
+
+impl MetricsHandler {
+    pub(super) fn new(node: Rc<FleetNode>) -> Self {
+        Self { node }
+    }
+}
+
+impl RequestHandler for MetricsHandler {
+    async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        if request.path() != "/metrics" {
+            return ServerResponse::empty(StatusCode::NOT_FOUND);
+        }
+        let metrics = self.node.metrics();
+        let page = self.node.driver().inspect(|engine| metrics.page(engine));
+        ServerResponse {
+            content_type: Some(HeaderValue::from_static(
+                "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            )),
+            body: page.into(),
+            ..ServerResponse::empty(StatusCode::OK)
+        }
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/node.rs
@@ -0,0 +1,94 @@
+//! The state of one entry VM of a fleet that its tasks share.
+
+use std::rc::Rc;
+
+use filbertpitch_fleet::engine::{FleetEngine, FleetSettings};
+use filbertpitch_fleet::held::HeldSettings;
+use filbertpitch_platform::store::StoreClient;
+use filbertpitch_types::fleet::PeerIdentity;
+use filbertpitch_types::prelude::*;
+use futures_channel::mpsc;
+
+use super::clock::FleetClock;
+use super::driver::FleetDriver;
+use super::metrics::FleetMetrics;
+use crate::events::EventLog;
+use crate::settings::FleetNodeSettings;
+
+/// One entry VM of a fleet.
+pub struct FleetNode {
+    identity: PeerIdentity,
+    driver: Rc<FleetDriver>,
+    store: StoreClient,
+    log: EventLog,
+    metrics: Rc<FleetMetrics>,
+}
+
+impl FleetNode {
+    /// A node that has read nothing yet, and the receiver for its timer task.
+    pub(super) fn new(
+        settings: &FleetNodeSettings,
+        incarnation: IncarnationId,
+        log: EventLog,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
+        let clock = FleetClock::start();
+        let identity = PeerIdentity {
+            vm: settings.vm.clone(),
+            incarnation,
+            address: settings.listen.peers,
+            zone: settings.availability_zone.clone(),
+        };
+        let engine = FleetEngine::new(
+            engine_settings(settings),
+            identity.clone(),
+            clock.read(),
+            incarnation.0,
+        );
+        let metrics = Rc::new(FleetMetrics::default());
+        let (driver, timer_events) =
+            FleetDriver::new(clock, engine, log.clone(), Rc::clone(&metrics));
+        let node = Self {
+            identity,
+            driver,
+            store: StoreClient::new(settings.store),
+            log,
+            metrics,
+        };
+        (Rc::new(node), timer_events)
+    }
+
+    pub(super) fn identity(&self) -> &PeerIdentity {
+        &self.identity
+    }
+
+    pub(super) fn driver(&self) -> &Rc<FleetDriver> {
+        &self.driver
+    }
+
+    pub(super) fn store(&self) -> &StoreClient {
+        &self.store
+    }
+
+    pub(super) fn log(&self) -> &EventLog {
+        &self.log
+    }
+
+    pub(super) fn metrics(&self) -> &FleetMetrics {
+        &self.metrics
+    }
+}
+
+fn engine_settings(settings: &FleetNodeSettings) -> FleetSettings {
+    FleetSettings {
+        held: HeldSettings {
+            lease: settings.lease,
+            look_wait: settings.lease.mul_f64(LOOK_WAIT_SHARE),
+            ..HeldSettings::default()
+        },
+        far_factor: settings.far_factor,
+        ..FleetSettings::default()
+    }
+}
+
+/// How long looks wait, as a part of the lease: two looks may get lost before it ends.
+const LOOK_WAIT_SHARE: f64 = 0.4;
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -0,0 +1,189 @@
+//! The engine's notices as log events.
+
+use std::time::Duration;
+
+use filbertpitch_fleet::engine::FleetNotice;
+use filbertpitch_types::fleet::{JobReply, PlaceRefusal};
+use slog::b;
+
+use crate::events::{EventLog, LogEvent};
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn outcome(reply: &JobReply) -> &'static str {
+    match reply {
+        JobReply::Completed => "completed",
+        JobReply::Failed => "failed",
+        JobReply::Rejected { reason, .. } => reason.as_str(),
+        JobReply::Unknown => "unknown",
+        JobReply::Cancelled => "cancelled",
+    }
+}
+
+fn refusal_word(refusal: PlaceRefusal) -> &'static str {
+    match refusal {
+        PlaceRefusal::NoRoom => "no_room",
+        PlaceRefusal::Stale => "stale",
+        PlaceRefusal::RefusedByTarget => "refused_by_target",
+        PlaceRefusal::OldRun => "old_run",
+        PlaceRefusal::NeverStarted => "never_started",
+    }
+}
+
+/// Logs a notice.
+pub(super) fn record_notice(log: &EventLog, notice: &FleetNotice) {
+    match notice {
+        FleetNotice::ConfigurationApplied(version) => log.record(
+            LogEvent::ConfigurationApplied,
+            b!("version" => version.0),
+        ),
+        FleetNotice::JobAccepted {
+            job,
+            queue,
+            tasks,
+            objective,
+            wait,
+            version,
+        } => log.record(
+            LogEvent::JobAccepted,
+            b!(
+                "job" => %job,
+                "queue" => queue.as_str(),
+                "tasks" => tasks,
+                "objective_ms" => millis(*objective),
+                "wait_ms" => millis(*wait),
+                "version" => version.map(|version| version.0)
+            ),
+        ),
+        FleetNotice::JobAnswered {
+            job,
+            reply,
+            took,
+            objective,
+        } => log.record(
+            LogEvent::JobAnswered,
+            b!(
+                "job" => %job,
+                "outcome" => outcome(reply),
+                "took_ms" => millis(*took),
+                "objective_ms" => millis(*objective)
+            ),
+        ),
+        FleetNotice::JobRejected {
+            job,
+            queue,
+            reason,
+            wait,
+        } => log.record(
+            LogEvent::JobRejected,
+            b!(
+                "job" => %job,
+                "queue" => queue.as_str(),
+                "reason" => reason.as_str(),
+                "wait_ms" => millis(*wait)
+            ),
+        ),
+        FleetNotice::JobAbandoned { job, took } => log.record(
+            LogEvent::JobAbandoned,
+            b!("job" => %job, "took_ms" => millis(*took)),
+        ),
+        FleetNotice::TaskPlaced {
+            run,
+            holder,
+            target,
+            waited,
+        } => log.record(
+            LogEvent::TaskPlaced,
+            b!(
+                "run" => %run,
+                "holder" => holder.as_str(),
+                "target" => target.as_str(),
+                "waited_ms" => millis(*waited)
+            ),
+        ),
+        FleetNotice::RunEnded { run, target, end } => log.record(
+            LogEvent::RunEnded,
+            b!("run" => %run, "target" => target.as_str(), "end" => %end),
+        ),
+        FleetNotice::PlaceRefused {
+            task,
+            holder,
+            refusal,
+        } => log.record(
+            LogEvent::PlaceRefused,
+            b!(
+                "task" => %task,
+                "holder" => holder.as_str(),
+                "reason" => refusal_word(*refusal)
+            ),
+        ),
+        FleetNotice::StartRefused {
+            run,
+            target,
+            reason,
+        } => log.record(
+            LogEvent::StartRefused,
+            b!("run" => %run, "target" => target.as_str(), "reason" => reason),
+        ),
+        _ => record_state(log, notice),
+    }
+}
+
+/// Logs a change of what this VM believes of targets and other VMs.
+fn record_state(log: &EventLog, notice: &FleetNotice) {
+    match notice {
+        FleetNotice::TargetClaimed {
+            target,
+            token,
+            found_runs,
+        } => log.record(
+            LogEvent::TargetClaimed,
+            b!("target" => target.as_str(), "token" => token.0, "found_runs" => found_runs),
+        ),
+        FleetNotice::TargetReleased {
+            target,
+            reason,
+            runs,
+        } => log.record(
+            LogEvent::TargetReleased,
+            b!("target" => target.as_str(), "reason" => reason, "runs" => runs),
+        ),
+        FleetNotice::TargetUnreachable { target, runs } => log.record(
+            LogEvent::TargetUnreachable,
+            b!("target" => target.as_str(), "runs" => runs),
+        ),
+        FleetNotice::TargetReachable(target) => log.record(
+            LogEvent::TargetReachable,
+            b!("target" => target.as_str()),
+        ),
+        FleetNotice::TargetReborn(target) => log.record(
+            LogEvent::TargetRestarted,
+            b!("target" => target.as_str()),
+        ),
+        FleetNotice::TargetShunned(target) => log.record(
+            LogEvent::TargetEjected,
+            b!("target" => target.as_str()),
+        ),
+        FleetNotice::TargetUnlisted { target, draining } => log.record(
+            LogEvent::TargetUnlisted,
+            b!("target" => target.as_str(), "draining" => draining),
+        ),
+        FleetNotice::PeerLive(peer) => {
+            log.record(LogEvent::PeerLive, b!("peer" => peer.as_str()));
+        }
+        FleetNotice::PeerLost {
+            peer,
+            quiet,
+            refused,
+        } => log.record(
+            LogEvent::PeerSilent,
+            b!("peer" => peer.as_str(), "quiet_ms" => millis(*quiet), "refused" => refused),
+        ),
+        FleetNotice::Paused(gap) => {
+            log.record(LogEvent::ProcessPaused, b!("gap_ms" => millis(*gap)));
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/targets.rs
@@ -0,0 +1,126 @@
+//! The connections to targets.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_fleet::engine::{FleetAction, FleetEvent};
+use filbertpitch_platform::orders;
+use filbertpitch_wire::client::{ConnectionPool, PoolLimits};
+
+use super::driver::FleetDriver;
+
+/// The time for a start or stop order. They are answered within a few round trips unless the
+/// answer is lost.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// The time for a new connection. A target that does not accept one in this time is not reached.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The most connections to one target: looks, and orders for as many tasks as usually fit.
+const CONNECTIONS: usize = 8;
+
+/// How long an unused connection is kept. New connections cost more than idle ones.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// The connection pools of all targets.
+#[derive(Default)]
+pub(super) struct TargetPools {
+    pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
+}
+
+impl TargetPools {
+    fn pool(&self, address: SocketAddr) -> Rc<ConnectionPool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(address).or_insert_with(|| {
+            let limits = PoolLimits {
+                connections: CONNECTIONS,
+                idle_timeout: IDLE_TIMEOUT,
+                connect_timeout: CONNECT_TIMEOUT,
+                ..PoolLimits::default()
+            };
+            Rc::new(ConnectionPool::new(address, limits))
+        });
+        Rc::clone(pool)
+    }
+
+    /// Closes the connections to a target.
+    pub(super) fn disconnect(&self, address: SocketAddr) {
+        let pool = self.pools.borrow_mut().remove(&address);
+        if let Some(pool) = pool {
+            pool.close_idle();
+        }
+    }
+
+    /// Sends an order or a look and feeds the answer to the engine.
+    pub(super) fn send(&self, driver: &Rc<FleetDriver>, action: FleetAction) {
+        let driver = Rc::clone(driver);
+        match action {
+            FleetAction::Start {
+                target,
+                name,
+                address,
+                order,
+            } => {
+                let pool = self.pool(address);
+                monoio::spawn(async move {
+                    let answer = orders::send_start(&pool, &name, &order, ORDER_TIMEOUT).await;
+                    driver.feed(FleetEvent::StartAnswered {
+                        target,
+                        token: order.token,
+                        run: order.run,
+                        answer,
+                    });
+                });
+            }
+            FleetAction::Stop {
+                target,
+                name,
+                address,
+                order,
+            } => {
+                let pool = self.pool(address);
+                monoio::spawn(async move {
+                    let answer = orders::send_stop(&pool, &name, &order, ORDER_TIMEOUT).await;
+                    driver.feed(FleetEvent::StopAnswered {
+                        target,
+                        token: order.token,
+                        run: order.run,
+                        answer,
+                    });
+                });
+            }
+            FleetAction::Look {
+                target,
+                name,
+                address,
+                plan,
+            } => {
+                let pool = self.pool(address);
+                monoio::spawn(async move {
+                    if plan.fresh_connection {
+                        // A new connection replaces one that may be at fault.
+                        pool.close_oldest_idle();
+                    }
+                    let look = orders::send_look(
+                        &pool,
+                        &name,
+                        &plan.order,
+                        plan.timeout,
+                        plan.fresh_connection,
+                    );
+                    let answer = look.await;
+                    driver.feed(FleetEvent::LookAnswered {
+                        target,
+                        token: plan.order.token,
+                        number: plan.number,
+                        answer,
+                    });
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cli;
 pub mod events;
+pub mod fleet;
 pub mod log_client;
 pub mod metrics;
 pub mod serve;
--- a/crates/filbertpitch/src/settings/load.rs
+++ b/crates/filbertpitch/src/settings/load.rs
@@ -4,6 +4,7 @@
 use std::mem;
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
 use serde_norway::Value;
 use serde_path_to_error::Segment;
 
@@ -24,17 +25,19 @@
 /// Everything that is wrong with the file.
 pub fn load_settings(path: &Path) -> Result<Settings, SettingsFindings> {
     let file = path.display().to_string();
-    match fs::read_to_string(path) {
-        Ok(text) => parse_settings(&file, &text),
-        Err(error) => {
-            let finding = SettingsFinding {
-                line: None,
-                field: "".into(),
-                message: format!("cannot be read: {error}").into(),
-            };
-            Err(SettingsFindings::new(&file, vec![finding]))
-        }
-    }
+    parse_settings(&file, &read_text(path)?)
+}
+
+/// Reads a settings file as text.
+pub(super) fn read_text(path: &Path) -> Result<String, SettingsFindings> {
+    fs::read_to_string(path).map_err(|error| {
+        let finding = SettingsFinding {
+            line: None,
+            field: "".into(),
+            message: format!("cannot be read: {error}").into(),
+        };
+        SettingsFindings::new(&path.display().to_string(), vec![finding])
+    })
 }
 
 /// Reads settings from text; `file` is its name in findings.
@@ -42,6 +45,27 @@
 /// # Errors
 /// Everything that is wrong with the text.
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, SettingsFindings> {
+    let mut findings = Vec::new();
+    let parsed = parse_fields::<SettingsFile>(file, text, &mut findings)?;
+    check_rules(text, &parsed, &mut findings);
+    match complete(parsed, &mut findings) {
+        Some(settings) if findings.is_empty() => Ok(settings),
+        _ => Err(SettingsFindings::new(file, findings)),
+    }
+}
+
+/// Reads the fields that can be read, and adds a finding for each of the others.
+///
+/// # Errors
+/// When the text is not YAML.
+pub(super) fn parse_fields<File>(
+    file: &str,
+    text: &str,
+    findings: &mut Vec<SettingsFinding>,
+) -> Result<File, SettingsFindings>
+where
+    File: DeserializeOwned + Default,
+{
     let value = serde_norway::from_str::<Value>(text).map_err(|error| {
         let finding = SettingsFinding {
             line: error.location().map(|location| location.line()),
@@ -50,27 +74,24 @@
         };
         SettingsFindings::new(file, vec![finding])
     })?;
-    let mut findings = Vec::new();
-    let parsed = collect_fields(text, value, &mut findings);
-    check_rules(text, &parsed, &mut findings);
-    match complete(parsed, &mut findings) {
-        Some(settings) if findings.is_empty() => Ok(settings),
-        _ => Err(SettingsFindings::new(file, findings)),
-    }
+    Ok(collect_fields(text, value, findings))
 }
 
 /// Reads the fields. Deserialization stops at the first error, so the offending node is removed
 /// and the rest is read again until no error is left.
-fn collect_fields(
+fn collect_fields<File>(
     text: &str,
     mut value: Value,
     findings: &mut Vec<SettingsFinding>,
-) -> SettingsFile {
+) -> File
+where
+    File: DeserializeOwned + Default,
+{
     if value.is_null() {
-        return SettingsFile::default();
+        return File::default();
     }
     loop {
-        let error = match serde_path_to_error::deserialize::<_, SettingsFile>(value.clone()) {
+        let error = match serde_path_to_error::deserialize::<_, File>(value.clone()) {
             Ok(settings) => return settings,
             Err(error) => error,
         };
@@ -81,7 +102,7 @@
             message: explain(error.inner().to_string()),
         });
         if !remove(&mut value, &path) {
-            return SettingsFile::default();
+            return File::default();
         }
     }
 }
--- a/crates/filbertpitch/src/settings/mod.rs
+++ b/crates/filbertpitch/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! Settings describe the VM; services, targets and teams are configured by tickets.
 
 mod findings;
+mod fleet;
 mod load;
 mod locate;
 mod rules;
@@ -10,6 +11,7 @@
 mod units;
 
 pub use findings::{SettingsFinding, SettingsFindings};
+pub use fleet::{FleetListen, FleetNodeSettings, load_fleet_settings, parse_fleet_settings};
 pub use load::{ADDRESS_FORM, load_settings, parse_settings};
 pub use sections::{
     HeartbeatSettings, LeaseSettings, LifecycleSettings, ObservabilitySettings, OutcomeSettings,
--- a/crates/filbertpitch/src/settings/rules.rs
+++ b/crates/filbertpitch/src/settings/rules.rs
@@ -19,13 +19,13 @@
 const LONGEST_HEARTBEAT: Duration = Duration::from_secs(1);
 
 /// Adds findings to a list, with the line of the field.
-struct RuleCheck<'a> {
-    text: &'a str,
-    findings: &'a mut Vec<SettingsFinding>,
+pub(super) struct RuleCheck<'a> {
+    pub(super) text: &'a str,
+    pub(super) findings: &'a mut Vec<SettingsFinding>,
 }
 
 impl RuleCheck<'_> {
-    fn require(&mut self, holds: bool, field: &str, message: &str) {
+    pub(super) fn require(&mut self, holds: bool, field: &str, message: &str) {
         // A field that could not be read has its finding already.
         let found = self.findings.iter().any(|finding| *finding.field == *field);
         if !holds && !found {
@@ -37,7 +37,7 @@
         }
     }
 
-    fn at_least(&mut self, value: Duration, least: Duration, field: &str) {
+    pub(super) fn at_least(&mut self, value: Duration, least: Duration, field: &str) {
         let message = format!("it is shorter than {}", DurationText(least));
         self.require(value >= least, field, &message);
     }
@@ -118,21 +118,12 @@
     check.at_least(leases.safety_margin, margin, "leases.safety_margin");
 }
 
-/// Adds a finding for every required value that is absent.
-pub(super) fn complete(
-    file: SettingsFile,
-    findings: &mut Vec<SettingsFinding>,
-) -> Option<Settings> {
+/// Adds a finding for every required field that is absent.
+pub(super) fn require_fields(required: &[(&str, bool)], findings: &mut Vec<SettingsFinding>) {
     let invalid = findings
         .iter()
         .map(|finding| finding.field.clone())
         .collect::<Vec<_>>();
-    let required = [
-        ("listen", file.listen.is_some()),
-        ("availability_zone", file.availability_zone.is_some()),
-        ("platform.log", file.platform.log.is_some()),
-        ("platform.vm_list", file.platform.vm_list.is_some()),
-    ];
     // A field that is present and invalid has its finding already.
     let absent = required
         .iter()
@@ -142,6 +133,20 @@
         field: (*field).into(),
         message: "it is required".into(),
     }));
+}
+
+/// Adds a finding for every required value that is absent.
+pub(super) fn complete(
+    file: SettingsFile,
+    findings: &mut Vec<SettingsFinding>,
+) -> Option<Settings> {
+    let required = [
+        ("listen", file.listen.is_some()),
+        ("availability_zone", file.availability_zone.is_some()),
+        ("platform.log", file.platform.log.is_some()),
+        ("platform.vm_list", file.platform.vm_list.is_some()),
+    ];
+    require_fields(&required, findings);
     let listen = file.listen?;
     Some(Settings {
         listen,
--- /dev/null
+++ b/crates/fleet/src/engine/admission.rs
@@ -0,0 +1,161 @@
+//! Whether a job is accepted.
+//!
+//! A job that would be late is refused at once: the client can go elsewhere, and the jobs that are
+//! accepted stay in time. Under overload, accepting everything would make everything late.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::KindIndex;
+use filbertpitch_types::fleet::{JobOrder, PeerState, QueueSpec, RejectReason, StepOrder};
+use rand::Rng;
+
+use super::FleetEngine;
+use crate::home::{JobPlan, LATE_FACTOR, task_work};
+
+/// Bounds of the time after which a rejected client is asked to return.
+const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
+const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
+
+/// A job that is accepted.
+pub(super) struct Admission {
+    pub(super) plan: JobPlan,
+    /// The expected wait for room.
+    pub(super) wait: Duration,
+}
+
+/// A job that is not accepted.
+pub(super) struct Rejection {
+    pub(super) reason: RejectReason,
+    /// The expected wait for room.
+    pub(super) wait: Duration,
+}
+
+impl Rejection {
+    fn now(reason: RejectReason) -> Self {
+        Self {
+            reason,
+            wait: Duration::ZERO,
+        }
+    }
+}
+
+impl FleetEngine {
+    pub(super) fn plan_job(
+        &self,
+        queue: KindIndex,
+        order: &JobOrder,
+        patience: Duration,
+    ) -> Result<Admission, Rejection> {
+        match self.state {
+            PeerState::Starting => return Err(Rejection::now(RejectReason::NotReady)),
+            PeerState::Ready | PeerState::Leaving => {}
+        }
+        let Some(spec) = self.catalog.spec(queue) else {
+            return Err(Rejection::now(RejectReason::UnknownQueue));
+        };
+        let unsupported = order.unsupported.is_some()
+            || !order.ephemeral
+            || spec.advised
+            || order.steps.iter().any(|step| step.unsupported.is_some());
+        if unsupported {
+            return Err(Rejection::now(RejectReason::Unsupported));
+        }
+        if order.steps.iter().any(|step| !self.has_capable(spec, step)) {
+            return Err(Rejection::now(RejectReason::NoCapableTarget));
+        }
+        let plan = self.make_plan(queue, spec, order, patience);
+        let wait = self.expect_wait(order, &plan);
+        let tolerated = plan.objective.mul_f64(self.settings.late_tolerance);
+        let needed = plan.expected.iter().sum::<Duration>();
+        if wait > plan.objective.saturating_sub(needed) + tolerated {
+            return Err(Rejection {
+                reason: RejectReason::Overloaded,
+                wait,
+            });
+        }
+        Ok(Admission { plan, wait })
+    }
+
+    /// Whether some listed target could ever run a task of the step.
+    fn has_capable(&self, spec: &QueueSpec, step: &StepOrder) -> bool {
+        let label = step.required_label.as_ref();
+        self.registry.listed().any(|(_, entry)| {
+            entry.service == spec.service
+                && step.room.fits(&entry.capacity)
+                && label.is_none_or(|label| entry.labels.contains(label))
+        })
+    }
+
+    fn make_plan(
+        &self,
+        queue: KindIndex,
+        spec: &QueueSpec,
+        order: &JobOrder,
+        patience: Duration,
+    ) -> JobPlan {
+        let estimator = self.catalog.estimator();
+        let steps = order.steps.iter();
+        let expected = steps
+            .map(|step| estimator.predict(queue, step.declared).expected)
+            .collect::<Vec<_>>();
+        let chain = expected.iter().sum::<Duration>();
+        let objective = chain.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
+        let patience = patience
+            .min(objective * LATE_FACTOR + spec.allowance)
+            .min(self.settings.patience_limit);
+        JobPlan {
+            queue,
+            objective,
+            patience,
+            expected,
+        }
+    }
+
+    /// The time until the waiting tasks that come before those of a job have been served.
+    fn expect_wait(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
+        let needed = plan.expected.iter().sum::<Duration>();
+        let start_by = self.clock.time + plan.objective.saturating_sub(needed);
+        let links = self.links.iter().flatten();
+        let elsewhere = links
+            .filter(|link| link.is_live())
+            .map(|link| link.demand().work)
+            .sum::<u64>();
+        let waiting = self.jobs.work_before(start_by) + elsewhere;
+        let own = order.steps.iter().zip(&plan.expected);
+        let own = own
+            .map(|(step, expected)| task_work(&step.room, *expected) * u64::from(step.count))
+            .sum::<u64>();
+        if waiting == 0 && own == 0 {
+            return Duration::ZERO;
+        }
+        let cores = self.usable_cores();
+        if cores <= 0.0 {
+            return Duration::MAX;
+        }
+        if waiting == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(waiting as f64 / cores / 1000.0)
+    }
+
+    /// The cores of all targets that some VM holds.
+    fn usable_cores(&self) -> f64 {
+        let peers = self.links.iter().flatten().filter(|link| link.is_live());
+        let peers = peers.flat_map(|link| link.holdings().iter().map(|it| it.target));
+        let held = self.held.keys().copied().chain(peers);
+        let entries = held.filter_map(|target| self.registry.entry(target));
+        let millis = entries
+            .map(|entry| u64::from(entry.capacity.cpu.0))
+            .sum::<u64>();
+        millis as f64 / 1000.0 * self.settings.usable_share
+    }
+
+    /// When a rejected client may return; spread, so that clients that were rejected together do
+    /// not return together.
+    pub(super) fn retry_hint(&mut self, wait: Duration) -> Duration {
+        let spread = self.rng.random_range(0.75..1.5);
+        wait.min(RETRY_HINT_MAX)
+            .mul_f64(spread)
+            .clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine/jobs.rs
@@ -0,0 +1,374 @@
+//! The jobs of this VM's clients, from submission to answer.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_types::fleet::{
+    EndNotice, FleetMessage, JobOrder, JobReply, PlaceRefusal, RejectReason, RunNotice,
+};
+use filbertpitch_types::prelude::*;
+
+use super::admission::Admission;
+use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
+use crate::home::{HomeJob, JobPlan, TaskPhase, TaskRef};
+
+/// How much longer than its lease a run may last on a target whose clock is slow, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+
+/// What the holder of a lease and the target may disagree about its end, and the time of a message
+/// between them.
+const LEASE_MARGIN: Duration = Duration::from_millis(100);
+
+impl FleetEngine {
+    pub(super) fn submit_job(
+        &mut self,
+        caller: CallerToken,
+        queue: KindIndex,
+        order: JobOrder,
+        patience: Duration,
+    ) {
+        if let Some(job) = self.jobs.find(order.id) {
+            // The client has sent its job again, for example on a new connection.
+            let job = self.jobs.get_mut(job).expect("the job is live");
+            job.callers.push(caller);
+            return;
+        }
+        let plan = match self.plan_job(queue, &order, patience) {
+            Ok(plan) => plan,
+            Err(rejection) => {
+                self.counters.jobs_rejected += 1;
+                self.notice(FleetNotice::JobRejected {
+                    job: order.id,
+                    queue: self.catalog.name(queue).clone(),
+                    reason: rejection.reason,
+                    wait: rejection.wait,
+                });
+                let reply = JobReply::Rejected {
+                    reason: rejection.reason,
+                    retry_after: self.retry_hint(rejection.wait),
+                };
+                self.actions.push(FleetAction::Reply { caller, reply });
+                return;
+            }
+        };
+        self.accept_job(caller, order, plan);
+    }
+
+    fn accept_job(&mut self, caller: CallerToken, order: JobOrder, admitted: Admission) {
+        let now = self.now();
+        self.counters.jobs_accepted += 1;
+        let plan: JobPlan = admitted.plan;
+        let (id, objective, queue) = (order.id, plan.objective, plan.queue);
+        let key = self.jobs.accept(now, caller, order, plan);
+        let job = &self.jobs.get(key).expect("the job was accepted");
+        let (give_up, tasks) = (job.give_up, job.tasks.len());
+        self.timers
+            .subscribe(give_up, TimerTopic::JobGiveUp(key));
+        self.notice(FleetNotice::JobAccepted {
+            job: id,
+            queue: self.catalog.name(queue).clone(),
+            tasks,
+            objective,
+            wait: admitted.wait,
+            version: self.catalog.version(),
+        });
+        self.room_changed = true;
+    }
+
+    /// A client has closed its connection: nobody waits for the job any more.
+    pub(super) fn forget_caller(&mut self, caller: CallerToken) {
+        let found = self
+            .jobs
+            .iter()
+            .find(|(_, job)| job.callers.contains(&caller));
+        let Some((key, _)) = found else {
+            return;
+        };
+        let job = self.jobs.get_mut(key).expect("the job is live");
+        job.callers.retain(|other| *other != caller);
+        if !job.callers.is_empty() {
+            return;
+        }
+        let (id, arrived) = (job.id, job.arrived);
+        self.counters.jobs_abandoned += 1;
+        let took = self.now().since(arrived);
+        self.notice(FleetNotice::JobAbandoned { job: id, took });
+        self.end_job(key);
+    }
+
+    /// Removes a job and withdraws its tasks from their holders.
+    fn end_job(&mut self, key: JobKey) -> Option<HomeJob> {
+        let job = self.jobs.remove(key)?;
+        let mut withdrawn = Vec::<(VmIndex, Vec<TaskName>)>::new();
+        for task in &job.tasks {
+            let TaskPhase::Placed { holder, .. } = task.phase else {
+                continue;
+            };
+            match withdrawn.iter_mut().find(|(vm, _)| *vm == holder) {
+                Some((_, tasks)) => tasks.push(task.name),
+                None => withdrawn.push((holder, vec![task.name])),
+            }
+        }
+        for (holder, tasks) in withdrawn {
+            self.send(holder, FleetMessage::Withdraw(tasks));
+        }
+        Some(job)
+    }
+
+    pub(super) fn answer_job(&mut self, key: JobKey, reply: JobReply) {
+        let Some(job) = self.end_job(key) else {
+            return;
+        };
+        match reply {
+            JobReply::Completed => self.counters.jobs_completed += 1,
+            JobReply::Failed => self.counters.jobs_failed += 1,
+            JobReply::Rejected { .. } => self.counters.jobs_rejected += 1,
+            JobReply::Unknown => self.counters.jobs_unknown += 1,
+            JobReply::Cancelled => self.counters.jobs_abandoned += 1,
+        }
+        self.notice(FleetNotice::JobAnswered {
+            job: job.id,
+            reply,
+            took: self.now().since(job.arrived),
+            objective: job.objective,
+        });
+        for caller in job.callers {
+            self.actions.push(FleetAction::Reply { caller, reply });
+        }
+    }
+
+    pub(super) fn cancel_job(&mut self, id: JobId) {
+        if let Some(key) = self.jobs.find(id) {
+            self.answer_job(key, JobReply::Cancelled);
+        }
+    }
+
+    /// How many jobs of a queue have no task that may have started.
+    pub fn waiting_jobs(&self, queue: KindIndex) -> usize {
+        let jobs = self.jobs.iter();
+        jobs.filter(|(_, job)| job.queue == queue && job.possible_starts == 0)
+            .count()
+    }
+
+    /// Whether a task of a live job may have started; nothing if the job is not known.
+    pub fn job_started(&self, id: JobId) -> Option<bool> {
+        let job = self.jobs.get(self.jobs.find(id)?)?;
+        Some(job.possible_starts > 0)
+    }
+
+    /// Nobody needs the answer any more.
+    pub(super) fn give_up_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let reply = match job.possible_starts > 0 {
+            true => JobReply::Unknown,
+            false => JobReply::Rejected {
+                reason: RejectReason::TimedOut,
+                retry_after: self.retry_hint(Duration::ZERO),
+            },
+        };
+        self.answer_job(key, reply);
+    }
+
+    /// The task's phase if a holder was asked to run it.
+    fn placed_at(&self, task: TaskRef) -> Option<(VmIndex, TargetIndex)> {
+        match self.jobs.task(task).phase {
+            TaskPhase::Placed { holder, target, .. } => Some((holder, target)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn receive_started(&mut self, from: VmIndex, notice: &RunNotice) {
+        let Some(task) = self.jobs.find_task(&notice.run.task) else {
+            return;
+        };
+        let target = self.registry.intern(&notice.target);
+        if let TaskPhase::Placed {
+            holder,
+            target: place,
+            started,
+            ..
+        } = &mut self.jobs.task_mut(task).phase
+            && *holder == from
+        {
+            *place = target;
+            *started = true;
+        }
+    }
+
+    /// A holder has certainly not started a task.
+    pub(super) fn receive_refusal(&mut self, from: VmIndex, name: TaskName, refusal: PlaceRefusal) {
+        let Some(task) = self.jobs.find_task(&name) else {
+            return;
+        };
+        let Some((holder, target)) = self.placed_at(task).filter(|(vm, _)| *vm == from) else {
+            return;
+        };
+        self.counters.tasks_refused += 1;
+        self.notice(FleetNotice::PlaceRefused {
+            task: name,
+            holder: self.vms.name(holder).clone(),
+            refusal,
+        });
+        if let Some(job) = self.jobs.get_mut(task.job) {
+            job.possible_starts = job.possible_starts.saturating_sub(1);
+        }
+        let state = self.jobs.task_mut(task);
+        match refusal {
+            PlaceRefusal::OldRun => state.skip_runs(),
+            PlaceRefusal::RefusedByTarget | PlaceRefusal::NeverStarted => {
+                state.next_run();
+                state.exclude(target);
+            }
+            PlaceRefusal::NoRoom | PlaceRefusal::Stale => {}
+        }
+        self.wait_again(task);
+    }
+
+    fn wait_again(&mut self, task: TaskRef) {
+        let now = self.now();
+        self.jobs.set_phase(now, task, TaskPhase::Waiting);
+        self.room_changed = true;
+    }
+
+    /// A run has ended.
+    pub(super) fn receive_end(&mut self, notice: &EndNotice) {
+        let Some(task) = self.jobs.find_task(&notice.run.task) else {
+            return;
+        };
+        let state = self.jobs.task(task);
+        let current = matches!(
+            state.phase,
+            TaskPhase::Placed { .. } | TaskPhase::Orphaned { .. }
+        );
+        if !current || state.run != notice.run.run {
+            return;
+        }
+        match notice.end {
+            RunEnd::Done => self.finish_task(task, notice),
+            RunEnd::Failed => self.fail_task(task, &notice.target),
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
+                self.jobs.task_mut(task).next_run();
+                self.wait_again(task);
+            }
+        }
+    }
+
+    fn finish_task(&mut self, task: TaskRef, notice: &EndNotice) {
+        let now = self.now();
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let queue = job.queue;
+        let declared = job.step_of(task.position).declared;
+        if let Some(took) = notice.took_ms {
+            let took = Duration::from_millis(took.into());
+            self.catalog.observe(queue, declared, took);
+        }
+        if self.jobs.finish_task(now, task) {
+            self.answer_job(task.job, JobReply::Completed);
+        } else {
+            self.room_changed = true;
+        }
+    }
+
+    fn fail_task(&mut self, task: TaskRef, target: &TargetName) {
+        let target = self.registry.intern(target);
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let limit = self
+            .catalog
+            .spec(job.queue)
+            .map_or(1, |spec| spec.attempt_limit);
+        let state = self.jobs.task_mut(task);
+        state.failures += 1;
+        state.exclude(target);
+        if state.failures >= limit {
+            return self.answer_job(task.job, JobReply::Failed);
+        }
+        state.next_run();
+        self.wait_again(task);
+    }
+
+    /// The holder of these runs does not hold their target any more.
+    pub(super) fn receive_release(
+        &mut self,
+        from: VmIndex,
+        target: &TargetName,
+        runs: &[RunName],
+    ) {
+        let target = self.registry.intern(target);
+        for run in runs {
+            let Some(task) = self.jobs.find_task(&run.task) else {
+                continue;
+            };
+            if self.placed_at(task).is_some_and(|(vm, _)| vm == from) {
+                self.orphan_task(task, target);
+            }
+        }
+    }
+
+    /// All tasks that a lost holder was asked to run may still be running, until their leases end.
+    pub(super) fn orphan_holder(&mut self, holder: VmIndex) {
+        let placed = self.jobs.placed();
+        let lost = placed
+            .filter(|(_, vm, _)| *vm == holder)
+            .map(|(task, _, target)| (task, target))
+            .collect::<Vec<_>>();
+        for (task, target) in lost {
+            self.orphan_task(task, target);
+        }
+    }
+
+    fn orphan_task(&mut self, task: TaskRef, target: TargetIndex) {
+        let now = self.now();
+        let lease = self.settings.held.lease;
+        let over_at = now + lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN;
+        let phase = TaskPhase::Orphaned { target, over_at };
+        self.jobs.set_phase(now, task, phase);
+        self.timers
+            .subscribe(over_at, TimerTopic::OrphanOver(task));
+    }
+
+    /// The lease of an orphaned run has ended.
+    pub(super) fn recover_orphan(&mut self, task: TaskRef) {
+        let now = self.now();
+        if self.jobs.get(task.job).is_none() {
+            return;
+        }
+        match self.jobs.task(task).phase {
+            TaskPhase::Orphaned { over_at, .. } if over_at <= now => {
+                self.jobs.task_mut(task).next_run();
+                self.wait_again(task);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a run that a new holder has found is still wanted; if so, it belongs to that holder
+    /// from now on.
+    pub(super) fn keep_run(
+        &mut self,
+        task: TaskRef,
+        run: RunNumber,
+        target: TargetIndex,
+        holder: VmIndex,
+    ) -> bool {
+        let now = self.now();
+        let state = self.jobs.task(task);
+        let place = match state.phase {
+            TaskPhase::Placed { target, .. } | TaskPhase::Orphaned { target, .. } => target,
+            _ => return false,
+        };
+        if state.run != run || place != target {
+            return false;
+        }
+        let phase = TaskPhase::Placed {
+            holder,
+            target,
+            asked_at: now,
+            started: true,
+        };
+        self.jobs.set_phase(now, task, phase);
+        true
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine/mod.rs
@@ -0,0 +1,279 @@
+//! The dispatcher of one entry VM of a fleet: events in, actions out.
+//!
+//! The engine is both home and holder. A message between the two roles of one VM takes the same path
+//! as one between VMs, except for the network.
+
+mod admission;
+mod event;
+mod holding;
+mod jobs;
+mod offers;
+mod orders;
+mod peers;
+mod placement;
+mod settings;
+mod view;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use filbertpitch_dispatch::entity::{JobKey, NameInterner, TargetIndex, VmIndex};
+use filbertpitch_dispatch::timer::TimerService;
+use filbertpitch_types::fleet::{FleetMessage, PeerIdentity, PeerState};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::time::ClockReading;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use typed_index_collections::TiVec;
+
+use crate::catalog::QueueCatalog;
+use crate::demand::OfferTable;
+use crate::held::HeldTarget;
+use crate::home::{JobTable, TaskRef};
+use crate::link::PeerLink;
+use crate::registry::TargetRegistry;
+
+pub use self::event::{FleetAction, FleetEvent, FleetNotice};
+pub use self::settings::FleetSettings;
+pub use self::view::{FleetCounters, FleetView};
+
+/// The index of this VM. It is interned first.
+const OWN_VM: usize = 0;
+
+/// What a timer of the engine is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TimerTopic {
+    /// Nobody needs the answer to a job any more.
+    JobGiveUp(JobKey),
+    /// The run of a lost holder has certainly ended.
+    OrphanOver(TaskRef),
+    /// Ownership is reviewed.
+    Review,
+}
+
+/// The dispatcher of one entry VM.
+#[derive(Debug)]
+pub struct FleetEngine {
+    settings: FleetSettings,
+    identity: PeerIdentity,
+    clock: ClockReading,
+    started_at: TimePoint,
+    state: PeerState,
+    catalog: QueueCatalog,
+    registry: TargetRegistry,
+    targets_listed: bool,
+    vms: NameInterner<VmIndex, VmName>,
+    /// The other VMs; the first element stands for this one and is not used.
+    links: TiVec<VmIndex, Option<PeerLink>>,
+    seeds: BTreeMap<SocketAddr, TimePoint>,
+    held: BTreeMap<TargetIndex, HeldTarget>,
+    holdings_version: u32,
+    /// The VM that should hold each target.
+    desired: TiVec<TargetIndex, Option<VmIndex>>,
+    ownership_changed: bool,
+    /// When another holder was found on a target, and the token that was refused.
+    fenced: BTreeMap<TargetIndex, (TimePoint, FencingToken)>,
+    last_token: FencingToken,
+    jobs: JobTable,
+    room_changed: bool,
+    offers: OfferTable,
+    timers: TimerService<TimerTopic>,
+    inbox: VecDeque<(VmIndex, FleetMessage)>,
+    counters: FleetCounters,
+    actions: Vec<FleetAction>,
+    rng: ChaCha8Rng,
+}
+
+impl FleetEngine {
+    /// An engine without configuration and targets. `seed` drives the spread of retry hints.
+    pub fn new(
+        settings: FleetSettings,
+        identity: PeerIdentity,
+        clock: ClockReading,
+        seed: u64,
+    ) -> Self {
+        let mut vms = NameInterner::default();
+        vms.intern(&identity.vm);
+        let mut timers = TimerService::default();
+        timers.subscribe(clock.time, TimerTopic::Review);
+        Self {
+            settings,
+            identity,
+            clock,
+            started_at: clock.time,
+            state: PeerState::Starting,
+            catalog: QueueCatalog::default(),
+            registry: TargetRegistry::default(),
+            targets_listed: false,
+            vms,
+            links: TiVec::from(vec![None]),
+            seeds: BTreeMap::new(),
+            held: BTreeMap::new(),
+            holdings_version: 0,
+            desired: TiVec::new(),
+            ownership_changed: true,
+            fenced: BTreeMap::new(),
+            last_token: FencingToken(0),
+            jobs: JobTable::default(),
+            room_changed: false,
+            offers: OfferTable::default(),
+            timers,
+            inbox: VecDeque::new(),
+            counters: FleetCounters::default(),
+            actions: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Reacts to an event. Time must not go backwards from call to call.
+    pub fn handle(&mut self, clock: ClockReading, event: FleetEvent) {
+        self.advance(clock);
+        self.react(event);
+        self.settle();
+    }
+
+    fn react(&mut self, event: FleetEvent) {
+        match event {
+            FleetEvent::Configured(configuration) => self.configure(configuration),
+            FleetEvent::TargetsChanged(notices) => self.change_targets(notices),
+            FleetEvent::TargetsListed => self.finish_listing(),
+            FleetEvent::PeersFound(peers) => self.find_peers(peers),
+            FleetEvent::SeedsFound(seeds) => self.find_seeds(seeds),
+            FleetEvent::EnvelopeConfirmed { peer, receipt } => {
+                self.confirm_envelope(peer, &receipt);
+            }
+            FleetEvent::EnvelopeFailed { peer, refused } => self.fail_envelope(peer, refused),
+            FleetEvent::JobSubmitted {
+                caller,
+                queue,
+                order,
+                patience,
+            } => self.submit_job(caller, queue, order, patience),
+            FleetEvent::CallerLeft(caller) => self.forget_caller(caller),
+            FleetEvent::JobCancelled(job) => self.cancel_job(job),
+            FleetEvent::StartAnswered {
+                target,
+                token,
+                run,
+                answer,
+            } => self.receive_start(target, token, run, answer),
+            FleetEvent::StopAnswered {
+                target,
+                token,
+                run,
+                answer,
+            } => self.receive_stop(target, token, run, answer),
+            FleetEvent::LookAnswered {
+                target,
+                token,
+                number,
+                answer,
+            } => self.receive_look(target, token, number, answer),
+            FleetEvent::DrainStarted => self.start_draining(),
+            FleetEvent::TimeAdvanced => {}
+        }
+    }
+
+    /// Advances the time and does what is due.
+    fn advance(&mut self, clock: ClockReading) {
+        let former = self.clock.time;
+        self.clock = ClockReading {
+            time: clock.time.max(former),
+            wall: clock.wall,
+        };
+        let gap = self.clock.time.since(former);
+        if gap >= self.settings.pause_limit {
+            self.resume_from_pause(gap);
+        }
+        while let Some(topic) = self.timers.pop_due(self.clock.time) {
+            match topic {
+                TimerTopic::JobGiveUp(job) => self.give_up_job(job),
+                TimerTopic::OrphanOver(task) => self.recover_orphan(task),
+                TimerTopic::Review => self.review(),
+            }
+        }
+        if self.offers.expire(self.clock.time) {
+            self.room_changed = true;
+        }
+        self.advance_held();
+    }
+
+    /// Delivers the messages between the roles of this VM and uses the room that is free.
+    fn settle(&mut self) {
+        self.deliver_inbox();
+        if self.ownership_changed {
+            self.review_ownership();
+        }
+        // Placing tasks on own targets puts messages into the inbox.
+        if std::mem::take(&mut self.room_changed) {
+            self.place_waiting();
+            self.deliver_inbox();
+            self.offer_room();
+        }
+        self.send_looks();
+    }
+
+    fn deliver_inbox(&mut self) {
+        while let Some((from, message)) = self.inbox.pop_front() {
+            self.receive_message(from, message);
+        }
+    }
+
+    /// Takes the actions that the events so far caused.
+    pub fn take_actions(&mut self) -> Vec<FleetAction> {
+        self.send_envelopes();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`Self::handle`] must be called at the latest.
+    pub fn next_due(&self) -> Option<TimePoint> {
+        let held = self.held.values().map(HeldTarget::next_due).min();
+        let links = self.links.iter().flatten();
+        let links = links
+            .flat_map(|link| [link.beat_due(), link.judge_due()])
+            .flatten()
+            .min();
+        let dues = [self.timers.next_due(), self.offers.next_due(), held, links];
+        dues.into_iter().flatten().min()
+    }
+
+    /// Where this VM is in its life.
+    pub fn state(&self) -> PeerState {
+        self.state
+    }
+
+    /// The queues in force.
+    pub fn catalog(&self) -> &QueueCatalog {
+        &self.catalog
+    }
+
+    /// Whether no job waits for an answer.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn own(&self) -> VmIndex {
+        VmIndex::from(OWN_VM)
+    }
+
+    fn now(&self) -> TimePoint {
+        self.clock.time
+    }
+
+    fn notice(&mut self, notice: FleetNotice) {
+        self.actions.push(FleetAction::Notice(notice));
+    }
+
+    /// Everything that was believed before a pause may be outdated.
+    fn resume_from_pause(&mut self, gap: std::time::Duration) {
+        self.notice(FleetNotice::Paused(gap));
+        let now = self.now();
+        for held in self.held.values_mut() {
+            held.reconfirm(now);
+        }
+        for link in self.links.iter_mut().flatten() {
+            link.excuse(now);
+        }
+        self.room_changed = true;
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine/settings.rs
@@ -0,0 +1,57 @@
+//! The engine's settings.
+
+use std::time::Duration;
+
+use crate::held::HeldSettings;
+use crate::link::LinkSettings;
+
+/// Bounds and intervals of the engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Held targets.
+    pub held: HeldSettings,
+    /// Other entry VMs.
+    pub links: LinkSettings,
+    /// How often ownership is reviewed without a change.
+    pub review_interval: Duration,
+    /// How long a new process waits for VMs that it knows of and does not hear before it claims
+    /// targets that they may hold.
+    pub start_patience: Duration,
+    /// How long a target is left to another holder that was found there.
+    pub fence_pause: Duration,
+    /// How long homes may take to say whether they want runs that were found.
+    pub audit_time: Duration,
+    /// How long a target that is not listed any more stays usable while it answers. Entries that
+    /// lapsed while the platform's list was not available return within two seconds.
+    pub unlisted_grace: Duration,
+    /// A process that was not scheduled for this long reviews what it believes.
+    pub pause_limit: Duration,
+    /// The longest time that a client may wait.
+    pub patience_limit: Duration,
+    /// The part of the processor time of the targets that waiting tasks can use: tasks do not fill
+    /// a target exactly.
+    pub usable_share: f64,
+    /// How much longer tasks run away from their data.
+    pub far_factor: f64,
+    /// The expected lateness at which a job is rejected, as a part of its objective.
+    pub late_tolerance: f64,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            held: HeldSettings::default(),
+            links: LinkSettings::default(),
+            review_interval: Duration::from_millis(100),
+            start_patience: Duration::from_millis(1000),
+            fence_pause: Duration::from_millis(1500),
+            audit_time: Duration::from_millis(60),
+            unlisted_grace: Duration::from_millis(2500),
+            pause_limit: Duration::from_millis(350),
+            patience_limit: Duration::from_secs(60),
+            usable_share: 0.85,
+            far_factor: 1.5,
+            late_tolerance: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine/view.rs
@@ -0,0 +1,96 @@
+//! Counts and a snapshot of the engine, for status and metrics.
+
+use filbertpitch_types::fleet::PeerState;
+use filbertpitch_types::prelude::*;
+
+use super::FleetEngine;
+
+/// Counts since the start of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounters {
+    /// Jobs that were accepted.
+    pub jobs_accepted: u64,
+    /// Jobs that were answered as completed.
+    pub jobs_completed: u64,
+    /// Jobs that were answered as failed.
+    pub jobs_failed: u64,
+    /// Jobs that were rejected; nothing of them has run.
+    pub jobs_rejected: u64,
+    /// Jobs that were given up after parts of them may have run.
+    pub jobs_unknown: u64,
+    /// Jobs whose client has left.
+    pub jobs_abandoned: u64,
+    /// Requests to holders to run a task.
+    pub tasks_placed: u64,
+    /// Tasks that a holder did not run.
+    pub tasks_refused: u64,
+    /// Start orders to targets.
+    pub starts_sent: u64,
+    /// Start orders without an answer.
+    pub starts_lost: u64,
+    /// Start orders that a target refused.
+    pub starts_refused: u64,
+    /// Looks at targets.
+    pub looks_sent: u64,
+    /// Looks without an answer.
+    pub looks_lost: u64,
+    /// Runs that were done.
+    pub runs_done: u64,
+    /// Runs that have ended otherwise.
+    pub runs_not_done: u64,
+    /// Offers of room to other VMs.
+    pub offers_sent: u64,
+    /// Envelopes to other VMs.
+    pub envelopes_sent: u64,
+    /// Targets that were claimed.
+    pub targets_claimed: u64,
+    /// Targets on which another holder was found.
+    pub targets_fenced: u64,
+}
+
+/// A snapshot of the engine.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    /// Where the VM is in its life.
+    pub state: PeerState,
+    /// The configuration in force.
+    pub version: Option<ConfigVersion>,
+    /// Jobs without an answer.
+    pub live_jobs: usize,
+    /// Tasks that wait for room.
+    pub waiting_tasks: usize,
+    /// Targets that this VM holds.
+    pub held_targets: usize,
+    /// Runs on them.
+    pub held_runs: usize,
+    /// Other entry VMs that are heard.
+    pub live_peers: usize,
+    /// Targets that are listed.
+    pub listed_targets: usize,
+}
+
+impl FleetEngine {
+    /// Counts since the start of the process.
+    pub fn counters(&self) -> FleetCounters {
+        self.counters
+    }
+
+    /// Describes the current state.
+    pub fn view(&self) -> FleetView {
+        FleetView {
+            state: self.state,
+            version: self.catalog.version(),
+            live_jobs: self.jobs.len(),
+            waiting_tasks: self.jobs.waiting_len(),
+            held_targets: self.held.len(),
+            held_runs: self.held.values().map(|held| held.ledger().len()).sum(),
+            live_peers: self
+                .links
+                .iter()
+                .flatten()
+                .filter(|link| link.is_live())
+                .count(),
+            listed_targets: self.registry.listed().count(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/held.rs
@@ -0,0 +1,665 @@
+//! A target that this VM holds: its runs, its lease, and when to look at it.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::VmIndex;
+use filbertpitch_types::lease::{
+    LookOrder, LookReport, StartAnswer, StartOrder, StartRefusal, StopOrder,
+};
+use filbertpitch_types::prelude::*;
+
+use crate::clock::RemoteClock;
+use crate::ledger::{RoomLedger, RunPhase, TargetRun};
+use crate::verdict::{TargetVerdict, VerdictSettings};
+
+/// How much longer a lease lasts on a target whose clock is slow, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+
+/// What estimates of a target's clock may be off by: a drift of 2% in two seconds, and a round trip.
+const CLOCK_ERROR: Duration = Duration::from_millis(60);
+
+/// The looks without an answer, in a row, after which a target counts as unreachable.
+const LOST_LOOKS: u32 = 2;
+
+/// How targets are held.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldSettings {
+    /// The lease that each look and each start grants; targets shorten a longer one.
+    pub lease: Duration,
+    /// How long a target may wait for an end before it answers a look. Two looks may get lost
+    /// before the lease ends.
+    pub look_wait: Duration,
+    /// The time beyond that in which a look must be answered.
+    pub look_margin: Duration,
+    /// The time between looks at a target without runs. It bounds how long a target that has died
+    /// unnoticed still gets work.
+    pub idle_interval: Duration,
+    /// The time between looks at a target that does not answer.
+    pub lost_interval: Duration,
+    /// How long a start order may take to be carried out.
+    pub order_window: Duration,
+    /// The time between stop orders for the same run.
+    pub stop_interval: Duration,
+    /// Trust in targets.
+    pub verdicts: VerdictSettings,
+}
+
+impl Default for HeldSettings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(1),
+            look_wait: Duration::from_millis(400),
+            look_margin: Duration::from_millis(250),
+            idle_interval: Duration::from_millis(500),
+            lost_interval: Duration::from_millis(150),
+            order_window: Duration::from_millis(250),
+            stop_interval: Duration::from_millis(100),
+            verdicts: VerdictSettings::default(),
+        }
+    }
+}
+
+/// Whether the target has confirmed this VM as its holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldPhase {
+    /// The first look is on its way.
+    Claiming,
+    /// It takes orders.
+    Confirmed,
+}
+
+/// Identifies a look among those at one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LookNumber(pub u32);
+
+/// A look to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LookPlan {
+    /// Identifies it in the answer.
+    pub number: LookNumber,
+    /// The order.
+    pub order: LookOrder,
+    /// The time for the answer.
+    pub timeout: Duration,
+    /// Whether established connections may be at fault.
+    pub fresh_connection: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenLook {
+    number: LookNumber,
+    sent_at: TimePoint,
+}
+
+/// A run that has ended at the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedRun {
+    /// The task.
+    pub task: TaskName,
+    /// What was known of the run.
+    pub run: TargetRun,
+    /// How it ended.
+    pub end: RunEnd,
+}
+
+/// What a report of the target changes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LookOutcome {
+    /// Runs that have ended.
+    pub ended: Vec<EndedRun>,
+    /// Orders that were certainly not carried out.
+    pub never_started: Vec<(TaskName, TargetRun)>,
+    /// Orders without an answer whose runs the target does not list.
+    pub absent_orders: Vec<TaskName>,
+    /// Ends of runs that this VM does not know.
+    pub foreign_ends: Vec<(RunName, RunEnd)>,
+    /// Runs that this VM does not know; they are in the ledger now.
+    pub foreign_runs: Vec<RunName>,
+    /// Whether the target has started anew.
+    pub reborn: bool,
+    /// Whether the target answers again.
+    pub regained: bool,
+}
+
+/// What the answer to a start order changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartOutcome {
+    /// The run is there.
+    Started,
+    /// The run is not there, and the room is free again.
+    NotStarted(StartRefusal),
+    /// The order did not leave this VM.
+    NotSent,
+    /// It is not known yet.
+    Uncertain,
+    /// The order is not open any more; nothing changes.
+    Ignored,
+}
+
+/// A target that this VM holds.
+#[derive(Clone, Debug)]
+pub struct HeldTarget {
+    settings: HeldSettings,
+    token: FencingToken,
+    phase: HoldPhase,
+    boot: Option<TargetBoot>,
+    clock: RemoteClock,
+    acked_through: u64,
+    ledger: RoomLedger,
+    verdict: TargetVerdict,
+    /// The regular look.
+    open_look: Option<OpenLook>,
+    /// A look that does not wait, beside a regular one that does.
+    quick_look: Option<OpenLook>,
+    quick_wanted: bool,
+    /// The target's time in the latest report.
+    reported_at: TargetTime,
+    next_number: LookNumber,
+    look_due: TimePoint,
+    lost_looks: u32,
+    /// When everything on the target has certainly lapsed, on the local clock.
+    lapsed_at: TimePoint,
+    /// When runs of unknown homes are stopped.
+    audit_due: Option<TimePoint>,
+}
+
+impl HeldTarget {
+    /// Begins to hold a target.
+    pub fn claim(
+        settings: HeldSettings,
+        token: FencingToken,
+        capacity: RoomSize,
+        now: TimePoint,
+    ) -> Self {
+        let mut ledger = RoomLedger::default();
+        ledger.set_capacity(capacity);
+        Self {
+            verdict: TargetVerdict::new(settings.verdicts.clone()),
+            settings,
+            token,
+            phase: HoldPhase::Claiming,
+            boot: None,
+            clock: RemoteClock::default(),
+            acked_through: 0,
+            ledger,
+            open_look: None,
+            quick_look: None,
+            quick_wanted: false,
+            reported_at: TargetTime(0),
+            next_number: LookNumber(0),
+            look_due: now,
+            lost_looks: 0,
+            lapsed_at: now,
+            audit_due: None,
+        }
+    }
+
+    /// The token.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Whether the target has confirmed the holder.
+    pub fn phase(&self) -> HoldPhase {
+        self.phase
+    }
+
+    /// Its runs and its room.
+    pub fn ledger(&self) -> &RoomLedger {
+        &self.ledger
+    }
+
+    /// Its runs and its room, for changes.
+    pub fn ledger_mut(&mut self) -> &mut RoomLedger {
+        &mut self.ledger
+    }
+
+    /// What its runs say about it.
+    pub fn verdict(&self) -> &TargetVerdict {
+        &self.verdict
+    }
+
+    /// What its runs say about it, for changes.
+    pub fn verdict_mut(&mut self) -> &mut TargetVerdict {
+        &mut self.verdict
+    }
+
+    /// Whether it answers.
+    pub fn is_reachable(&self) -> bool {
+        self.lost_looks < LOST_LOOKS
+    }
+
+    /// The room for further runs; nothing while it takes no orders.
+    pub fn open_room(&mut self, now: TimePoint) -> RoomSize {
+        let usable = self.phase == HoldPhase::Confirmed
+            && self.is_reachable()
+            && self.verdict.admits(now, self.ledger.len());
+        match usable {
+            true => self.ledger.free(),
+            false => RoomSize::default(),
+        }
+    }
+
+    /// Looks at once, also when a regular look is waiting for an end.
+    pub fn hasten_look(&mut self, now: TimePoint) {
+        self.look_due = now;
+        self.quick_wanted = self.open_look.is_some();
+    }
+
+    /// Takes no orders until the target has confirmed this VM as its holder again.
+    pub fn reconfirm(&mut self, now: TimePoint) {
+        self.phase = HoldPhase::Claiming;
+        self.open_look = None;
+        self.quick_look = None;
+        self.quick_wanted = false;
+        self.look_due = now;
+    }
+
+    /// When [`Self::plan_look`] or [`Self::advance`] has something to do.
+    pub fn next_due(&self) -> TimePoint {
+        let look = match self.open_look {
+            Some(_) => TimePoint(u64::MAX),
+            None => self.look_due,
+        };
+        let lapse = match self.is_reachable() || self.ledger.is_empty() {
+            true => TimePoint(u64::MAX),
+            false => self.lapsed_at,
+        };
+        let audit = self.audit_due.unwrap_or(TimePoint(u64::MAX));
+        look.min(lapse).min(audit)
+    }
+
+    /// The next look, if one is due. It must be sent.
+    pub fn plan_look(&mut self, now: TimePoint) -> Option<LookPlan> {
+        if self.quick_wanted && self.quick_look.is_none() && self.open_look.is_some() {
+            self.quick_wanted = false;
+            let look = self.open_look(now);
+            self.quick_look = Some(look);
+            return Some(self.describe_look(now, look, Duration::ZERO));
+        }
+        if self.open_look.is_some() || self.look_due > now {
+            return None;
+        }
+        let look = self.open_look(now);
+        self.open_look = Some(look);
+        let busy = !self.ledger.is_empty();
+        let steady = self.phase == HoldPhase::Confirmed && self.lost_looks == 0;
+        let wait = match busy && steady {
+            true => self.settings.look_wait,
+            false => Duration::ZERO,
+        };
+        Some(self.describe_look(now, look, wait))
+    }
+
+    fn open_look(&mut self, now: TimePoint) -> OpenLook {
+        let number = self.next_number;
+        self.next_number = LookNumber(number.0.wrapping_add(1));
+        OpenLook {
+            number,
+            sent_at: now,
+        }
+    }
+
+    fn describe_look(&mut self, now: TimePoint, look: OpenLook, wait: Duration) -> LookPlan {
+        let busy = !self.ledger.is_empty();
+        // An unreachable target gets no longer lease, so that what runs there ends in bounded time.
+        let renews = busy && self.is_reachable();
+        let lease_end = renews.then(|| self.lease_end(now, self.settings.lease));
+        LookPlan {
+            number: look.number,
+            order: LookOrder {
+                token: self.token,
+                acked_through: self.acked_through,
+                lease_end: lease_end.flatten(),
+                wait,
+            },
+            timeout: wait + self.settings.look_margin,
+            fresh_connection: self.lost_looks > 0 || self.phase == HoldPhase::Claiming,
+        }
+    }
+
+    fn take_look(&mut self, number: LookNumber) -> Option<OpenLook> {
+        let regular = self.open_look.take_if(|look| look.number == number);
+        regular.or_else(|| self.quick_look.take_if(|look| look.number == number))
+    }
+
+    /// A lease that begins now, on the target's clock.
+    fn lease_end(&mut self, now: TimePoint, lease: Duration) -> Option<TargetTime> {
+        let time = self.clock.at(now)?;
+        let drift = lease * CLOCK_DRIFT_PERCENT / 100;
+        self.lapsed_at = self.lapsed_at.max(now + lease + drift + CLOCK_ERROR);
+        let millis = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
+        Some(TargetTime(time.0.saturating_add(millis)))
+    }
+
+    /// Adds a run and returns the order for it; nothing while the target's clock is not known.
+    pub fn order_run(
+        &mut self,
+        now: TimePoint,
+        task: TaskName,
+        mut run: TargetRun,
+        payload: std::rc::Rc<str>,
+    ) -> Option<StartOrder> {
+        let window = self.settings.order_window;
+        let lease_end = self.lease_end(now, window)?;
+        run.since = now;
+        run.phase = RunPhase::Ordered {
+            void_at: now + window + CLOCK_ERROR,
+        };
+        self.ledger.insert(task, run);
+        self.look_due = now;
+        Some(StartOrder {
+            run: RunName { task, run: run.run },
+            payload,
+            lease_end,
+            token: self.token,
+        })
+    }
+
+    /// Takes over the answer to a start order.
+    pub fn start_answered(
+        &mut self,
+        now: TimePoint,
+        name: RunName,
+        answer: StartAnswer,
+    ) -> StartOutcome {
+        let Some(run) = self.ledger.get_mut(&name.task) else {
+            return StartOutcome::Ignored;
+        };
+        let RunPhase::Ordered { void_at } = run.phase else {
+            // A look has told already.
+            return StartOutcome::Ignored;
+        };
+        if run.run != name.run {
+            return StartOutcome::Ignored;
+        }
+        let ordered_at = run.since;
+        if let StartAnswer::Accepted(Some(time)) | StartAnswer::Refused(_, Some(time)) = answer {
+            self.clock.observe(ordered_at, now, time);
+        }
+        match answer {
+            StartAnswer::Accepted(_) => {
+                run.phase = RunPhase::Running { confirmed_at: now };
+                StartOutcome::Started
+            }
+            StartAnswer::Refused(refusal, _) => {
+                self.ledger.remove(&name.task);
+                StartOutcome::NotStarted(refusal)
+            }
+            StartAnswer::NotSent => {
+                self.ledger.remove(&name.task);
+                StartOutcome::NotSent
+            }
+            StartAnswer::Lost => {
+                run.phase = RunPhase::Uncertain {
+                    void_at,
+                    lost_at: now,
+                };
+                StartOutcome::Uncertain
+            }
+        }
+    }
+
+    /// Marks a run as to be stopped and returns the order, unless one was sent just before.
+    pub fn stop_run(&mut self, now: TimePoint, task: &TaskName) -> Option<StopOrder> {
+        let interval = self.settings.stop_interval;
+        let run = self.ledger.get_mut(task)?;
+        if let RunPhase::Stopping { asked_at, .. } = run.phase
+            && now.since(asked_at) < interval
+        {
+            return None;
+        }
+        run.phase = RunPhase::Stopping {
+            asked_at: now,
+            accepted_at: None,
+        };
+        Some(StopOrder {
+            run: RunName {
+                task: *task,
+                run: run.run,
+            },
+            token: self.token,
+        })
+    }
+
+    /// The runs whose stop order has not been confirmed in time.
+    pub fn overdue_stops(&self, now: TimePoint) -> Vec<TaskName> {
+        let interval = self.settings.stop_interval;
+        let overdue = self.ledger.runs().filter(|(_, run)| {
+            matches!(run.phase, RunPhase::Stopping { asked_at, accepted_at: None }
+                if now.since(asked_at) >= interval)
+        });
+        overdue.map(|(task, _)| *task).collect()
+    }
+
+    /// Records that the target will not run, or go on to run, what it was told to stop.
+    pub fn stop_accepted(&mut self, now: TimePoint, name: RunName) {
+        if let Some(run) = self.ledger.get_mut(&name.task)
+            && run.run == name.run
+            && let RunPhase::Stopping { accepted_at, .. } = &mut run.phase
+        {
+            *accepted_at = Some(now);
+            self.hasten_look(now);
+        }
+    }
+
+    /// The runs whose order got no answer and that the target did not list afterwards. Stopping
+    /// them makes certain that they will not start.
+    fn absent_orders(&self, asked_at: TimePoint, report: &LookReport) -> Vec<TaskName> {
+        let absent = self.ledger.runs().filter(|(task, run)| {
+            let lost = matches!(run.phase, RunPhase::Uncertain { lost_at, .. } if lost_at <= asked_at);
+            lost && !report.running.iter().any(|row| row.run.task == **task)
+        });
+        absent.map(|(task, _)| *task).collect()
+    }
+
+    /// Takes over a report.
+    pub fn look_answered(
+        &mut self,
+        now: TimePoint,
+        number: LookNumber,
+        report: &LookReport,
+    ) -> LookOutcome {
+        let mut outcome = LookOutcome::default();
+        let Some(look) = self.take_look(number) else {
+            return outcome;
+        };
+        outcome.regained = !self.is_reachable();
+        self.lost_looks = 0;
+        self.phase = HoldPhase::Confirmed;
+        if report.boot != self.boot {
+            outcome.reborn = self.boot.is_some();
+            self.boot = report.boot;
+            self.acked_through = 0;
+            self.reported_at = TargetTime(0);
+            self.clock.reset();
+        }
+        if let Some(time) = report.time
+            && now.since(look.sent_at) < self.settings.look_margin
+        {
+            // A look that has waited for an end says little about the clock.
+            self.clock.observe(look.sent_at, now, time);
+        }
+        self.apply_ends(report, &mut outcome);
+        // A report that was overtaken by a later one may list runs whose end is known.
+        if report.time.is_none_or(|time| time >= self.reported_at) {
+            self.reported_at = report.time.unwrap_or_default();
+            self.apply_running(now, look.sent_at, report, &mut outcome);
+            self.drop_missing(now, look.sent_at, report, &mut outcome);
+            outcome.absent_orders = self.absent_orders(look.sent_at, report);
+        }
+        self.look_due = match self.ledger.is_empty() {
+            true => now + self.settings.idle_interval,
+            false => now,
+        };
+        outcome
+    }
+
+    fn apply_ends(&mut self, report: &LookReport, outcome: &mut LookOutcome) {
+        for row in &report.ended {
+            if row.number <= self.acked_through {
+                continue;
+            }
+            self.acked_through = row.number;
+            let task = row.run.task;
+            let known = self
+                .ledger
+                .get(&task)
+                .is_some_and(|run| run.run == row.run.run);
+            match known.then(|| self.ledger.remove(&task)).flatten() {
+                Some(run) => outcome.ended.push(EndedRun {
+                    task,
+                    run,
+                    end: row.end,
+                }),
+                None => outcome.foreign_ends.push((row.run, row.end)),
+            }
+        }
+    }
+
+    fn apply_running(
+        &mut self,
+        now: TimePoint,
+        asked_at: TimePoint,
+        report: &LookReport,
+        outcome: &mut LookOutcome,
+    ) {
+        for row in &report.running {
+            let RunName { task, run: number } = row.run;
+            match self.ledger.get_mut(&task) {
+                Some(run) if run.run == number => {
+                    if let RunPhase::Ordered { .. } | RunPhase::Uncertain { .. } = run.phase {
+                        run.phase = RunPhase::Running {
+                            confirmed_at: asked_at,
+                        };
+                    }
+                }
+                // Another run of the task has been ordered since; the target decides.
+                Some(_) => {}
+                None => {
+                    let run = TargetRun {
+                        run: number,
+                        room: None,
+                        home: None,
+                        queue: None,
+                        expected: Duration::ZERO,
+                        since: now,
+                        phase: RunPhase::Running { confirmed_at: now },
+                    };
+                    self.ledger.insert(task, run);
+                    outcome.foreign_runs.push(row.run);
+                }
+            }
+        }
+    }
+
+    /// Removes runs that the target does not list although it would.
+    fn drop_missing(
+        &mut self,
+        now: TimePoint,
+        asked_at: TimePoint,
+        report: &LookReport,
+        outcome: &mut LookOutcome,
+    ) {
+        let listed = |task: &TaskName, run: &TargetRun| {
+            let name = RunName {
+                task: *task,
+                run: run.run,
+            };
+            report.running.iter().any(|row| row.run == name)
+        };
+        let missing = self.ledger.runs().filter(|(task, run)| {
+            let known_by_then = match run.phase {
+                RunPhase::Ordered { .. } => false,
+                RunPhase::Uncertain { void_at, .. } => asked_at >= void_at,
+                RunPhase::Running { confirmed_at } => asked_at > confirmed_at,
+                RunPhase::Stopping { accepted_at, .. } => {
+                    accepted_at.is_some_and(|accepted| asked_at >= accepted)
+                }
+            };
+            (known_by_then || outcome.reborn) && !listed(task, run)
+        });
+        let missing = missing.map(|(task, _)| *task).collect::<Vec<_>>();
+        for task in missing {
+            let Some(run) = self.ledger.remove(&task) else {
+                continue;
+            };
+            match run.phase {
+                RunPhase::Uncertain { .. } => outcome.never_started.push((task, run)),
+                // The new life of the target may still get the order.
+                RunPhase::Ordered { void_at } if void_at > now => {
+                    self.ledger.insert(task, run);
+                }
+                _ => outcome.ended.push(EndedRun {
+                    task,
+                    run,
+                    end: RunEnd::Lapsed,
+                }),
+            }
+        }
+    }
+
+    /// Records that a look got no answer. Returns whether the target counts as unreachable from
+    /// now on.
+    pub fn look_lost(&mut self, now: TimePoint, number: LookNumber) -> bool {
+        if self.take_look(number).is_none() {
+            return false;
+        }
+        self.lost_looks += 1;
+        self.look_due = match self.lost_looks < LOST_LOOKS {
+            true => now,
+            false => now + self.settings.lost_interval,
+        };
+        self.lost_looks == LOST_LOOKS
+    }
+
+    /// Removes the runs that have lapsed because the target could not be reached.
+    pub fn advance(&mut self, now: TimePoint) -> Vec<EndedRun> {
+        if self.is_reachable() || now < self.lapsed_at {
+            return Vec::new();
+        }
+        let runs = self.ledger.take_runs();
+        runs.into_iter()
+            .map(|(task, run)| EndedRun {
+                task,
+                run,
+                end: RunEnd::Lapsed,
+            })
+            .collect()
+    }
+
+    /// Sets when runs whose home did not answer are stopped.
+    pub fn begin_audit(&mut self, due: TimePoint) {
+        self.audit_due = Some(due);
+    }
+
+    /// The runs without a home, once the time for answers is over.
+    pub fn end_audit(&mut self, now: TimePoint) -> Vec<TaskName> {
+        if self.audit_due.take_if(|due| *due <= now).is_none() {
+            return Vec::new();
+        }
+        let orphans = self.ledger.runs().filter(|(_, run)| run.home.is_none());
+        orphans.map(|(task, _)| *task).collect()
+    }
+
+    /// Assigns a run that was found to the home that wants it. False if it is not there.
+    pub fn adopt_run(
+        &mut self,
+        name: RunName,
+        home: VmIndex,
+        room: RoomSize,
+        expected: Duration,
+    ) -> bool {
+        let Some(run) = self.ledger.get_mut(&name.task) else {
+            return false;
+        };
+        let stopping = matches!(run.phase, RunPhase::Stopping { .. });
+        if run.run != name.run || stopping {
+            return false;
+        }
+        run.home = Some(home);
+        run.room = Some(room);
+        run.expected = expected;
+        true
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/home.rs
@@ -0,0 +1,423 @@
+//! The jobs that clients have sent to this VM.
+//!
+//! Their waiting tasks form one queue, ordered by the latest moment at which a task must start for
+//! its job to meet its objective. Tasks whose moment has passed come after all others: serving them
+//! first would make the others late as well.
+
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_types::fleet::{JobOrder, StepOrder};
+use filbertpitch_types::prelude::*;
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+
+/// How much a run number is raised when a target has seen it: another home may have given the same
+/// task to it.
+const OLD_RUN_STEP: u32 = 16;
+
+/// How many targets a task avoids.
+const EXCLUDED_LIMIT: usize = 4;
+
+/// The objective of a job times this is when its answer is worth nothing.
+pub const LATE_FACTOR: u32 = 3;
+
+/// A task of a live job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskRef {
+    /// The job.
+    pub job: JobKey,
+    /// The position in the job.
+    pub position: usize,
+}
+
+/// Where a task is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskPhase {
+    /// Earlier steps are not done.
+    Blocked,
+    /// It waits for room.
+    Waiting,
+    /// A holder was asked to run it, or runs it.
+    Placed {
+        /// The holder.
+        holder: VmIndex,
+        /// Where it runs, or where it should.
+        target: TargetIndex,
+        /// When the holder was asked.
+        asked_at: TimePoint,
+        /// Whether the holder has confirmed the start.
+        started: bool,
+    },
+    /// Its holder was lost. It may still be running.
+    Orphaned {
+        /// Where it ran.
+        target: TargetIndex,
+        /// When it has certainly ended.
+        over_at: TimePoint,
+    },
+    /// It is done.
+    Done,
+}
+
+/// A task of a live job.
+#[derive(Clone, Debug)]
+pub struct HomeTask {
+    /// Its name.
+    pub name: TaskName,
+    /// Where it is in its life.
+    pub phase: TaskPhase,
+    /// The number of the current or next run.
+    pub run: RunNumber,
+    /// How many of its runs have failed.
+    pub failures: u8,
+    /// Targets that it avoids.
+    pub excluded: SmallVec<[TargetIndex; EXCLUDED_LIMIT]>,
+    /// Its place in the queue, while it waits.
+    queued: Option<QueuePlace>,
+}
+
+impl HomeTask {
+    /// Avoids a target from now on; the oldest one is tried again when there are too many.
+    pub fn exclude(&mut self, target: TargetIndex) {
+        if self.excluded.contains(&target) {
+            return;
+        }
+        if self.excluded.len() == EXCLUDED_LIMIT {
+            self.excluded.remove(0);
+        }
+        self.excluded.push(target);
+    }
+
+    /// Takes the next run number.
+    pub fn next_run(&mut self) {
+        self.run = self.run.next();
+    }
+
+    /// Skips run numbers that a target has seen.
+    pub fn skip_runs(&mut self) {
+        self.run = RunNumber(self.run.0.saturating_add(OLD_RUN_STEP));
+    }
+}
+
+/// A job without an answer.
+#[derive(Clone, Debug)]
+pub struct HomeJob {
+    /// The client's name for it.
+    pub id: JobId,
+    /// Who waits for the answer.
+    pub callers: SmallVec<[CallerToken; 1]>,
+    /// Its queue.
+    pub queue: KindIndex,
+    /// What it asks for.
+    pub order: JobOrder,
+    /// When it arrived.
+    pub arrived: TimePoint,
+    /// The time in which it should be answered.
+    pub objective: Duration,
+    /// When nobody needs its answer any more.
+    pub give_up: TimePoint,
+    /// The expected run time of a task of each step.
+    pub expected: Vec<Duration>,
+    /// Its tasks, step by step.
+    pub tasks: Vec<HomeTask>,
+    /// How many tasks are not done.
+    pub unfinished: usize,
+    /// Whether a holder was ever asked to run one of its tasks.
+    pub offered: bool,
+    /// How many requests to run a task of it were made that were not certainly in vain.
+    pub possible_starts: u32,
+}
+
+impl HomeJob {
+    /// The step of a task.
+    pub fn step_of(&self, position: usize) -> &StepOrder {
+        &self.order.steps[usize::from(self.tasks[position].name.step)]
+    }
+
+    /// The expected run time of a task.
+    pub fn expected_of(&self, position: usize) -> Duration {
+        self.expected[usize::from(self.tasks[position].name.step)]
+    }
+
+    /// The latest moment at which a task must start for its job to meet its objective.
+    pub fn start_by(&self, position: usize) -> TimePoint {
+        let step = usize::from(self.tasks[position].name.step);
+        let rest = self.expected[step..].iter().sum::<Duration>();
+        self.arrived + self.objective.saturating_sub(rest)
+    }
+
+    /// Whether all tasks of the steps that `step` waits for are done.
+    fn is_unblocked(&self, step: u16) -> bool {
+        let after = &self.order.steps[usize::from(step)].after;
+        let mut before = self.tasks.iter();
+        before.all(|task| !after.contains(&task.name.step) || task.phase == TaskPhase::Done)
+    }
+}
+
+/// The order of waiting tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct QueuePlace {
+    late: bool,
+    start_by: TimePoint,
+    task: TaskRef,
+}
+
+/// All jobs without an answer, and their waiting tasks.
+#[derive(Clone, Debug, Default)]
+pub struct JobTable {
+    jobs: SlotMap<JobKey, HomeJob>,
+    ids: HashMap<JobId, JobKey>,
+    waiting: BTreeSet<QueuePlace>,
+    /// The core-milliseconds that the waiting tasks are expected to take.
+    waiting_work: u64,
+}
+
+/// What is decided about a job when it is accepted.
+#[derive(Clone, Debug)]
+pub struct JobPlan {
+    /// Its queue.
+    pub queue: KindIndex,
+    /// The time in which it should be answered.
+    pub objective: Duration,
+    /// How long its answer is needed.
+    pub patience: Duration,
+    /// The expected run time of a task of each step.
+    pub expected: Vec<Duration>,
+}
+
+/// The core-milliseconds of a task.
+pub fn task_work(room: &RoomSize, expected: Duration) -> u64 {
+    let millis = u64::try_from(expected.as_millis()).unwrap_or(u64::MAX);
+    u64::from(room.cpu.0).saturating_mul(millis) / 1000
+}
+
+impl JobTable {
+    /// Accepts a job; the tasks of its first steps wait from now on.
+    pub fn accept(
+        &mut self,
+        now: TimePoint,
+        caller: CallerToken,
+        order: JobOrder,
+        plan: JobPlan,
+    ) -> JobKey {
+        let id = order.id;
+        let mut tasks = Vec::new();
+        for (step, spec) in (0..).zip(&order.steps) {
+            tasks.extend((0..spec.count).map(|index| HomeTask {
+                name: TaskName {
+                    job: id,
+                    occurrence: 0,
+                    step,
+                    index,
+                },
+                phase: TaskPhase::Blocked,
+                run: RunNumber(1),
+                failures: 0,
+                excluded: SmallVec::new(),
+                queued: None,
+            }));
+        }
+        let job = HomeJob {
+            id,
+            callers: SmallVec::from_elem(caller, 1),
+            queue: plan.queue,
+            arrived: now,
+            objective: plan.objective,
+            give_up: now + plan.patience,
+            expected: plan.expected,
+            unfinished: tasks.len(),
+            tasks,
+            order,
+            offered: false,
+            possible_starts: 0,
+        };
+        let key = self.jobs.insert(job);
+        self.ids.insert(id, key);
+        self.unblock(now, key);
+        key
+    }
+
+    /// A job by its name.
+    pub fn find(&self, id: JobId) -> Option<JobKey> {
+        self.ids.get(&id).copied()
+    }
+
+    /// A job.
+    pub fn get(&self, key: JobKey) -> Option<&HomeJob> {
+        self.jobs.get(key)
+    }
+
+    /// A job, for changes other than the phases of its tasks.
+    pub fn get_mut(&mut self, key: JobKey) -> Option<&mut HomeJob> {
+        self.jobs.get_mut(key)
+    }
+
+    /// All jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (JobKey, &HomeJob)> {
+        self.jobs.iter()
+    }
+
+    /// How many jobs there are.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether there is no job.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// A task by its name, if its job is live.
+    pub fn find_task(&self, name: &TaskName) -> Option<TaskRef> {
+        let job = self.find(name.job)?;
+        let tasks = &self.jobs[job].tasks;
+        let position = tasks
+            .binary_search_by_key(&(name.step, name.index), |task| {
+                (task.name.step, task.name.index)
+            })
+            .ok()?;
+        Some(TaskRef { job, position })
+    }
+
+    /// A task.
+    pub fn task(&self, task: TaskRef) -> &HomeTask {
+        &self.jobs[task.job].tasks[task.position]
+    }
+
+    /// A task, for changes other than its phase.
+    pub fn task_mut(&mut self, task: TaskRef) -> &mut HomeTask {
+        &mut self.jobs[task.job].tasks[task.position]
+    }
+
+    /// Lets the tasks wait whose earlier steps are done.
+    fn unblock(&mut self, now: TimePoint, key: JobKey) {
+        let job = &self.jobs[key];
+        let ready = (0..job.order.steps.len())
+            .filter_map(|step| u16::try_from(step).ok())
+            .filter(|&step| job.is_unblocked(step))
+            .collect::<Vec<_>>();
+        let blocked = job.tasks.iter().enumerate().filter(|(_, task)| {
+            task.phase == TaskPhase::Blocked && ready.contains(&task.name.step)
+        });
+        let positions = blocked.map(|(position, _)| position).collect::<Vec<_>>();
+        for position in positions {
+            self.set_phase(now, TaskRef { job: key, position }, TaskPhase::Waiting);
+        }
+    }
+
+    /// Moves a task to another phase and keeps the queue in line with it.
+    pub fn set_phase(&mut self, now: TimePoint, task: TaskRef, phase: TaskPhase) {
+        let job = &mut self.jobs[task.job];
+        let work = task_work(
+            &job.step_of(task.position).room,
+            job.expected_of(task.position),
+        );
+        let start_by = job.start_by(task.position);
+        let state = &mut job.tasks[task.position];
+        if let Some(place) = state.queued.take() {
+            self.waiting.remove(&place);
+            self.waiting_work = self.waiting_work.saturating_sub(work);
+        }
+        if phase == TaskPhase::Waiting {
+            let place = QueuePlace {
+                late: start_by < now,
+                start_by,
+                task,
+            };
+            state.queued = Some(place);
+            self.waiting.insert(place);
+            self.waiting_work += work;
+        }
+        state.phase = phase;
+    }
+
+    /// Marks a task as done. Returns whether its job is.
+    pub fn finish_task(&mut self, now: TimePoint, task: TaskRef) -> bool {
+        self.set_phase(now, task, TaskPhase::Done);
+        let job = &mut self.jobs[task.job];
+        job.unfinished -= 1;
+        if job.unfinished > 0 {
+            if job.order.steps.len() > 1 {
+                self.unblock(now, task.job);
+            }
+            return false;
+        }
+        true
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, key: JobKey) -> Option<HomeJob> {
+        let job = self.jobs.remove(key)?;
+        self.ids.remove(&job.id);
+        for (position, task) in job.tasks.iter().enumerate() {
+            if let Some(place) = &task.queued {
+                self.waiting.remove(place);
+                let room = &job.step_of(position).room;
+                let work = task_work(room, job.expected_of(position));
+                self.waiting_work = self.waiting_work.saturating_sub(work);
+            }
+        }
+        Some(job)
+    }
+
+    /// Moves the tasks that have become late behind the others.
+    pub fn demote_late(&mut self, now: TimePoint) {
+        while let Some(first) = self.waiting.first().copied()
+            && !first.late
+            && first.start_by < now
+        {
+            self.set_phase(now, first.task, TaskPhase::Waiting);
+        }
+    }
+
+    /// The waiting tasks, the most urgent first.
+    pub fn waiting(&self) -> impl Iterator<Item = TaskRef> {
+        self.waiting.iter().map(|place| place.task)
+    }
+
+    /// How many tasks wait.
+    pub fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// The core-milliseconds that the waiting tasks are expected to take.
+    pub fn waiting_work(&self) -> u64 {
+        self.waiting_work
+    }
+
+    /// The core-milliseconds of the waiting tasks that come before one that must start by
+    /// `start_by`.
+    pub fn work_before(&self, start_by: TimePoint) -> u64 {
+        let before = self.waiting.iter();
+        let before = before.take_while(|place| !place.late && place.start_by <= start_by);
+        before
+            .map(|place| {
+                let job = &self.jobs[place.task.job];
+                let position = place.task.position;
+                task_work(&job.step_of(position).room, job.expected_of(position))
+            })
+            .sum()
+    }
+
+    /// The tasks that a holder was asked to run, with the holder and the target.
+    pub fn placed(&self) -> impl Iterator<Item = (TaskRef, VmIndex, TargetIndex)> {
+        self.jobs.iter().flat_map(|(job, state)| {
+            let tasks = state.tasks.iter().enumerate();
+            tasks.filter_map(move |(position, task)| match task.phase {
+                TaskPhase::Placed { holder, target, .. } => {
+                    Some((TaskRef { job, position }, holder, target))
+                }
+                _ => None,
+            })
+        })
+    }
+
+    /// The payload of a job.
+    pub fn payload(&self, key: JobKey) -> Rc<str> {
+        Rc::clone(&self.jobs[key].order.payload)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/link.rs
@@ -0,0 +1,477 @@
+//! The exchange with one other entry VM.
+//!
+//! Messages are numbered and stay in the outbox until the peer confirms them, so that a broken
+//! connection loses none. When either side gives the other up, it drops what it did for it, and the
+//! other side learns of that by the count of losses.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::TargetIndex;
+use filbertpitch_types::fleet::{
+    DemandReport, FleetMessage, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState, RoomReport,
+};
+use filbertpitch_types::prelude::*;
+
+use crate::clock::DelayMeter;
+
+/// When peers are contacted and given up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkSettings {
+    /// The longest time without an envelope to a peer.
+    pub beat_interval: Duration,
+    /// The time between envelopes to a peer that was given up.
+    pub lost_interval: Duration,
+    /// The time without an envelope from a peer after which it gets no work.
+    pub silent_after: Duration,
+    /// The time without an envelope from a peer after which it is given up.
+    pub lost_after: Duration,
+    /// The age at which a request of a peer is refused.
+    pub stale_after: Duration,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            beat_interval: Duration::from_millis(150),
+            lost_interval: Duration::from_millis(1000),
+            silent_after: Duration::from_millis(450),
+            lost_after: Duration::from_millis(900),
+            stale_after: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Whether a peer is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkPhase {
+    /// Nothing was heard of it yet.
+    Unheard {
+        /// When it was first contacted.
+        since: TimePoint,
+    },
+    /// It was heard lately.
+    Live,
+    /// It was not heard lately.
+    Silent,
+    /// It was given up.
+    Lost {
+        /// When.
+        since: TimePoint,
+    },
+}
+
+/// A target that a peer holds, and its state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerHolding {
+    /// The target.
+    pub target: TargetIndex,
+    /// Its state.
+    pub report: RoomReport,
+}
+
+/// A request to a peer that its reports may not include yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OpenRequest {
+    number: u64,
+    target: TargetIndex,
+    room: RoomSize,
+}
+
+/// What an envelope changes.
+#[derive(Debug, Default, PartialEq)]
+pub struct LinkNews {
+    /// New messages in their order.
+    pub messages: Vec<FleetMessage>,
+    /// Whether the peer has dropped what it did for this VM, or was replaced.
+    pub dropped: bool,
+    /// Whether the peer is heard again.
+    pub appeared: bool,
+    /// Whether the peer's state or its holdings differ from before.
+    pub changed: bool,
+}
+
+/// The exchange with one peer.
+#[derive(Clone, Debug)]
+pub struct PeerLink {
+    settings: LinkSettings,
+    identity: PeerIdentity,
+    /// Processes that ran on the VM before.
+    former: VecDeque<IncarnationId>,
+    phase: LinkPhase,
+    last_heard: TimePoint,
+    delays: DelayMeter,
+    state: PeerState,
+    demand: DemandReport,
+    holdings_version: u32,
+    holdings: Vec<PeerHolding>,
+    next_expected: u64,
+    their_losses: u32,
+    own_losses: u32,
+    outbox: VecDeque<FleetMessage>,
+    first_message: u64,
+    open_requests: VecDeque<OpenRequest>,
+    in_flight: bool,
+    last_sent: Option<TimePoint>,
+    sent_demand: u32,
+    confirmed_holdings: Option<u32>,
+    /// Whether an envelope is wanted although no message waits.
+    hurried: bool,
+}
+
+/// How many former processes of a VM are remembered, to ignore what they sent last.
+const FORMER_LIMIT: usize = 8;
+
+impl PeerLink {
+    /// A link to a VM that was not heard yet.
+    pub fn new(settings: LinkSettings, identity: PeerIdentity, now: TimePoint) -> Self {
+        Self {
+            settings,
+            identity,
+            former: VecDeque::new(),
+            phase: LinkPhase::Unheard { since: now },
+            last_heard: now,
+            delays: DelayMeter::default(),
+            state: PeerState::Starting,
+            demand: DemandReport::default(),
+            holdings_version: 0,
+            holdings: Vec::new(),
+            next_expected: 0,
+            their_losses: 0,
+            own_losses: 0,
+            outbox: VecDeque::new(),
+            first_message: 0,
+            open_requests: VecDeque::new(),
+            in_flight: false,
+            last_sent: None,
+            sent_demand: 0,
+            confirmed_holdings: None,
+            hurried: false,
+        }
+    }
+
+    /// The peer.
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.identity
+    }
+
+    /// Whether it is there.
+    pub fn phase(&self) -> LinkPhase {
+        self.phase
+    }
+
+    /// Whether it was heard lately.
+    pub fn is_live(&self) -> bool {
+        self.phase == LinkPhase::Live
+    }
+
+    /// Where it is in its life.
+    pub fn state(&self) -> PeerState {
+        self.state
+    }
+
+    /// The tasks that wait there.
+    pub fn demand(&self) -> DemandReport {
+        self.demand
+    }
+
+    /// Counts a task that was offered room, so that it is not offered room again.
+    pub fn serve_demand(&mut self) {
+        self.demand.tasks = self.demand.tasks.saturating_sub(1);
+    }
+
+    /// Records that nothing that waits there can use the offered room.
+    pub fn clear_demand(&mut self) {
+        self.demand.tasks = 0;
+    }
+
+    /// The targets that it holds.
+    pub fn holdings(&self) -> &[PeerHolding] {
+        &self.holdings
+    }
+
+    /// When it was heard last.
+    pub fn last_heard(&self) -> TimePoint {
+        self.last_heard
+    }
+
+    /// How long a request that was issued at `issued`, on the peer's clock, was on its way.
+    pub fn age(&self, issued: TimePoint, now: TimePoint) -> Duration {
+        self.delays.age(issued, now)
+    }
+
+    /// The room that is free on a target that the peer holds, without what was requested since its
+    /// last report.
+    pub fn free_room(&self, holding: &PeerHolding) -> RoomSize {
+        let requests = self.open_requests.iter();
+        let pending = requests.filter(|request| request.target == holding.target);
+        pending.fold(holding.report.free, |free, request| free - request.room)
+    }
+
+    /// Puts a message into the outbox.
+    pub fn push(&mut self, message: FleetMessage) {
+        self.outbox.push_back(message);
+    }
+
+    /// Records that the message that was pushed last requests room on a target.
+    pub fn note_request(&mut self, target: TargetIndex, room: RoomSize) {
+        let number = self.first_message + self.outbox.len() as u64 - 1;
+        self.open_requests.push_back(OpenRequest {
+            number,
+            target,
+            room,
+        });
+    }
+
+    /// Replaces the process at the other end.
+    fn replace(&mut self, identity: &PeerIdentity) {
+        if self.former.len() == FORMER_LIMIT {
+            self.former.pop_front();
+        }
+        self.former.push_back(self.identity.incarnation);
+        self.identity = identity.clone();
+        self.delays = DelayMeter::default();
+        self.state = PeerState::Starting;
+        self.demand = DemandReport::default();
+        self.holdings_version = 0;
+        self.holdings.clear();
+        self.next_expected = 0;
+        self.their_losses = 0;
+        self.reset_outbox();
+        self.confirmed_holdings = None;
+    }
+
+    fn reset_outbox(&mut self) {
+        self.outbox.clear();
+        self.open_requests.clear();
+        self.first_message = 0;
+    }
+
+    /// Learns from another source which process runs on the VM. Returns whether the former process
+    /// is gone.
+    pub fn note_identity(&mut self, identity: &PeerIdentity, now: TimePoint) -> bool {
+        let known = identity.incarnation == self.identity.incarnation;
+        if known || self.former.contains(&identity.incarnation) || self.is_live() {
+            return false;
+        }
+        self.replace(identity);
+        self.phase = LinkPhase::Unheard { since: now };
+        true
+    }
+
+    /// Whether an envelope comes from a process that has been replaced.
+    pub fn is_former(&self, incarnation: IncarnationId) -> bool {
+        self.former.contains(&incarnation)
+    }
+
+    /// Takes over an envelope. `resolve` finds the index of a target.
+    pub fn receive<F>(&mut self, now: TimePoint, envelope: PeerEnvelope, resolve: F) -> LinkNews
+    where
+        F: FnMut(&TargetName) -> TargetIndex,
+    {
+        let mut news = LinkNews::default();
+        if envelope.from.incarnation != self.identity.incarnation {
+            news.dropped = !matches!(self.phase, LinkPhase::Unheard { .. });
+            self.replace(&envelope.from);
+            self.phase = LinkPhase::Unheard { since: now };
+        }
+        self.delays.observe(envelope.sent_at, now);
+        if envelope.losses > self.their_losses {
+            self.their_losses = envelope.losses;
+            news.dropped = true;
+            self.open_requests.clear();
+        }
+        news.appeared = !self.is_live();
+        self.phase = LinkPhase::Live;
+        self.last_heard = now;
+        news.changed = news.appeared || news.dropped || envelope.state != self.state;
+        self.state = envelope.state;
+        self.demand = envelope.demand;
+        news.changed |= self.take_holdings(&envelope, resolve);
+        self.forget_requests(envelope.next_expected);
+        let skipped = self.next_expected.saturating_sub(envelope.first_message);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        // A gap means that the peer has given this VM up and dropped messages.
+        self.next_expected = self.next_expected.max(envelope.first_message);
+        let fresh = envelope.messages.into_iter().skip(skipped);
+        news.messages = fresh.collect();
+        self.next_expected += news.messages.len() as u64;
+        news
+    }
+
+    fn take_holdings<F>(&mut self, envelope: &PeerEnvelope, mut resolve: F) -> bool
+    where
+        F: FnMut(&TargetName) -> TargetIndex,
+    {
+        let mut changed = false;
+        if let Some(holdings) = &envelope.holdings {
+            changed = self.holdings_version != envelope.holdings_version;
+            self.holdings_version = envelope.holdings_version;
+            let holdings = holdings.iter().map(|holding| PeerHolding {
+                target: resolve(&holding.target),
+                report: RoomReport::default(),
+            });
+            self.holdings = holdings.collect();
+        }
+        if envelope.holdings_version == self.holdings_version
+            && envelope.rooms.len() == self.holdings.len()
+        {
+            for (holding, report) in self.holdings.iter_mut().zip(&envelope.rooms) {
+                holding.report = *report;
+            }
+        }
+        changed
+    }
+
+    /// Forgets requests that the peer's report includes.
+    fn forget_requests(&mut self, next_expected: u64) {
+        while let Some(request) = self.open_requests.front()
+            && request.number < next_expected
+        {
+            self.open_requests.pop_front();
+        }
+    }
+
+    /// The answer to an envelope that was taken over.
+    pub fn receipt(&self, own: IncarnationId) -> PeerReceipt {
+        PeerReceipt {
+            incarnation: own,
+            accepted: true,
+            next_expected: self.next_expected,
+            holdings_version: self.holdings_version,
+        }
+    }
+
+    /// Whether an envelope is to be sent now.
+    pub fn wants_envelope(&self, now: TimePoint, demand: &DemandReport) -> bool {
+        if self.in_flight {
+            return false;
+        }
+        let new_demand = demand.tasks > 0 && self.sent_demand == 0 && self.is_live();
+        let beat_due = self
+            .last_sent
+            .is_none_or(|sent| now.since(sent) >= self.interval());
+        !self.outbox.is_empty() || self.hurried || new_demand || beat_due
+    }
+
+    /// Sends the next envelope as soon as possible.
+    pub fn hurry(&mut self) {
+        self.hurried = true;
+    }
+
+    /// When an envelope must be sent at the latest.
+    pub fn beat_due(&self) -> Option<TimePoint> {
+        if self.in_flight {
+            return None;
+        }
+        let sent = self.last_sent.unwrap_or(TimePoint(0));
+        Some(sent + self.interval())
+    }
+
+    fn interval(&self) -> Duration {
+        match self.phase {
+            LinkPhase::Lost { .. } => self.settings.lost_interval,
+            _ => self.settings.beat_interval,
+        }
+    }
+
+    /// When [`Self::judge`] may change something.
+    pub fn judge_due(&self) -> Option<TimePoint> {
+        match self.phase {
+            LinkPhase::Live => Some(self.last_heard + self.settings.silent_after),
+            LinkPhase::Silent => Some(self.last_heard + self.settings.lost_after),
+            LinkPhase::Unheard { since } => Some(since + self.settings.lost_after),
+            LinkPhase::Lost { .. } => None,
+        }
+    }
+
+    /// Completes an envelope that goes out now.
+    pub fn fill(&mut self, now: TimePoint, mut envelope: PeerEnvelope) -> PeerEnvelope {
+        self.in_flight = true;
+        self.hurried = false;
+        self.last_sent = Some(now);
+        self.sent_demand = envelope.demand.tasks;
+        let unknown = matches!(self.phase, LinkPhase::Unheard { .. });
+        envelope.to = (!unknown).then_some(self.identity.incarnation);
+        envelope.losses = self.own_losses;
+        envelope.first_message = self.first_message;
+        envelope.messages = self.outbox.iter().cloned().collect();
+        envelope.next_expected = self.next_expected;
+        if self.confirmed_holdings == Some(envelope.holdings_version) {
+            envelope.holdings = None;
+        }
+        envelope
+    }
+
+    /// Takes over a receipt. Returns whether the process at the other end is another one, so that
+    /// the former one is gone.
+    pub fn confirmed(&mut self, receipt: &PeerReceipt) -> bool {
+        self.in_flight = false;
+        if receipt.incarnation != self.identity.incarnation {
+            let identity = PeerIdentity {
+                incarnation: receipt.incarnation,
+                ..self.identity.clone()
+            };
+            if self.former.contains(&receipt.incarnation) {
+                return false;
+            }
+            self.replace(&identity);
+            self.phase = LinkPhase::Unheard {
+                since: self.last_heard,
+            };
+            return true;
+        }
+        if !receipt.accepted {
+            return false;
+        }
+        self.confirmed_holdings = Some(receipt.holdings_version);
+        while self.first_message < receipt.next_expected && self.outbox.pop_front().is_some() {
+            self.first_message += 1;
+        }
+        false
+    }
+
+    /// Records that an envelope got no receipt.
+    pub fn failed(&mut self) {
+        self.in_flight = false;
+    }
+
+    /// Starts the wait for a peer anew, because this process could not hear it.
+    pub fn excuse(&mut self, now: TimePoint) {
+        match &mut self.phase {
+            LinkPhase::Unheard { since } => *since = now,
+            LinkPhase::Live | LinkPhase::Silent => self.last_heard = now,
+            LinkPhase::Lost { .. } => {}
+        }
+    }
+
+    /// Gives the peer up when nothing was heard for too long, or at once when `refused` says that
+    /// nothing listens there. Returns whether it was given up now.
+    pub fn judge(&mut self, now: TimePoint, refused: bool) -> bool {
+        let quiet = match self.phase {
+            LinkPhase::Lost { .. } => return false,
+            LinkPhase::Unheard { since } => now.since(since),
+            LinkPhase::Live | LinkPhase::Silent => now.since(self.last_heard),
+        };
+        if refused || quiet >= self.settings.lost_after {
+            self.give_up(now);
+            return true;
+        }
+        if self.is_live() && quiet >= self.settings.silent_after {
+            self.phase = LinkPhase::Silent;
+        }
+        false
+    }
+
+    fn give_up(&mut self, now: TimePoint) {
+        self.phase = LinkPhase::Lost { since: now };
+        self.own_losses += 1;
+        self.first_message += self.outbox.len() as u64;
+        self.outbox.clear();
+        self.open_requests.clear();
+        self.holdings.clear();
+        self.holdings_version = 0;
+        self.confirmed_holdings = None;
+        self.demand = DemandReport::default();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/registry.rs
@@ -0,0 +1,118 @@
+//! The targets that the platform lists.
+//!
+//! A target keeps its index when its entry goes and returns. An entry that cannot be read hides the
+//! target until a readable one follows.
+
+use std::net::SocketAddr;
+
+use filbertpitch_dispatch::entity::{NameInterner, TargetIndex};
+use filbertpitch_types::fleet::{TargetEntry, TargetNotice, TargetState};
+use filbertpitch_types::prelude::*;
+use typed_index_collections::TiVec;
+
+/// What is known of a target.
+#[derive(Clone, Debug)]
+struct TargetRecord {
+    /// The latest entry.
+    entry: Option<TargetEntry>,
+    /// When the entry went; nothing while the target is listed.
+    unlisted_since: Option<TimePoint>,
+}
+
+impl TargetRecord {
+    fn listed(&self) -> Option<&TargetEntry> {
+        let listed = self.unlisted_since.is_none();
+        self.entry.as_ref().filter(|_| listed)
+    }
+}
+
+/// All targets that were ever listed in this life of the process.
+#[derive(Clone, Debug, Default)]
+pub struct TargetRegistry {
+    names: NameInterner<TargetIndex, TargetName>,
+    records: TiVec<TargetIndex, TargetRecord>,
+}
+
+impl TargetRegistry {
+    /// Takes over a change and returns the target.
+    pub fn apply(&mut self, now: TimePoint, notice: TargetNotice) -> TargetIndex {
+        match notice {
+            TargetNotice::Listed(entry) => {
+                let index = self.intern(&entry.name);
+                let record = &mut self.records[index];
+                record.entry = Some(entry);
+                record.unlisted_since = None;
+                index
+            }
+            TargetNotice::Removed(name) | TargetNotice::Unreadable(name) => {
+                let index = self.intern(&name);
+                let record = &mut self.records[index];
+                if record.unlisted_since.is_none() {
+                    record.unlisted_since = Some(now);
+                }
+                index
+            }
+        }
+    }
+
+    /// The index of a name, assigned on first use.
+    pub fn intern(&mut self, name: &TargetName) -> TargetIndex {
+        let index = self.names.intern(name);
+        if usize::from(index) == self.records.len() {
+            self.records.push(TargetRecord {
+                entry: None,
+                unlisted_since: None,
+            });
+        }
+        index
+    }
+
+    /// The index of a name that was seen before.
+    pub fn find(&self, name: &TargetName) -> Option<TargetIndex> {
+        self.names.get(name)
+    }
+
+    /// The name of a target.
+    pub fn name(&self, index: TargetIndex) -> &TargetName {
+        self.names.name(index)
+    }
+
+    /// The entry of a target that is listed.
+    pub fn entry(&self, index: TargetIndex) -> Option<&TargetEntry> {
+        self.records.get(index)?.listed()
+    }
+
+    /// Where a target takes orders, also after its entry has gone.
+    pub fn address(&self, index: TargetIndex) -> Option<SocketAddr> {
+        let entry = self.records.get(index)?.entry.as_ref();
+        entry.map(|entry| entry.address)
+    }
+
+    /// Whether a target is listed and takes work.
+    pub fn is_ready(&self, index: TargetIndex) -> bool {
+        self.entry(index)
+            .is_some_and(|entry| entry.state == TargetState::Ready)
+    }
+
+    /// When a target that is not listed was last.
+    pub fn unlisted_since(&self, index: TargetIndex) -> Option<TimePoint> {
+        self.records.get(index)?.unlisted_since
+    }
+
+    /// The targets that are listed now, with their entries.
+    pub fn listed(&self) -> impl Iterator<Item = (TargetIndex, &TargetEntry)> {
+        self.records
+            .iter_enumerated()
+            .filter_map(|(index, record)| Some((index, record.listed()?)))
+    }
+
+    /// How many names have an index.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no target was ever listed.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/types/src/fleet.rs
@@ -0,0 +1,450 @@
+//! Jobs, targets and configuration of fleets whose targets run tasks under leases, and the messages
+//! that the entry VMs of such a fleet exchange.
+//!
+//! Such targets start whatever they are told. Each has one holder at a time, an entry VM that alone
+//! gives it orders. The VM that a client has sent a job to is the job's home; it asks the holders
+//! to run the job's tasks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// A queue of jobs and what applies to all of its jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueSpec {
+    /// The operator's name for it.
+    pub name: QueueName,
+    /// The host that its requests name.
+    pub host: Box<str>,
+    /// What the paths of its requests begin with.
+    pub path_prefix: Box<str>,
+    /// The service whose targets run its tasks.
+    pub service: ServiceName,
+    /// 0 is the most important.
+    pub priority: u8,
+    /// How many runs of one task may fail before its job fails.
+    pub attempt_limit: u8,
+    /// The objective as a multiple of the longest chain of work of a job.
+    pub stretch: f64,
+    /// What the objective allows beyond that multiple.
+    pub allowance: Duration,
+    /// Whether only an advisory service knows which targets may run its tasks.
+    pub advised: bool,
+}
+
+/// What applies to all targets of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServicePolicy {
+    /// Whether its targets refuse work that exceeds their room.
+    pub guarded: bool,
+}
+
+/// Bounds on the requests of clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientBounds {
+    /// The largest request head, in bytes.
+    pub head_bytes: usize,
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// The time for a request head.
+    pub head_timeout: Duration,
+    /// How long a connection may stay open without a request.
+    pub idle_timeout: Duration,
+}
+
+/// The configuration that the operator has published last.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetConfiguration {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The queues.
+    pub queues: Vec<QueueSpec>,
+    /// The services.
+    pub services: BTreeMap<ServiceName, ServicePolicy>,
+    /// Bounds on requests, where they are given.
+    pub bounds: Option<ClientBounds>,
+}
+
+/// Whether a target takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetState {
+    /// It takes work.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// What a target says about itself in the platform's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetEntry {
+    /// Its name; another life of the target may have the same.
+    pub name: TargetName,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes work.
+    pub state: TargetState,
+    /// Its room.
+    pub capacity: RoomSize,
+    /// Its kind and its rack.
+    pub labels: Vec<Box<str>>,
+    /// Which life of the target this is, if it says so.
+    pub boot: Option<TargetBoot>,
+}
+
+/// A change of the platform's list of targets.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TargetNotice {
+    /// A target is listed with these values.
+    Listed(TargetEntry),
+    /// A target is no longer listed.
+    Removed(TargetName),
+    /// An entry cannot be read; the target is not to be used until another one follows.
+    Unreadable(TargetName),
+}
+
+/// The tasks of one step of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StepOrder {
+    /// How many tasks.
+    pub count: u16,
+    /// What each task takes.
+    pub room: RoomSize,
+    /// The run time that the client expects of a task.
+    pub declared: Duration,
+    /// The steps whose tasks must be done first.
+    pub after: Vec<u16>,
+    /// A label that the target must have.
+    pub required_label: Option<Box<str>>,
+    /// The rack on which the tasks run faster.
+    pub near_rack: Option<Box<str>>,
+    /// The most tasks of the step on one target; no limit if absent.
+    pub spread_limit: Option<u16>,
+    /// What the step asks for that this version cannot do.
+    pub unsupported: Option<&'static str>,
+}
+
+/// A job as a client has submitted it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobOrder {
+    /// The client's name for it.
+    pub id: JobId,
+    /// Passed to targets unchanged.
+    pub payload: Rc<str>,
+    /// Its steps.
+    pub steps: Vec<StepOrder>,
+    /// Whether the answer to the submission is all that the client wants to know of the job.
+    pub ephemeral: bool,
+    /// What the job asks for that this version cannot do.
+    pub unsupported: Option<&'static str>,
+}
+
+/// Why a job was not accepted. Nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RejectReason {
+    /// This VM has no configuration yet.
+    NotReady,
+    /// The queue has left the configuration.
+    UnknownQueue,
+    /// The job asks for something that this version cannot do.
+    Unsupported,
+    /// No target could ever run one of its tasks.
+    NoCapableTarget,
+    /// It would be answered too late.
+    Overloaded,
+    /// It has waited for room in vain.
+    TimedOut,
+    /// The process stops before the job could start.
+    Stopping,
+}
+
+impl RejectReason {
+    /// The reason as a word for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::UnknownQueue => "unknown_queue",
+            Self::Unsupported => "unsupported",
+            Self::NoCapableTarget => "no_capable_target",
+            Self::Overloaded => "overloaded",
+            Self::TimedOut => "timed_out",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+/// The answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobReply {
+    /// All tasks are done.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// Nothing of the job has run, and nothing will.
+    Rejected {
+        /// Why.
+        reason: RejectReason,
+        /// When another attempt may succeed.
+        retry_after: Duration,
+    },
+    /// The job was given up, and parts of it may have run.
+    Unknown,
+    /// The client has cancelled it.
+    Cancelled,
+}
+
+/// Who an entry VM is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerIdentity {
+    /// The VM.
+    pub vm: VmName,
+    /// The run of its process.
+    pub incarnation: IncarnationId,
+    /// Where it listens for other VMs.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// Where an entry VM is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerState {
+    /// It has no configuration or no targets yet.
+    Starting,
+    /// It takes jobs and holds targets.
+    Ready,
+    /// It is stopping and gives its targets away.
+    Leaving,
+}
+
+/// A target that the sender holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HoldingReport {
+    /// The target.
+    pub target: TargetName,
+    /// The token under which the sender holds it.
+    pub token: FencingToken,
+}
+
+/// The state of a held target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomReport {
+    /// The room that is free for further tasks; nothing while the target takes no work.
+    pub free: RoomSize,
+    /// How long work takes there, as a percentage of the usual time.
+    pub slowdown_percent: u16,
+}
+
+/// The tasks that wait at the sender because no target has room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// How many.
+    pub tasks: u32,
+    /// The time until the most urgent one must start, in milliseconds; negative if it is late.
+    pub slack_ms: i32,
+    /// In each dimension, the least that any of them takes.
+    pub least: RoomSize,
+    /// The processor time that all of them are expected to take, in core-milliseconds.
+    pub work: u64,
+}
+
+/// Identifies an offer among those of its sender.
+pub type OfferNumber = u32;
+
+/// One task that a home asks a holder to run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskOrder {
+    /// The task.
+    pub task: TaskName,
+    /// The lowest number for the run.
+    pub run: RunNumber,
+    /// What it takes.
+    pub room: RoomSize,
+    /// The target that the home suggests.
+    pub target: TargetName,
+    /// Targets that must not run it.
+    pub excluded: Vec<TargetName>,
+    /// The expected run time, in milliseconds.
+    pub expected_ms: u32,
+}
+
+/// Asks a holder to run tasks of one job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    /// The queue, for what the holder learns from the runs.
+    pub queue: QueueName,
+    /// The service whose targets may run the tasks.
+    pub service: ServiceName,
+    /// Passed to targets unchanged.
+    pub payload: Rc<str>,
+    /// A label that the target must have.
+    pub required_label: Option<Box<str>>,
+    /// The offer that this answers.
+    pub offer: Option<OfferNumber>,
+    /// When the home decided it, on its own clock. An old request is refused, because the home may
+    /// have decided otherwise since.
+    pub issued_at: TimePoint,
+    /// The tasks.
+    pub tasks: Vec<TaskOrder>,
+}
+
+/// Why a holder does not run a task. The task has certainly not started, and will not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlaceRefusal {
+    /// No target that it holds has room.
+    NoRoom,
+    /// The request has been on its way for too long.
+    Stale,
+    /// The target refused the order.
+    RefusedByTarget,
+    /// The target has seen a run of the task with this number or a higher one.
+    OldRun,
+    /// The order was given, and the target has certainly not carried it out.
+    NeverStarted,
+}
+
+/// Tells a home that a task is running.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunNotice {
+    /// The run.
+    pub run: RunName,
+    /// Where it runs.
+    pub target: TargetName,
+}
+
+/// Tells a home how a run has ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndNotice {
+    /// The run.
+    pub run: RunName,
+    /// Where it ran.
+    pub target: TargetName,
+    /// How it ended.
+    pub end: RunEnd,
+    /// How long it ran, in milliseconds, as far as the holder knows.
+    pub took_ms: Option<u32>,
+}
+
+/// A run and its room.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptRun {
+    /// The run.
+    pub run: RunName,
+    /// What it takes.
+    pub room: RoomSize,
+    /// The expected run time, in milliseconds.
+    pub expected_ms: u32,
+}
+
+/// A message between entry VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FleetMessage {
+    /// From a home to a holder: run these tasks.
+    Place(PlaceRequest),
+    /// From a home to a holder: stop these tasks, or do not start them.
+    Withdraw(Vec<TaskName>),
+    /// From a holder to a home: a target has room for a waiting task.
+    Offer {
+        /// The offer.
+        offer: OfferNumber,
+        /// The target.
+        target: TargetName,
+        /// Its free room.
+        room: RoomSize,
+    },
+    /// From a home to a holder: the offer is not needed.
+    Decline(OfferNumber),
+    /// From a holder to a home.
+    Started(RunNotice),
+    /// From a holder to a home.
+    Refused {
+        /// The task.
+        task: TaskName,
+        /// Why.
+        refusal: PlaceRefusal,
+    },
+    /// From a holder to a home.
+    Ended(EndNotice),
+    /// From a holder to a home: the sender does not hold the target any more. The runs may go on
+    /// until their lease ends, or until another holder takes them over.
+    Released {
+        /// The target.
+        target: TargetName,
+        /// The runs.
+        runs: Vec<RunName>,
+    },
+    /// From a new holder to all VMs: whose runs are these?
+    Inquire {
+        /// The target on which they run.
+        target: TargetName,
+        /// The runs.
+        runs: Vec<RunName>,
+    },
+    /// From a home to a new holder: these runs are mine and still wanted.
+    Keep {
+        /// The target on which they run.
+        target: TargetName,
+        /// The runs.
+        runs: Vec<KeptRun>,
+    },
+}
+
+/// What one entry VM sends to another: messages if there are any, and its current state.
+///
+/// Messages are numbered, so that a repeated envelope has no further effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// The sender.
+    pub from: PeerIdentity,
+    /// The process that this is meant for; any process if the sender has not heard of one yet.
+    pub to: Option<IncarnationId>,
+    /// How often the sender has given the receiver up. When the number rises, the sender has
+    /// dropped everything that it did for the receiver.
+    pub losses: u32,
+    /// When it was sent, on the sender's clock.
+    pub sent_at: TimePoint,
+    /// Where the sender is in its life.
+    pub state: PeerState,
+    /// The version of its configuration.
+    pub config_version: Option<ConfigVersion>,
+    /// The number of the first message.
+    pub first_message: u64,
+    /// The messages.
+    pub messages: Vec<FleetMessage>,
+    /// The number of the next message that the sender expects of the receiver.
+    pub next_expected: u64,
+    /// What waits at the sender.
+    pub demand: DemandReport,
+    /// Counts the changes of `holdings`.
+    pub holdings_version: u32,
+    /// The targets that the sender holds; absent if the receiver knows this version.
+    pub holdings: Option<Vec<HoldingReport>>,
+    /// The state of each held target, in the order of the holdings.
+    pub rooms: Vec<RoomReport>,
+    /// The processes that the sender has heard of lately.
+    pub heard: Vec<IncarnationId>,
+}
+
+/// Confirms an envelope.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerReceipt {
+    /// The process that answers.
+    pub incarnation: IncarnationId,
+    /// Whether the envelope was meant for this process and has been taken over.
+    pub accepted: bool,
+    /// The number of the next message that it expects of the sender.
+    pub next_expected: u64,
+    /// The version of the sender's holdings that it knows.
+    pub holdings_version: u32,
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -79,6 +79,14 @@
     /// An availability zone.
     ZoneName, "availability zone name"
 );
+name_type!(
+    /// A queue of jobs, as the operator named it.
+    QueueName, "queue name"
+);
+name_type!(
+    /// A VM, as the platform named it; the name outlives its processes.
+    VmName, "VM name"
+);
 name_type!(
     /// A random mark that tells two appends of the same ticket from two different tickets.
     TicketNonce, "ticket nonce"
@@ -142,6 +150,28 @@
     /// A start of a task; the first attempt is 0.
     AttemptNumber(u8), "attempt number"
 );
+number_type!(
+    /// Which start of a task this is, counted from 1. A target refuses numbers that are not higher
+    /// than one that was stopped or has ended there.
+    RunNumber(u32), "run number"
+);
+number_type!(
+    /// Orders the holders of a target. A target ignores requests with a lower token than the
+    /// highest that it has seen.
+    FencingToken(u64), "fencing token"
+);
+number_type!(
+    /// One life of a target: when it started, in milliseconds since the Unix epoch.
+    TargetBoot(u64), "start of a target"
+);
+number_type!(
+    /// A target's steady clock, in milliseconds since its own origin.
+    TargetTime(u64), "time of a target"
+);
+number_type!(
+    /// The version of a published configuration. Versions rise, not always by one.
+    ConfigVersion(u64), "configuration version"
+);
 number_type!(
     /// One minute of an incarnation's life, counted from its start.
     EpochNumber(u32), "epoch number"
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,11 +4,15 @@
 //! dispatcher and the test tools agree on one definition of each message.
 
 pub mod caller;
+pub mod fleet;
 pub mod ids;
+pub mod lease;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
 pub mod prelude;
+pub mod room;
+pub mod run;
 pub mod status;
 pub mod target;
 pub mod text;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -1,10 +1,12 @@
 //! The types that nearly every module needs.
 
 pub use crate::ids::{
-    AttemptId, AttemptNumber, EpochNumber, IncarnationId, JobNumber, KindName, LogOffset,
-    OwnerPrefix, ServiceName, SubmissionId, TargetName, TaskIndex, TeamName, TicketNonce,
-    TicketNumber, ZoneName,
+    AttemptId, AttemptNumber, ConfigVersion, EpochNumber, FencingToken, IncarnationId, JobNumber,
+    KindName, LogOffset, OwnerPrefix, QueueName, RunNumber, ServiceName, SubmissionId, TargetBoot,
+    TargetName, TargetTime, TaskIndex, TeamName, TicketNonce, TicketNumber, VmName, ZoneName,
 };
 pub use crate::outcome::{FailureReason, JobOutcome, NotRunReason, TaskOutcome, UnknownReason};
+pub use crate::room::{GpuCount, MemoryMib, MilliCores, RoomSize};
+pub use crate::run::{JobId, RunEnd, RunName, TaskName};
 pub use crate::time::{TimePoint, WallTime};
 pub use crate::units::{ByteSize, TaskRate, TeamWeight};
--- /dev/null
+++ b/crates/types/src/room.rs
@@ -0,0 +1,168 @@
+//! The room that tasks take on a target: processor cores, memory and accelerators.
+
+use std::fmt;
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::text::ParseError;
+
+/// Thousandths of a processor core; `1500m` in text.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MilliCores(pub u32);
+
+impl FromStr for MilliCores {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let reason = "expected a whole number of thousandths of a core with the unit m";
+        text.strip_suffix('m')
+            .and_then(|number| number.parse().ok())
+            .map(Self)
+            .ok_or_else(|| ParseError::new("processor share", text, reason))
+    }
+}
+
+impl fmt::Display for MilliCores {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+/// Memory in MiB; `64MiB` in text.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MemoryMib(pub u32);
+
+impl FromStr for MemoryMib {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let reason = "expected a whole number with the unit MiB";
+        text.strip_suffix("MiB")
+            .and_then(|number| number.parse().ok())
+            .map(Self)
+            .ok_or_else(|| ParseError::new("memory size", text, reason))
+    }
+}
+
+impl fmt::Display for MemoryMib {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}MiB", self.0)
+    }
+}
+
+/// A number of accelerators.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct GpuCount(pub u32);
+
+impl FromStr for GpuCount {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ParseError::new("number of accelerators", text, "it is not a whole number"))
+    }
+}
+
+impl fmt::Display for GpuCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// What a task takes on a target, and what a target has. It is encoded as an array, because reports
+/// between VMs carry one for each target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u32)", into = "(u32, u32, u32)")]
+pub struct RoomSize {
+    /// Processor time.
+    pub cpu: MilliCores,
+    /// Memory.
+    pub memory: MemoryMib,
+    /// Accelerators.
+    pub gpus: GpuCount,
+}
+
+impl RoomSize {
+    /// Whether this fits into `room` in every dimension.
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.gpus <= room.gpus
+    }
+
+    /// The smaller of both in every dimension.
+    pub fn least(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+}
+
+impl From<(u32, u32, u32)> for RoomSize {
+    fn from((cpu, memory, gpus): (u32, u32, u32)) -> Self {
+        Self {
+            cpu: MilliCores(cpu),
+            memory: MemoryMib(memory),
+            gpus: GpuCount(gpus),
+        }
+    }
+}
+
+impl From<RoomSize> for (u32, u32, u32) {
+    fn from(room: RoomSize) -> Self {
+        (room.cpu.0, room.memory.0, room.gpus.0)
+    }
+}
+
+impl Add for RoomSize {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu: MilliCores(self.cpu.0.saturating_add(other.cpu.0)),
+            memory: MemoryMib(self.memory.0.saturating_add(other.memory.0)),
+            gpus: GpuCount(self.gpus.0.saturating_add(other.gpus.0)),
+        }
+    }
+}
+
+impl AddAssign for RoomSize {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+/// What is left; zero where more is taken than there is.
+impl Sub for RoomSize {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            cpu: MilliCores(self.cpu.0.saturating_sub(other.cpu.0)),
+            memory: MemoryMib(self.memory.0.saturating_sub(other.memory.0)),
+            gpus: GpuCount(self.gpus.0.saturating_sub(other.gpus.0)),
+        }
+    }
+}
+
+impl fmt::Display for RoomSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}+{}", self.cpu, self.memory)?;
+        if self.gpus.0 > 0 {
+            write!(f, "+{}gpu", self.gpus)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/wire/src/server/connection.rs
+++ b/crates/wire/src/server/connection.rs
@@ -189,7 +189,9 @@
     /// Answers a request. False if the connection is to be closed.
     async fn answer(&mut self, request: ServerRequest, keep_alive: bool) -> bool {
         let bodiless = request.method == Method::HEAD;
-        let mut response = self.state.handler.handle(request).await;
+        let Some(mut response) = self.handle(request).await else {
+            return false;
+        };
         // An interim status cannot end a request. Simulated crashes use it to close connections.
         if response.status.is_informational() {
             return false;
@@ -197,10 +199,28 @@
         if bodiless {
             response.body = bytes::Bytes::new();
         }
-        let keep_alive = keep_alive && self.state.stop.peek().is_none();
+        let ending = self.state.stop.peek().is_some() || self.state.retiring.get();
+        let keep_alive = keep_alive && !ending;
         self.write(response, keep_alive).await && keep_alive
     }
 
+    /// Lets the handler answer; nothing if the client left first and the handler abandons.
+    async fn handle(&mut self, request: ServerRequest) -> Option<ServerResponse> {
+        let state = self.state;
+        let response = state.handler.handle(request);
+        if !state.handler.abandons() || !self.frames.read_buffer().is_empty() {
+            return Some(response.await);
+        }
+        let response = pin!(response);
+        let data = pin!(self.frames.peek_data());
+        match select(response, data).await {
+            Either::Left((response, _)) => Some(response),
+            // The next request is there already: the client is there as well.
+            Either::Right((Ok(data), response)) if !data.is_empty() => Some(response.await),
+            Either::Right(_) => None,
+        }
+    }
+
     async fn reject(&mut self, rejection: Rejection) {
         let response = ServerResponse::error(rejection.status, rejection.error, rejection.message);
         if self.write(response, false).await {
--- a/crates/wire/src/server/mod.rs
+++ b/crates/wire/src/server/mod.rs
@@ -37,6 +37,12 @@
     /// The future is not dropped when the client closes its connection: closing the sending
     /// direction after a request is legal, and an accepted job continues without its caller.
     fn handle(&self, request: ServerRequest) -> impl Future<Output = ServerResponse>;
+
+    /// Whether the future is dropped after all when the client closes its connection, because
+    /// nobody needs what it does.
+    fn abandons(&self) -> bool {
+        false
+    }
 }
 
 /// What all connections of a server share.
@@ -44,6 +50,7 @@
     handler: H,
     limits: ServerLimits,
     stop: StopSignal,
+    retiring: Rc<Cell<bool>>,
     open: Cell<usize>,
 }
 
@@ -53,6 +60,19 @@
     limits: ServerLimits,
     handle: StopHandle,
     signal: StopSignal,
+    retiring: Rc<Cell<bool>>,
+}
+
+/// Makes a server close each connection after its next response, while it goes on to accept
+/// connections. Clients move elsewhere without a request that is cut short.
+#[derive(Clone, Debug)]
+pub struct RetireHandle(Rc<Cell<bool>>);
+
+impl RetireHandle {
+    /// Closes each connection after its next response from now on.
+    pub fn retire(&self) {
+        self.0.set(true);
+    }
 }
 
 impl HttpServer {
@@ -77,6 +97,7 @@
             limits,
             handle,
             signal,
+            retiring: Rc::default(),
         })
     }
 
@@ -93,6 +114,11 @@
         self.handle.clone()
     }
 
+    /// Prepares the server for its end from outside of [`HttpServer::run`].
+    pub fn retire_handle(&self) -> RetireHandle {
+        RetireHandle(Rc::clone(&self.retiring))
+    }
+
     /// Serves until stopped, then until the requests in progress have been answered.
     ///
     /// The wait for requests in progress has no limit of its own: dropping the future ends it.
@@ -104,6 +130,7 @@
             handler,
             limits: self.limits,
             stop: self.signal,
+            retiring: self.retiring,
             open: Cell::new(0),
         });
         let (guard, mut guards) = mpsc::channel::<()>(0);
