--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 use super::FleetEngine;
-use crate::home::{JobPlan, LATE_FACTOR, task_work};
+use crate::home::{JobPlan, task_work};
 
 /// Bounds of the time after which a rejected client is asked to return.
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
@@ -100,9 +100,7 @@
             .collect::<Vec<_>>();
         let chain = expected.iter().sum::<Duration>();
         let objective = chain.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
-        let patience = patience
-            .min(objective * LATE_FACTOR + spec.allowance)
-            .min(self.settings.patience_limit);
+        let patience = patience.min(self.settings.patience_limit);
         JobPlan {
             queue,
             objective,
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -22,9 +22,6 @@
 /// How many targets a task avoids.
 const EXCLUDED_LIMIT: usize = 4;
 
-/// The objective of a job times this is when its answer is worth nothing.
-pub const LATE_FACTOR: u32 = 3;
-
 /// A task of a live job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskRef {
