Close idle connections in time before a planned stop ends

Ruled out: slow draining; all earlier requests had been answered. Change: after the balancer could learn of the stop, the server accepts nothing more and closes idle connections; what still runs shortly before the grace period ends gets an answer.

--- a/crates/filbertpitch/src/fleet/life.rs
+++ b/crates/filbertpitch/src/fleet/life.rs
@@ -152,27 +152,21 @@
         self.node.driver().feed(FleetEvent::DrainStarted);
         self.callers.retire.retire();
         let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
-        let idle = self.wait_until_idle(started, limit).await;
+        monoio::time::sleep(NOTICE_TIME.min(limit)).await;
+        // Idle connections are closed now: a request that came later could not be finished.
         self.callers.stop.stop();
-        // Responses that are being written are finished.
-        let closed = monoio::time::timeout(CLOSE_TIME, &mut self.callers.done).await;
-        self.node.log().report_suppressed();
-        idle && closed.is_ok()
-    }
-
-    async fn wait_until_idle(&self, started: TimePoint, limit: Duration) -> bool {
-        let notice = NOTICE_TIME.min(limit);
-        loop {
-            let elapsed = self.node.driver().now().time.since(started);
-            let idle = self.node.driver().inspect(FleetEngine::is_idle);
-            if idle && elapsed >= notice {
-                return true;
-            }
-            if elapsed >= limit {
-                return idle;
-            }
-            monoio::time::sleep(POLL_INTERVAL).await;
+        let elapsed = self.node.driver().now().time.since(started);
+        let left = limit.saturating_sub(elapsed);
+        let done = &mut self.callers.done;
+        let mut finished = monoio::time::timeout(left, &mut *done).await.is_ok();
+        if !finished {
+            // Whoever still waits gets a response instead of a connection that ends.
+            self.node.driver().feed(FleetEvent::DrainExpired);
+            let closing = monoio::time::timeout(CLOSE_TIME, done).await;
+            finished = closing.is_ok();
         }
+        self.node.log().report_suppressed();
+        finished
     }
 }
 
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -92,6 +92,8 @@
     },
     /// The process is to stop.
     DrainStarted,
+    /// The process cannot wait any longer for its jobs.
+    DrainExpired,
     /// A timer is due.
     TimeAdvanced,
 }
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -172,6 +172,14 @@
         self.answer_job(key, reply);
     }
 
+    /// Answers all jobs, because the process ends.
+    pub(super) fn give_up_all(&mut self) {
+        let keys = self.jobs.iter().map(|(key, _)| key).collect::<Vec<_>>();
+        for key in keys {
+            self.give_up_job(key);
+        }
+    }
+
     /// The task's phase if a holder was asked to run it.
     fn placed_at(&self, task: TaskRef) -> Option<(VmIndex, TargetIndex)> {
         match self.jobs.task(task).phase {
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -170,6 +170,7 @@
                 answer,
             } => self.receive_look(target, token, number, answer),
             FleetEvent::DrainStarted => self.start_draining(),
+            FleetEvent::DrainExpired => self.give_up_all(),
             FleetEvent::TimeAdvanced => {}
         }
     }
@@ -247,11 +248,6 @@
         &self.catalog
     }
 
-    /// Whether no job waits for an answer.
-    pub fn is_idle(&self) -> bool {
-        self.jobs.is_empty()
-    }
-
     fn own(&self) -> VmIndex {
         VmIndex::from(OWN_VM)
     }
