--- /dev/null
+++ b/crates/fleet/tests/fault_run.rs
@@ -0,0 +1,145 @@
+//! Seeded runs of a whole fleet under faults of every kind that the engine must survive.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::Rng;
+use support::{JobShape, SimFleet, SimOptions, TargetFault};
+
+/// The seeds that `cargo test` runs.
+const SEEDS: std::ops::Range<u64> = 0..24;
+
+fn shape(fleet: &mut SimFleet) -> JobShape {
+    let rng = &mut fleet.rng;
+    JobShape {
+        queue: rng.random_range(0..2),
+        tasks: rng.random_range(1..6),
+        cores: rng.random_range(15..40),
+        work: Duration::from_millis(rng.random_range(20..400)),
+        patience: Duration::from_millis(rng.random_range(1500..2800)),
+    }
+}
+
+/// One fault, chosen at random.
+fn disturb(fleet: &mut SimFleet) {
+    let vm = fleet.rng.random_range(0..fleet.vm_count());
+    let other = fleet.rng.random_range(0..fleet.vm_count());
+    let target = fleet.rng.random_range(0..fleet.targets.len());
+    let millis = fleet.rng.random_range(50..4000);
+    let duration = Duration::from_millis(millis);
+    match fleet.rng.random_range(0..14) {
+        0 => fleet.kill_vm(vm, duration, false),
+        1 => fleet.kill_vm(vm, duration, true),
+        2 => fleet.freeze_vm(vm, duration),
+        3 => fleet.cut_vms(vm, other, true),
+        4 => {
+            for peer in 0..fleet.vm_count() {
+                fleet.cut_vms(vm, peer, true);
+            }
+        }
+        5 => fleet.cut_target(vm, target, true),
+        6 => {
+            for vm in 0..fleet.vm_count() {
+                fleet.cut_target(vm, target, true);
+            }
+        }
+        7 => fleet.targets[target].crash(),
+        8 => {
+            let now = fleet.now;
+            fleet.targets[target].restart(now);
+        }
+        9 => fleet.targets[target].draining = true,
+        10 => {
+            let slow = fleet.rng.random_range(2..7);
+            let faults = [
+                TargetFault::Failing,
+                TargetFault::Hanging,
+                TargetFault::Slow(slow),
+            ];
+            fleet.targets[target].fault = Some(faults[fleet.rng.random_range(0..3)]);
+        }
+        11 => fleet.net.answers_lost = 0.2,
+        12 => fleet.net.orders_late = 0.1,
+        _ => repair(fleet),
+    }
+}
+
+fn repair(fleet: &mut SimFleet) {
+    fleet.heal();
+    fleet.net = Default::default();
+    let now = fleet.now;
+    for target in &mut fleet.targets {
+        target.draining = false;
+        match target.fault {
+            Some(TargetFault::Down) => target.restart(now),
+            _ => target.fault = None,
+        }
+    }
+}
+
+fn run_with_faults(seed: u64) -> SimFleet {
+    let mut fleet = SimFleet::new(SimOptions {
+        seed,
+        queues: vec![
+            (1.6, Duration::from_millis(60)),
+            (1.6, Duration::from_millis(60)),
+        ],
+        ..SimOptions::default()
+    });
+    fleet.run_for(Duration::from_secs(3));
+    for _ in 0..200 {
+        if fleet.rng.random_bool(0.25) {
+            disturb(&mut fleet);
+        }
+        let jobs = fleet.rng.random_range(0..4);
+        for _ in 0..jobs {
+            let vm = fleet.rng.random_range(0..fleet.vm_count());
+            let shape = shape(&mut fleet);
+            let job = fleet.submit(vm, shape);
+            if fleet.rng.random_bool(0.05) {
+                fleet.run_for(Duration::from_millis(40));
+                fleet.leave(job);
+            }
+        }
+        fleet.run_for(Duration::from_millis(100));
+    }
+    fleet
+}
+
+/// Guards against overfull targets, double runs and refusals that are not true, which the fleet
+/// checks at each start; and against a fleet that does not serve again after the faults.
+fn survive(seed: u64) {
+    let mut fleet = run_with_faults(seed);
+    repair(&mut fleet);
+    fleet.run_for(Duration::from_secs(14));
+    fleet.check_rejections();
+    let before = fleet.completed();
+    let mut sent = 0;
+    for round in 0..20 {
+        let vm = round % fleet.vm_count();
+        fleet.submit(vm, JobShape { tasks: 2, ..JobShape::default() });
+        sent += 1;
+        fleet.run_for(Duration::from_millis(150));
+    }
+    fleet.run_for(Duration::from_secs(5));
+    let served = fleet.completed() - before;
+    assert!(served == sent, "seed {seed}: {served} of {sent} jobs served after repair");
+}
+
+#[test]
+fn promises_hold_under_faults() {
+    for seed in SEEDS {
+        survive(seed);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_under_faults_of_fresh_seeds(seed in 1000_u64..1_000_000) {
+        survive(seed);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,14 @@
+//! A fleet in simulated time: engines, targets, clients and a network that can fail.
+//!
+//! Every start is checked against the promises that must hold at any moment: no target is ever
+//! overfull, and no task runs twice at the same time.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod client;
+mod target;
+mod world;
+
+pub use client::{ClientJob, JobShape};
+pub use target::{SimTarget, TargetFault};
+pub use world::{NetFault, SimFleet, SimOptions};
--- /dev/null
+++ b/crates/fleet/tests/support/target.rs
@@ -0,0 +1,259 @@
+//! A target that starts whatever it is told, under leases and fencing tokens.
+
+use std::collections::BTreeMap;
+
+use filbertpitch_types::lease::{
+    EndedRow, LookAnswer, LookOrder, LookReport, RunningRow, StartAnswer, StartOrder, StartRefusal,
+    StopAnswer, StopOrder,
+};
+use filbertpitch_types::prelude::*;
+
+/// What is wrong with a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TargetFault {
+    /// It is down.
+    Down,
+    /// All that it starts fails after a moment.
+    Failing,
+    /// What runs there does not go on.
+    Hanging,
+    /// Work takes this many times as long.
+    Slow(u32),
+}
+
+/// A run on a target.
+#[derive(Clone, Copy, Debug)]
+pub struct SimRun {
+    pub run: RunNumber,
+    pub room: RoomSize,
+    pub ends_at: u64,
+    pub end: RunEnd,
+}
+
+/// A simulated target. Times are in microseconds of the simulation unless they say otherwise.
+pub struct SimTarget {
+    pub name: TargetName,
+    pub zone: ZoneName,
+    pub capacity: RoomSize,
+    pub fault: Option<TargetFault>,
+    pub draining: bool,
+    pub listed: bool,
+    pub life: u64,
+    boot_us: u64,
+    /// How slow its clock is, in percent.
+    drift_percent: u64,
+    token: FencingToken,
+    lease_end_ms: u64,
+    pub runs: BTreeMap<TaskName, SimRun>,
+    /// The highest run of each task that was stopped or has ended.
+    over: BTreeMap<TaskName, RunNumber>,
+    ended: Vec<EndedRow>,
+    next_end: u64,
+    pub starts: u64,
+    pub max_lease_ms: u64,
+}
+
+impl SimTarget {
+    pub fn new(name: &str, zone: &ZoneName, cores: u32, now: u64, drift_percent: u64) -> Self {
+        Self {
+            name: name.parse().unwrap(),
+            zone: zone.clone(),
+            capacity: RoomSize::from((cores * 1000, 131_072, 0)),
+            fault: None,
+            draining: false,
+            listed: true,
+            life: 1,
+            boot_us: now,
+            drift_percent,
+            token: FencingToken(0),
+            lease_end_ms: 0,
+            runs: BTreeMap::new(),
+            over: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            starts: 0,
+            max_lease_ms: 1000,
+        }
+    }
+
+    pub fn clock_ms(&self, now: u64) -> u64 {
+        let elapsed = now.saturating_sub(self.boot_us) / 1000;
+        7_000 + elapsed * (100 - self.drift_percent) / 100
+    }
+
+    /// The simulation time at which the lease ends.
+    pub fn lapse_us(&self) -> u64 {
+        let left = self.lease_end_ms.saturating_sub(7_000);
+        self.boot_us + left * 1000 * 100 / (100 - self.drift_percent) + 1
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.fault == Some(TargetFault::Down)
+    }
+
+    /// Starts anew: it knows nothing of before.
+    pub fn restart(&mut self, now: u64) {
+        self.fault = None;
+        self.life += 1;
+        self.boot_us = now;
+        self.token = FencingToken(0);
+        self.lease_end_ms = 0;
+        self.runs.clear();
+        self.over.clear();
+        self.ended.clear();
+        self.next_end = 1;
+    }
+
+    pub fn crash(&mut self) {
+        self.fault = Some(TargetFault::Down);
+        self.runs.clear();
+    }
+
+    /// Ends what is over at `now`.
+    pub fn advance(&mut self, now: u64) {
+        if self.fault != Some(TargetFault::Hanging) {
+            let done = self.runs.iter().filter(|(_, run)| run.ends_at <= now);
+            let done = done.map(|(task, run)| (*task, *run)).collect::<Vec<_>>();
+            for (task, run) in done {
+                self.end_run(task, run.run, run.end);
+            }
+        }
+        if !self.runs.is_empty() && self.clock_ms(now) >= self.lease_end_ms {
+            let lapsed = self.runs.keys().copied().collect::<Vec<_>>();
+            for task in lapsed {
+                let run = self.runs[&task].run;
+                self.end_run(task, run, RunEnd::Lapsed);
+            }
+        }
+    }
+
+    fn end_run(&mut self, task: TaskName, run: RunNumber, end: RunEnd) {
+        self.runs.remove(&task);
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(run);
+        self.ended.push(EndedRow {
+            number: self.next_end,
+            run: RunName { task, run },
+            end,
+        });
+        self.next_end += 1;
+    }
+
+    fn extend(&mut self, now: u64, until: TargetTime) {
+        let limit = self.clock_ms(now) + self.max_lease_ms;
+        self.lease_end_ms = self.lease_end_ms.max(until.0.min(limit));
+    }
+
+    fn fence(&mut self, token: FencingToken) -> bool {
+        let fenced = token < self.token;
+        self.token = self.token.max(token);
+        fenced
+    }
+
+    pub fn start(&mut self, now: u64, order: &StartOrder, room: RoomSize, work: u64) -> StartAnswer {
+        self.advance(now);
+        let time = Some(TargetTime(self.clock_ms(now)));
+        if self.fence(order.token) {
+            return StartAnswer::Refused(StartRefusal::Fenced, time);
+        }
+        let RunName { task, run } = order.run;
+        if self.runs.get(&task).is_some_and(|other| other.run == run) {
+            return StartAnswer::Accepted(time);
+        }
+        if order.lease_end.0 <= self.clock_ms(now) {
+            return StartAnswer::Refused(StartRefusal::Late, time);
+        }
+        self.extend(now, order.lease_end);
+        if self.over.get(&task).is_some_and(|over| run <= *over) {
+            return StartAnswer::Refused(StartRefusal::OldRun, time);
+        }
+        let (work, end) = match self.fault {
+            Some(TargetFault::Failing) => (3_000, RunEnd::Failed),
+            Some(TargetFault::Slow(factor)) => (work * u64::from(factor), RunEnd::Done),
+            _ => (work, RunEnd::Done),
+        };
+        self.starts += 1;
+        self.runs.insert(
+            task,
+            SimRun {
+                run,
+                room,
+                ends_at: now + work,
+                end,
+            },
+        );
+        StartAnswer::Accepted(time)
+    }
+
+    pub fn stop(&mut self, now: u64, order: &StopOrder) -> StopAnswer {
+        self.advance(now);
+        if self.fence(order.token) {
+            return StopAnswer::Fenced;
+        }
+        let RunName { task, run } = order.run;
+        if self.runs.get(&task).is_some_and(|other| other.run == run) {
+            self.end_run(task, run, RunEnd::Stopped);
+        }
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(run);
+        StopAnswer::Accepted
+    }
+
+    /// Whether a look would be answered at once.
+    pub fn has_news(&mut self, now: u64, order: &LookOrder) -> bool {
+        self.advance(now);
+        order.token < self.token
+            || self
+                .ended
+                .iter()
+                .any(|row| row.number > order.acked_through)
+    }
+
+    /// Takes over what a look says.
+    pub fn hold(&mut self, now: u64, order: &LookOrder) -> bool {
+        self.advance(now);
+        if self.fence(order.token) {
+            return false;
+        }
+        if let Some(until) = order.lease_end {
+            self.extend(now, until);
+        }
+        self.ended.retain(|row| row.number > order.acked_through);
+        true
+    }
+
+    pub fn report(&mut self, now: u64, order: &LookOrder) -> LookAnswer {
+        self.advance(now);
+        if order.token < self.token {
+            return LookAnswer::Fenced;
+        }
+        let running = self.runs.iter().map(|(task, run)| RunningRow {
+            run: RunName {
+                task: *task,
+                run: run.run,
+            },
+            load: None,
+        });
+        LookAnswer::Report(LookReport {
+            time: Some(TargetTime(self.clock_ms(now))),
+            boot: Some(TargetBoot(self.life)),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// The next moment at which something ends by itself.
+    pub fn next_change(&self) -> Option<u64> {
+        let ends = self.runs.values().map(|run| run.ends_at).min()?;
+        let ends = match self.fault {
+            Some(TargetFault::Hanging) => u64::MAX,
+            _ => ends,
+        };
+        Some(ends.min(self.lapse_us()))
+    }
+
+    pub fn taken(&self) -> RoomSize {
+        let rooms = self.runs.values().map(|run| run.room);
+        rooms.fold(RoomSize::default(), |sum, room| sum + room)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/support/world.rs
@@ -0,0 +1,1045 @@
+//! Simulated time: the events, the network and the checks.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{KindIndex, TargetIndex, VmIndex};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::engine::{
+    FleetAction, FleetEngine, FleetEvent, FleetNotice, FleetSettings,
+};
+use filbertpitch_fleet::held::LookPlan;
+use filbertpitch_types::fleet::{
+    FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, QueueSpec,
+    ServicePolicy, TargetEntry, TargetNotice, TargetState,
+};
+use filbertpitch_types::lease::{LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::time::ClockReading;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::client::{ClientJob, JobShape};
+use super::target::SimTarget;
+
+/// The time after which an order counts as lost, as in the process.
+const ORDER_TIMEOUT: u64 = 80_000;
+/// The time after which an envelope counts as lost, as in the process.
+const ENVELOPE_TIMEOUT: u64 = 250_000;
+/// The time between reads of the list of targets.
+const LISTING_INTERVAL: u64 = 500_000;
+/// The time after which a client sends a job again that got no answer.
+const RESEND_DELAY: u64 = 1_300_000;
+/// The most that a client sends a job.
+const SEND_LIMIT: u32 = 3;
+
+/// The size of the fleet.
+#[derive(Clone, Debug)]
+pub struct SimOptions {
+    pub seed: u64,
+    /// The VMs of each zone.
+    pub vms: Vec<usize>,
+    /// The targets of each zone.
+    pub targets: Vec<usize>,
+    /// The cores of a target.
+    pub cores: u32,
+    /// The queues: stretch and allowance.
+    pub queues: Vec<(f64, Duration)>,
+    pub settings: FleetSettings,
+}
+
+impl Default for SimOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            vms: vec![2, 1],
+            targets: vec![4, 2],
+            cores: 64,
+            queues: vec![(1.6, Duration::from_millis(60))],
+            settings: FleetSettings::default(),
+        }
+    }
+}
+
+/// What is wrong with the network, beside cuts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NetFault {
+    /// The part of the answers of targets that are lost.
+    pub answers_lost: f64,
+    /// The part of the orders that get no answer and are carried out seconds later.
+    pub orders_late: f64,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Wake(usize, u64),
+    Start(usize),
+    Thaw(usize),
+    Listing(usize, u64),
+    Envelope {
+        call: u64,
+        from: usize,
+        to: usize,
+        peer: Option<VmIndex>,
+        envelope: Box<PeerEnvelope>,
+    },
+    Receipt {
+        call: u64,
+        from: usize,
+        peer: VmIndex,
+        receipt: PeerReceipt,
+    },
+    EnvelopeLost {
+        call: u64,
+        from: usize,
+        peer: VmIndex,
+        refused: bool,
+    },
+    StartArrives {
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        order: StartOrder,
+        late: bool,
+    },
+    StopArrives {
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        order: StopOrder,
+    },
+    LookArrives {
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        plan: LookPlan,
+    },
+    Answer {
+        call: u64,
+        vm: usize,
+        event: Box<FleetEvent>,
+    },
+    TargetChanges(usize),
+    Submit(JobId),
+    ClientLeaves(JobId, u64),
+}
+
+struct Timed {
+    at: u64,
+    order: u64,
+    what: Happening,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct SimVm {
+    name: VmName,
+    zone: ZoneName,
+    engine: Option<FleetEngine>,
+    /// Counts the processes that ran on the VM.
+    life: u64,
+    dark: bool,
+    frozen_until: u64,
+    armed: Option<u64>,
+    callers: BTreeMap<CallerToken, (JobId, u64)>,
+    known: Vec<bool>,
+}
+
+struct WaitingLook {
+    call: u64,
+    vm: usize,
+    index: TargetIndex,
+    target: usize,
+    plan: LookPlan,
+    until: u64,
+}
+
+/// A fleet in simulated time.
+pub struct SimFleet {
+    pub now: u64,
+    pub net: NetFault,
+    pub jobs: BTreeMap<JobId, ClientJob>,
+    pub targets: Vec<SimTarget>,
+    pub notices: Vec<(u64, usize, FleetNotice)>,
+    options: SimOptions,
+    configuration: Rc<FleetConfiguration>,
+    vms: Vec<SimVm>,
+    events: BinaryHeap<Reverse<Timed>>,
+    next_order: u64,
+    next_call: u64,
+    open_calls: HashSet<u64>,
+    looks: Vec<WaitingLook>,
+    vm_cuts: HashSet<(usize, usize)>,
+    target_cuts: HashSet<(usize, usize)>,
+    next_caller: u64,
+    next_job: u64,
+    pub rng: ChaCha8Rng,
+}
+
+impl SimFleet {
+    /// A fleet whose processes start now.
+    pub fn new(options: SimOptions) -> Self {
+        let zones = (0..options.vms.len())
+            .map(|zone| format!("zone-{zone}").parse::<ZoneName>().unwrap())
+            .collect::<Vec<_>>();
+        let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let mut targets = Vec::new();
+        for (zone, count) in zones.iter().zip(&options.targets) {
+            for _ in 0..*count {
+                let name = format!("target-{}", targets.len());
+                let drift = rng.random_range(0..=2);
+                targets.push(SimTarget::new(&name, zone, options.cores, 0, drift));
+            }
+        }
+        let mut vms = Vec::new();
+        for (zone, count) in zones.iter().zip(&options.vms) {
+            for _ in 0..*count {
+                vms.push(SimVm {
+                    name: format!("vm-{}", vms.len()).parse().unwrap(),
+                    zone: zone.clone(),
+                    engine: None,
+                    life: 0,
+                    dark: false,
+                    frozen_until: 0,
+                    armed: None,
+                    callers: BTreeMap::new(),
+                    known: Vec::new(),
+                });
+            }
+        }
+        let queues = options.queues.iter().enumerate();
+        let queues = queues.map(|(queue, (stretch, allowance))| QueueSpec {
+            name: format!("queue-{queue}").parse().unwrap(),
+            host: "host".into(),
+            path_prefix: format!("/queue-{queue}/").into(),
+            service: "desk".parse().unwrap(),
+            priority: 0,
+            attempt_limit: 3,
+            stretch: *stretch,
+            allowance: *allowance,
+            advised: false,
+        });
+        let configuration = Rc::new(FleetConfiguration {
+            version: ConfigVersion(1),
+            queues: queues.collect(),
+            services: BTreeMap::from([("desk".parse().unwrap(), ServicePolicy::default())]),
+            bounds: None,
+        });
+        let count = vms.len();
+        let mut fleet = Self {
+            now: 1_000_000,
+            net: NetFault::default(),
+            jobs: BTreeMap::new(),
+            targets,
+            notices: Vec::new(),
+            options,
+            configuration,
+            vms,
+            events: BinaryHeap::new(),
+            next_order: 0,
+            next_call: 0,
+            open_calls: HashSet::new(),
+            looks: Vec::new(),
+            vm_cuts: HashSet::new(),
+            target_cuts: HashSet::new(),
+            next_caller: 0,
+            next_job: 1,
+            rng,
+        };
+        for vm in 0..count {
+            let at = fleet.now + fleet.rng.random_range(0..300_000);
+            fleet.schedule(at, Happening::Start(vm));
+        }
+        fleet
+    }
+
+    /// How many VMs there are.
+    pub fn vm_count(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// The engine of a VM whose process runs.
+    pub fn engine(&self, vm: usize) -> &FleetEngine {
+        self.vms[vm].engine.as_ref().expect("the process runs")
+    }
+
+    /// Whether a VM's process runs and is not frozen.
+    pub fn is_up(&self, vm: usize) -> bool {
+        self.vms[vm].engine.is_some() && self.vms[vm].frozen_until <= self.now
+    }
+
+    fn schedule(&mut self, at: u64, what: Happening) {
+        let order = self.next_order;
+        self.next_order += 1;
+        self.events.push(Reverse(Timed { at, order, what }));
+    }
+
+    /// Runs for some time.
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration.as_micros() as u64;
+        while let Some(Reverse(next)) = self.events.peek()
+            && next.at <= end
+        {
+            let Some(Reverse(next)) = self.events.pop() else {
+                break;
+            };
+            self.now = next.at;
+            self.happen(next.what);
+        }
+        self.now = end;
+    }
+
+    /// Sends a job to a VM.
+    pub fn submit(&mut self, vm: usize, shape: JobShape) -> JobId {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        let job = ClientJob {
+            shape,
+            sent_at: self.now,
+            vm,
+            reply: None,
+            answered_at: 0,
+            sends: 0,
+            current: 0,
+            started: false,
+            all_rejected: true,
+            done: Vec::new(),
+        };
+        self.jobs.insert(id, job);
+        self.schedule(self.now + 3_000, Happening::Submit(id));
+        id
+    }
+
+    /// Lets the client of a job close its connection.
+    pub fn leave(&mut self, id: JobId) {
+        let current = self.jobs[&id].current;
+        self.schedule(self.now, Happening::ClientLeaves(id, current));
+        self.jobs.get_mut(&id).unwrap().sends = SEND_LIMIT;
+    }
+
+    /// Ends a VM's process. It starts again after some time. A dark VM does not answer at all.
+    pub fn kill_vm(&mut self, vm: usize, down_for: Duration, dark: bool) {
+        let state = &mut self.vms[vm];
+        if state.engine.take().is_none() {
+            return;
+        }
+        state.dark = dark;
+        state.frozen_until = 0;
+        state.armed = None;
+        state.known.clear();
+        let broken = std::mem::take(&mut state.callers);
+        for (id, send) in broken.into_values() {
+            self.schedule_resend(id, send);
+        }
+        let at = self.now + down_for.as_micros() as u64;
+        self.schedule(at, Happening::Start(vm));
+    }
+
+    /// Stops a VM's process for a while.
+    pub fn freeze_vm(&mut self, vm: usize, duration: Duration) {
+        let until = self.now + duration.as_micros() as u64;
+        self.vms[vm].frozen_until = self.vms[vm].frozen_until.max(until);
+        self.schedule(until, Happening::Thaw(vm));
+    }
+
+    /// Tells a VM to stop.
+    pub fn drain_vm(&mut self, vm: usize) {
+        if self.is_up(vm) {
+            self.feed(vm, FleetEvent::DrainStarted);
+        }
+    }
+
+    /// Cuts or heals the network between two VMs.
+    pub fn cut_vms(&mut self, left: usize, right: usize, cut: bool) {
+        for pair in [(left, right), (right, left)] {
+            match cut {
+                true => self.vm_cuts.insert(pair),
+                false => self.vm_cuts.remove(&pair),
+            };
+        }
+    }
+
+    /// Cuts or heals the network between a VM and a target.
+    pub fn cut_target(&mut self, vm: usize, target: usize, cut: bool) {
+        match cut {
+            true => self.target_cuts.insert((vm, target)),
+            false => self.target_cuts.remove(&(vm, target)),
+        };
+    }
+
+    /// Heals all cuts.
+    pub fn heal(&mut self) {
+        self.vm_cuts.clear();
+        self.target_cuts.clear();
+    }
+
+    fn delay(&mut self, same_zone: bool) -> u64 {
+        let base = if same_zone { 200 } else { 900 };
+        base + self.rng.random_range(0..200)
+    }
+
+    fn vm_delay(&mut self, left: usize, right: usize) -> u64 {
+        let same = self.vms[left].zone == self.vms[right].zone;
+        self.delay(same)
+    }
+
+    fn target_delay(&mut self, vm: usize, target: usize) -> u64 {
+        let same = self.vms[vm].zone == self.targets[target].zone;
+        self.delay(same)
+    }
+
+    fn clock(&self) -> ClockReading {
+        ClockReading {
+            time: TimePoint(self.now),
+            wall: WallTime(1_700_000_000_000 + self.now / 1000),
+        }
+    }
+
+    /// The call's VM process if it still runs, and its events are due now.
+    fn caller_of(&mut self, call: u64, vm: usize) -> bool {
+        let life = self.vms[vm].life;
+        self.open_calls.contains(&call) && call_life(call) == life && self.vms[vm].engine.is_some()
+    }
+
+    fn open_call(&mut self, vm: usize) -> u64 {
+        let number = self.next_call;
+        self.next_call += 1;
+        let call = (self.vms[vm].life << 40) | number;
+        self.open_calls.insert(call);
+        call
+    }
+
+    fn happen(&mut self, what: Happening) {
+        // A frozen process does nothing; what arrives waits in its sockets.
+        if let Some(vm) = acting_vm(&what)
+            && self.vms[vm].frozen_until > self.now
+        {
+            let until = self.vms[vm].frozen_until;
+            return self.schedule(until, what);
+        }
+        match what {
+            Happening::Wake(vm, life) => {
+                if self.vms[vm].life == life && self.vms[vm].armed.is_some_and(|at| at <= self.now)
+                {
+                    self.vms[vm].armed = None;
+                    self.feed(vm, FleetEvent::TimeAdvanced);
+                }
+            }
+            Happening::Start(vm) => self.start_vm(vm),
+            Happening::Thaw(vm) => {
+                if self.vms[vm].engine.is_some() {
+                    self.feed(vm, FleetEvent::TimeAdvanced);
+                }
+            }
+            Happening::Listing(vm, life) => self.list_targets(vm, life),
+            Happening::Envelope {
+                call,
+                from,
+                to,
+                peer,
+                envelope,
+            } => self.deliver_envelope(call, from, to, peer, *envelope),
+            Happening::Receipt {
+                call,
+                from,
+                peer,
+                receipt,
+            } => {
+                if self.caller_of(call, from) {
+                    self.open_calls.remove(&call);
+                    self.feed(from, FleetEvent::EnvelopeConfirmed { peer, receipt });
+                }
+            }
+            Happening::EnvelopeLost {
+                call,
+                from,
+                peer,
+                refused,
+            } => {
+                if self.caller_of(call, from) {
+                    self.open_calls.remove(&call);
+                    self.feed(from, FleetEvent::EnvelopeFailed { peer, refused });
+                }
+            }
+            Happening::StartArrives {
+                call,
+                vm,
+                index,
+                target,
+                order,
+                late,
+            } => self.carry_out_start(call, vm, index, target, order, late),
+            Happening::StopArrives {
+                call,
+                vm,
+                index,
+                target,
+                order,
+            } => self.carry_out_stop(call, vm, index, target, order),
+            Happening::LookArrives {
+                call,
+                vm,
+                index,
+                target,
+                plan,
+            } => self.carry_out_look(call, vm, index, target, plan),
+            Happening::Answer { call, vm, event } => {
+                if self.caller_of(call, vm) {
+                    self.open_calls.remove(&call);
+                    self.feed(vm, *event);
+                }
+            }
+            Happening::TargetChanges(target) => self.change_target(target),
+            Happening::Submit(id) => self.arrive(id),
+            Happening::ClientLeaves(id, send) => {
+                let vm = self.jobs[&id].vm;
+                let callers = self.vms[vm].callers.iter();
+                let mut found = callers.filter(|(_, job)| **job == (id, send));
+                if let Some((&caller, _)) = found.next() {
+                    self.vms[vm].callers.remove(&caller);
+                    self.feed(vm, FleetEvent::CallerLeft(caller));
+                }
+            }
+        }
+    }
+
+    fn start_vm(&mut self, vm: usize) {
+        if self.vms[vm].engine.is_some() {
+            return;
+        }
+        let clock = self.clock();
+        let state = &mut self.vms[vm];
+        state.life += 1;
+        state.dark = false;
+        state.known = vec![false; self.targets.len()];
+        let incarnation = IncarnationId((vm as u64) << 32 | state.life << 12 | vm as u64);
+        let identity = identity_of(vm, state, incarnation);
+        state.engine = Some(FleetEngine::new(
+            self.options.settings.clone(),
+            identity,
+            clock,
+            incarnation.0,
+        ));
+        let peers = self.vms.iter().enumerate().map(|(other, state)| {
+            let incarnation = IncarnationId((other as u64) << 32 | state.life << 12 | other as u64);
+            identity_of(other, state, incarnation)
+        });
+        let peers = peers.filter(|peer| peer.incarnation.0 >> 12 & 0xf_ffff > 0);
+        let peers = peers.collect();
+        self.feed(vm, FleetEvent::PeersFound(peers));
+        let configuration = Rc::clone(&self.configuration);
+        self.feed(vm, FleetEvent::Configured(configuration));
+        let life = self.vms[vm].life;
+        self.list_targets(vm, life);
+        self.feed(vm, FleetEvent::TargetsListed);
+    }
+
+    fn list_targets(&mut self, vm: usize, life: u64) {
+        if self.vms[vm].life != life || self.vms[vm].engine.is_none() {
+            return;
+        }
+        let mut notices = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            if target.listed && !target.is_down() {
+                notices.push(TargetNotice::Listed(entry_of(index, target)));
+                self.vms[vm].known[index] = true;
+            } else if std::mem::take(&mut self.vms[vm].known[index]) {
+                notices.push(TargetNotice::Removed(target.name.clone()));
+            }
+        }
+        self.feed(vm, FleetEvent::TargetsChanged(notices));
+        self.schedule(
+            self.now + LISTING_INTERVAL,
+            Happening::Listing(vm, life),
+        );
+    }
+
+    fn feed(&mut self, vm: usize, event: FleetEvent) {
+        let clock = self.clock();
+        let Some(engine) = &mut self.vms[vm].engine else {
+            return;
+        };
+        engine.handle(clock, event);
+        self.perform_actions(vm);
+    }
+
+    fn perform_actions(&mut self, vm: usize) {
+        let Some(engine) = &mut self.vms[vm].engine else {
+            return;
+        };
+        let actions = engine.take_actions();
+        let due = engine.next_due();
+        for action in actions {
+            self.perform(vm, action);
+        }
+        if let Some(due) = due {
+            let at = due.0.max(self.now + 1);
+            if self.vms[vm].armed.is_none_or(|armed| at < armed) {
+                self.vms[vm].armed = Some(at);
+                let life = self.vms[vm].life;
+                self.schedule(at, Happening::Wake(vm, life));
+            }
+        }
+    }
+
+    fn perform(&mut self, vm: usize, action: FleetAction) {
+        match action {
+            FleetAction::Reply { caller, reply } => self.reply(vm, caller, reply),
+            FleetAction::SendEnvelope {
+                peer,
+                address,
+                envelope,
+            } => {
+                let to = usize::from(address.port()) - 1000;
+                let call = self.open_call(vm);
+                let at = self.now + self.vm_delay(vm, to);
+                self.schedule(
+                    at,
+                    Happening::Envelope {
+                        call,
+                        from: vm,
+                        to,
+                        peer,
+                        envelope: Box::new(envelope),
+                    },
+                );
+                if let Some(peer) = peer {
+                    self.schedule(
+                        self.now + ENVELOPE_TIMEOUT,
+                        Happening::EnvelopeLost {
+                            call,
+                            from: vm,
+                            peer,
+                            refused: false,
+                        },
+                    );
+                }
+            }
+            FleetAction::Start {
+                target: index,
+                name,
+                order,
+                ..
+            } => {
+                let target = self.find_target(&name);
+                let call = self.open_call(vm);
+                let mut at = self.now + self.target_delay(vm, target);
+                let late = self.rng.random_bool(self.net.orders_late);
+                if late {
+                    at += self.rng.random_range(2_000_000..12_000_000);
+                }
+                let lost = FleetEvent::StartAnswered {
+                    target: index,
+                    token: order.token,
+                    run: order.run,
+                    answer: StartAnswer::Lost,
+                };
+                self.schedule_answer(self.now + ORDER_TIMEOUT, call, vm, lost);
+                self.schedule(
+                    at,
+                    Happening::StartArrives {
+                        call,
+                        vm,
+                        index,
+                        target,
+                        order,
+                        late,
+                    },
+                );
+            }
+            FleetAction::Stop {
+                target: index,
+                name,
+                order,
+                ..
+            } => {
+                let target = self.find_target(&name);
+                let call = self.open_call(vm);
+                let at = self.now + self.target_delay(vm, target);
+                let lost = FleetEvent::StopAnswered {
+                    target: index,
+                    token: order.token,
+                    run: order.run,
+                    answer: StopAnswer::Lost,
+                };
+                self.schedule_answer(self.now + ORDER_TIMEOUT, call, vm, lost);
+                self.schedule(
+                    at,
+                    Happening::StopArrives {
+                        call,
+                        vm,
+                        index,
+                        target,
+                        order,
+                    },
+                );
+            }
+            FleetAction::Look {
+                target: index,
+                name,
+                plan,
+                ..
+            } => {
+                let target = self.find_target(&name);
+                let call = self.open_call(vm);
+                let at = self.now + self.target_delay(vm, target);
+                let lost = FleetEvent::LookAnswered {
+                    target: index,
+                    token: plan.order.token,
+                    number: plan.number,
+                    answer: LookAnswer::Lost,
+                };
+                let timeout = plan.timeout.as_micros() as u64;
+                self.schedule_answer(self.now + timeout, call, vm, lost);
+                self.schedule(
+                    at,
+                    Happening::LookArrives {
+                        call,
+                        vm,
+                        index,
+                        target,
+                        plan,
+                    },
+                );
+            }
+            FleetAction::Disconnect(_) => {}
+            FleetAction::Notice(notice) => self.notices.push((self.now, vm, notice)),
+        }
+    }
+
+    fn schedule_answer(&mut self, at: u64, call: u64, vm: usize, event: FleetEvent) {
+        let event = Box::new(event);
+        self.schedule(at, Happening::Answer { call, vm, event });
+    }
+
+    fn find_target(&self, name: &TargetName) -> usize {
+        let found = self.targets.iter().position(|target| target.name == *name);
+        found.expect("the target exists")
+    }
+
+    fn deliver_envelope(
+        &mut self,
+        call: u64,
+        from: usize,
+        to: usize,
+        peer: Option<VmIndex>,
+        envelope: PeerEnvelope,
+    ) {
+        if self.vm_cuts.contains(&(from, to)) {
+            return;
+        }
+        if self.vms[to].engine.is_none() {
+            if let (false, Some(peer)) = (self.vms[to].dark, peer) {
+                let at = self.now + self.vm_delay(to, from);
+                self.schedule(
+                    at,
+                    Happening::EnvelopeLost {
+                        call,
+                        from,
+                        peer,
+                        refused: true,
+                    },
+                );
+            }
+            return;
+        }
+        let clock = self.clock();
+        let engine = self.vms[to].engine.as_mut().expect("the process runs");
+        let receipt = engine.receive_envelope(clock, envelope);
+        self.perform_actions(to);
+        if let Some(peer) = peer
+            && !self.vm_cuts.contains(&(to, from))
+        {
+            let at = self.now + self.vm_delay(to, from);
+            self.schedule(
+                at,
+                Happening::Receipt {
+                    call,
+                    from,
+                    peer,
+                    receipt,
+                },
+            );
+        }
+    }
+
+    /// Whether an exchange between a VM and a target gets through.
+    fn reaches(&self, vm: usize, target: usize) -> bool {
+        !self.targets[target].is_down() && !self.target_cuts.contains(&(vm, target))
+    }
+
+    fn carry_out_start(
+        &mut self,
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        order: StartOrder,
+        late: bool,
+    ) {
+        if !self.reaches(vm, target) {
+            return;
+        }
+        let task = order.run.task;
+        let job = &self.jobs[&task.job];
+        let room = RoomSize::from((job.shape.cores * 1000, 64, 0));
+        let work = job.shape.work.as_micros() as u64;
+        let before = self.targets[target].runs.contains_key(&task);
+        let answer = self.targets[target].start(self.now, &order, room, work);
+        if let StartAnswer::Accepted(_) = answer
+            && !before
+        {
+            self.check_start(target, task);
+            self.jobs.get_mut(&task.job).unwrap().started = true;
+        }
+        self.settle_target(target);
+        if late || self.rng.random_bool(self.net.answers_lost) {
+            return;
+        }
+        let event = FleetEvent::StartAnswered {
+            target: index,
+            token: order.token,
+            run: order.run,
+            answer,
+        };
+        let at = self.now + self.target_delay(vm, target);
+        self.schedule_answer(at, call, vm, event);
+    }
+
+    /// The promises that hold at each start.
+    fn check_start(&self, target: usize, task: TaskName) {
+        let started = &self.targets[target];
+        let taken = started.taken();
+        assert!(
+            taken.fits(&started.capacity),
+            "{} is overfull at {} us: {taken}",
+            started.name,
+            self.now
+        );
+        for (other, place) in self.targets.iter().enumerate() {
+            let twice = other != target && !place.is_down() && place.runs.contains_key(&task);
+            assert!(
+                !twice,
+                "{task} runs on {} and on {} at {} us",
+                started.name, place.name, self.now
+            );
+        }
+    }
+
+    fn carry_out_stop(
+        &mut self,
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        order: StopOrder,
+    ) {
+        if !self.reaches(vm, target) {
+            return;
+        }
+        let answer = self.targets[target].stop(self.now, &order);
+        self.settle_target(target);
+        if self.rng.random_bool(self.net.answers_lost) {
+            return;
+        }
+        let event = FleetEvent::StopAnswered {
+            target: index,
+            token: order.token,
+            run: order.run,
+            answer,
+        };
+        let at = self.now + self.target_delay(vm, target);
+        self.schedule_answer(at, call, vm, event);
+    }
+
+    fn carry_out_look(
+        &mut self,
+        call: u64,
+        vm: usize,
+        index: TargetIndex,
+        target: usize,
+        plan: LookPlan,
+    ) {
+        if !self.reaches(vm, target) {
+            return;
+        }
+        self.targets[target].hold(self.now, &plan.order);
+        let until = self.now + plan.order.wait.as_micros() as u64;
+        self.looks.push(WaitingLook {
+            call,
+            vm,
+            index,
+            target,
+            plan,
+            until,
+        });
+        self.schedule(until, Happening::TargetChanges(target));
+        self.settle_target(target);
+    }
+
+    fn change_target(&mut self, target: usize) {
+        let now = self.now;
+        self.targets[target].advance(now);
+        self.settle_target(target);
+    }
+
+    /// Answers the looks that have waited long enough, and schedules the next change.
+    fn settle_target(&mut self, target: usize) {
+        let now = self.now;
+        let looks = std::mem::take(&mut self.looks);
+        for look in looks {
+            let due = look.target == target
+                && (look.until <= now || self.targets[target].has_news(now, &look.plan.order));
+            if !due {
+                self.looks.push(look);
+                continue;
+            }
+            if !self.reaches(look.vm, target) || self.rng.random_bool(self.net.answers_lost) {
+                continue;
+            }
+            let answer = self.targets[target].report(now, &look.plan.order);
+            let event = FleetEvent::LookAnswered {
+                target: look.index,
+                token: look.plan.order.token,
+                number: look.plan.number,
+                answer,
+            };
+            let at = now + self.target_delay(look.vm, target);
+            self.schedule_answer(at, look.call, look.vm, event);
+        }
+        if let Some(at) = self.targets[target].next_change()
+            && at < u64::MAX
+        {
+            self.schedule(at.max(now + 1), Happening::TargetChanges(target));
+        }
+    }
+
+    fn arrive(&mut self, id: JobId) {
+        let job = self.jobs.get_mut(&id).expect("the job was submitted");
+        job.sends += 1;
+        job.current += 1;
+        let (vm, send) = (job.vm, job.current);
+        if self.vms[vm].engine.is_none() {
+            return self.schedule_resend(id, send);
+        }
+        let caller = CallerToken(self.next_caller);
+        self.next_caller += 1;
+        self.vms[vm].callers.insert(caller, (id, send));
+        let job = &self.jobs[&id];
+        let event = FleetEvent::JobSubmitted {
+            caller,
+            queue: KindIndex::from(job.shape.queue),
+            order: job.order(id),
+            patience: job.shape.patience,
+        };
+        self.feed(vm, event);
+    }
+
+    /// A send without an answer is repeated at another VM.
+    fn schedule_resend(&mut self, id: JobId, send: u64) {
+        let count = self.vms.len();
+        let next = self.rng.random_range(0..count);
+        let job = self.jobs.get_mut(&id).expect("the job was submitted");
+        if job.current != send || job.sends >= SEND_LIMIT {
+            return;
+        }
+        job.all_rejected = false;
+        job.vm = next;
+        self.schedule(self.now + RESEND_DELAY, Happening::Submit(id));
+    }
+
+    fn reply(&mut self, vm: usize, caller: CallerToken, reply: JobReply) {
+        let Some((id, send)) = self.vms[vm].callers.remove(&caller) else {
+            return;
+        };
+        let job = self.jobs.get_mut(&id).expect("the job was submitted");
+        job.reply = Some(reply);
+        job.answered_at = self.now + 3_000;
+        match reply {
+            JobReply::Rejected { .. } => {}
+            JobReply::Unknown => self.schedule_resend(id, send),
+            _ => job.all_rejected = false,
+        }
+    }
+
+    /// A job whose sends were all rejected must not have run.
+    pub fn check_rejections(&self) {
+        for (id, job) in &self.jobs {
+            let rejected = matches!(job.reply, Some(JobReply::Rejected { .. }));
+            let false_word = rejected && job.all_rejected && job.started;
+            assert!(!false_word, "job {id} was said not to have run");
+        }
+    }
+
+    /// How many jobs were answered as completed.
+    pub fn completed(&self) -> usize {
+        let replies = self.jobs.values().map(|job| job.reply);
+        replies
+            .filter(|reply| *reply == Some(JobReply::Completed))
+            .count()
+    }
+}
+
+fn call_life(call: u64) -> u64 {
+    call >> 40
+}
+
+/// The VM whose process must run for an event to happen.
+fn acting_vm(what: &Happening) -> Option<usize> {
+    match what {
+        Happening::Wake(vm, _) | Happening::Listing(vm, _) => Some(*vm),
+        Happening::Envelope { to, .. } => Some(*to),
+        Happening::Receipt { from, .. } | Happening::EnvelopeLost { from, .. } => Some(*from),
+        Happening::Answer { vm, .. } => Some(*vm),
+        _ => None,
+    }
+}
+
+fn identity_of(vm: usize, state: &SimVm, incarnation: IncarnationId) -> PeerIdentity {
+    PeerIdentity {
+        vm: state.name.clone(),
+        incarnation,
+        address: SocketAddr::from(([10, 0, 0, 1], 1000 + vm as u16)),
+        zone: state.zone.clone(),
+    }
+}
+
+fn entry_of(index: usize, target: &SimTarget) -> TargetEntry {
+    TargetEntry {
+        name: target.name.clone(),
+        service: "desk".parse().unwrap(),
+        address: SocketAddr::from(([10, 1, 0, 1], 2000 + index as u16)),
+        zone: target.zone.clone(),
+        state: match target.draining {
+            true => TargetState::Draining,
+            false => TargetState::Ready,
+        },
+        capacity: target.capacity,
+        labels: Vec::new(),
+        boot: Some(TargetBoot(target.life)),
+    }
+}
