--- a/crates/filbertpitch/src/cli/mod.rs
+++ b/crates/filbertpitch/src/cli/mod.rs
@@ -14,9 +14,9 @@
 mod trace;
 
 pub use arguments::{
-    AddressList, Arguments, CheckCommand, Command, FleetCommand, ServeCommand, StatusCommand, SubmitCommand,
-    TicketAction, TicketApplyCommand, TicketCommand, TicketListCommand, TicketShowCommand,
-    TraceCommand,
+    AddressList, Arguments, CheckCommand, Command, FleetCommand, ServeCommand, StatusCommand,
+    SubmitCommand, TicketAction, TicketApplyCommand, TicketCommand, TicketListCommand,
+    TicketShowCommand, TraceCommand,
 };
 pub use error::CommandError;
 pub use exit::ExitStatus;
--- a/crates/filbertpitch/src/fleet/callers.rs
+++ b/crates/filbertpitch/src/fleet/callers.rs
@@ -74,7 +74,10 @@
         let Some(id) = id else {
             return callers::no_queue_response();
         };
-        let live = id.filter(|id| self.driver.inspect(|engine| engine.job_started(*id).is_some()));
+        let live = id.filter(|id| {
+            self.driver
+                .inspect(|engine| engine.job_started(*id).is_some())
+        });
         match live {
             Some(id) => {
                 self.driver.feed(FleetEvent::JobCancelled(id));
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -77,25 +77,89 @@
 
 fn register_counters(registry: &mut Registry, counters: &FleetCounters) {
     let values = [
-        ("jobs_accepted", "Jobs that were accepted", counters.jobs_accepted),
-        ("jobs_completed", "Jobs answered as completed", counters.jobs_completed),
-        ("jobs_failed", "Jobs answered as failed", counters.jobs_failed),
-        ("jobs_rejected", "Jobs rejected; nothing of them has run", counters.jobs_rejected),
-        ("jobs_unknown", "Jobs given up after parts may have run", counters.jobs_unknown),
-        ("jobs_abandoned", "Jobs whose client has left", counters.jobs_abandoned),
-        ("tasks_placed", "Requests to holders to run a task", counters.tasks_placed),
-        ("tasks_refused", "Tasks that a holder did not run", counters.tasks_refused),
-        ("starts_sent", "Start orders to targets", counters.starts_sent),
-        ("starts_lost", "Start orders without an answer", counters.starts_lost),
-        ("starts_refused", "Start orders that a target refused", counters.starts_refused),
+        (
+            "jobs_accepted",
+            "Jobs that were accepted",
+            counters.jobs_accepted,
+        ),
+        (
+            "jobs_completed",
+            "Jobs answered as completed",
+            counters.jobs_completed,
+        ),
+        (
+            "jobs_failed",
+            "Jobs answered as failed",
+            counters.jobs_failed,
+        ),
+        (
+            "jobs_rejected",
+            "Jobs rejected; nothing of them has run",
+            counters.jobs_rejected,
+        ),
+        (
+            "jobs_unknown",
+            "Jobs given up after parts may have run",
+            counters.jobs_unknown,
+        ),
+        (
+            "jobs_abandoned",
+            "Jobs whose client has left",
+            counters.jobs_abandoned,
+        ),
+        (
+            "tasks_placed",
+            "Requests to holders to run a task",
+            counters.tasks_placed,
+        ),
+        (
+            "tasks_refused",
+            "Tasks that a holder did not run",
+            counters.tasks_refused,
+        ),
+        (
+            "starts_sent",
+            "Start orders to targets",
+            counters.starts_sent,
+        ),
+        (
+            "starts_lost",
+            "Start orders without an answer",
+            counters.starts_lost,
+        ),
+        (
+            "starts_refused",
+            "Start orders that a target refused",
+            counters.starts_refused,
+        ),
         ("looks_sent", "Looks at targets", counters.looks_sent),
         ("looks_lost", "Looks without an answer", counters.looks_lost),
         ("runs_done", "Runs that were done", counters.runs_done),
-        ("runs_not_done", "Runs that ended otherwise", counters.runs_not_done),
-        ("offers_sent", "Offers of room to other VMs", counters.offers_sent),
-        ("envelopes_sent", "Envelopes to other VMs", counters.envelopes_sent),
-        ("targets_claimed", "Targets that were claimed", counters.targets_claimed),
-        ("targets_fenced", "Targets found with another holder", counters.targets_fenced),
+        (
+            "runs_not_done",
+            "Runs that ended otherwise",
+            counters.runs_not_done,
+        ),
+        (
+            "offers_sent",
+            "Offers of room to other VMs",
+            counters.offers_sent,
+        ),
+        (
+            "envelopes_sent",
+            "Envelopes to other VMs",
+            counters.envelopes_sent,
+        ),
+        (
+            "targets_claimed",
+            "Targets that were claimed",
+            counters.targets_claimed,
+        ),
+        (
+            "targets_fenced",
+            "Targets found with another holder",
+            counters.targets_fenced,
+        ),
     ];
     for (name, help, value) in values {
         let counter = Counter::<u64>::default();
@@ -108,11 +172,27 @@
     let view = engine.view();
     let values = [
         ("live_jobs", "Jobs without an answer", view.live_jobs),
-        ("waiting_tasks", "Tasks that wait for room", view.waiting_tasks),
-        ("held_targets", "Targets that this VM holds", view.held_targets),
+        (
+            "waiting_tasks",
+            "Tasks that wait for room",
+            view.waiting_tasks,
+        ),
+        (
+            "held_targets",
+            "Targets that this VM holds",
+            view.held_targets,
+        ),
         ("held_runs", "Runs on held targets", view.held_runs),
-        ("live_peers", "Other entry VMs that are heard", view.live_peers),
-        ("listed_targets", "Targets in the platform's list", view.listed_targets),
+        (
+            "live_peers",
+            "Other entry VMs that are heard",
+            view.live_peers,
+        ),
+        (
+            "listed_targets",
+            "Targets in the platform's list",
+            view.listed_targets,
+        ),
     ];
     for (name, help, value) in values {
         let gauge = Gauge::<i64>::default();
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -35,10 +35,9 @@
 /// Logs a notice.
 pub(super) fn record_notice(log: &EventLog, notice: &FleetNotice) {
     match notice {
-        FleetNotice::ConfigurationApplied(version) => log.record(
-            LogEvent::ConfigurationApplied,
-            b!("version" => version.0),
-        ),
+        FleetNotice::ConfigurationApplied(version) => {
+            log.record(LogEvent::ConfigurationApplied, b!("version" => version.0))
+        }
         FleetNotice::JobAccepted {
             job,
             queue,
@@ -154,18 +153,15 @@
             LogEvent::TargetUnreachable,
             b!("target" => target.as_str(), "runs" => runs),
         ),
-        FleetNotice::TargetReachable(target) => log.record(
-            LogEvent::TargetReachable,
-            b!("target" => target.as_str()),
-        ),
-        FleetNotice::TargetReborn(target) => log.record(
-            LogEvent::TargetRestarted,
-            b!("target" => target.as_str()),
-        ),
-        FleetNotice::TargetShunned(target) => log.record(
-            LogEvent::TargetEjected,
-            b!("target" => target.as_str()),
-        ),
+        FleetNotice::TargetReachable(target) => {
+            log.record(LogEvent::TargetReachable, b!("target" => target.as_str()))
+        }
+        FleetNotice::TargetReborn(target) => {
+            log.record(LogEvent::TargetRestarted, b!("target" => target.as_str()))
+        }
+        FleetNotice::TargetShunned(target) => {
+            log.record(LogEvent::TargetEjected, b!("target" => target.as_str()))
+        }
         FleetNotice::TargetUnlisted { target, draining } => log.record(
             LogEvent::TargetUnlisted,
             b!("target" => target.as_str(), "draining" => draining),
--- a/crates/filbertpitch/src/settings/fleet.rs
+++ b/crates/filbertpitch/src/settings/fleet.rs
@@ -127,10 +127,7 @@
     let mut check = RuleCheck { text, findings };
     let reachable = |address: &SocketAddr| !address.ip().is_unspecified() && address.port() != 0;
     let message = "it has no specific IP address and port";
-    for (field, address) in [
-        ("listen.peers", file.listen.peers),
-        ("store", file.store),
-    ] {
+    for (field, address) in [("listen.peers", file.listen.peers), ("store", file.store)] {
         check.require(address.as_ref().is_none_or(reachable), field, message);
     }
     check.at_least(file.lease, SHORTEST_LEASE, "lease");
--- a/crates/filbertpitch/src/settings/load.rs
+++ b/crates/filbertpitch/src/settings/load.rs
@@ -79,11 +79,7 @@
 
 /// Reads the fields. Deserialization stops at the first error, so the offending node is removed
 /// and the rest is read again until no error is left.
-fn collect_fields<File>(
-    text: &str,
-    mut value: Value,
-    findings: &mut Vec<SettingsFinding>,
-) -> File
+fn collect_fields<File>(text: &str, mut value: Value, findings: &mut Vec<SettingsFinding>) -> File
 where
     File: DeserializeOwned + Default,
 {
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -257,8 +257,8 @@
 
     fn is_held_by_peer(&self, target: TargetIndex) -> bool {
         let links = self.links.iter().flatten();
-        let mut present = links
-            .filter(|link| matches!(link.phase(), LinkPhase::Live | LinkPhase::Silent));
+        let mut present =
+            links.filter(|link| matches!(link.phase(), LinkPhase::Live | LinkPhase::Silent));
         present.any(|link| link.holdings().iter().any(|it| it.target == target))
     }
 
@@ -285,9 +285,7 @@
     }
 
     fn next_token(&mut self, refused: Option<FencingToken>) -> FencingToken {
-        let floor = refused.map_or(0, |token| {
-            token.0 / TOKENS_PER_MS + REFUSED_TOKEN_STEP_MS
-        });
+        let floor = refused.map_or(0, |token| token.0 / TOKENS_PER_MS + REFUSED_TOKEN_STEP_MS);
         let millis = self.clock.wall.0.max(floor);
         let number = self.identity.incarnation.0 % TOKENS_PER_MS;
         let mut token = FencingToken(millis * TOKENS_PER_MS + number);
@@ -318,9 +316,28 @@
         }
     }
 
+    /// Chooses new tokens for claims that were not confirmed in time.
+    fn renew_claims(&mut self) {
+        let now = self.now();
+        let old = self.held.iter().filter(|(_, held)| held.is_claim_old(now));
+        let old = old.map(|(target, _)| *target).collect::<Vec<_>>();
+        for target in old {
+            if self.is_held_by_peer(target) {
+                self.drop_target(target, "held_elsewhere");
+                continue;
+            }
+            let token = self.next_token(None);
+            if let Some(held) = self.held.get_mut(&target) {
+                held.claim_again(now, token);
+                self.holdings_version += 1;
+            }
+        }
+    }
+
     /// Sends the looks that are due.
     pub(super) fn send_looks(&mut self) {
         let now = self.now();
+        self.renew_claims();
         for (target, held) in &mut self.held {
             let Some(address) = self.registry.address(*target) else {
                 continue;
@@ -402,6 +419,12 @@
         }
         if outcome.reborn {
             self.notice(FleetNotice::TargetReborn(name.clone()));
+            let token = self.next_token(None);
+            let now = self.now();
+            if let Some(held) = self.held.get_mut(&target) {
+                held.claim_again(now, token);
+                self.holdings_version += 1;
+            }
         }
         for ended in outcome.ended {
             self.report_end(target, ended);
@@ -413,7 +436,7 @@
             self.stop_run(target, &task);
         }
         for (run, end) in outcome.foreign_ends {
-            self.broadcast(FleetMessage::Ended(EndNotice {
+            self.broadcast(FleetMessage::FoundEnd(EndNotice {
                 run,
                 target: name.clone(),
                 end,
@@ -455,12 +478,7 @@
         }
     }
 
-    fn learn_from_end(
-        &mut self,
-        target: TargetIndex,
-        run: &TargetRun,
-        end: RunEnd,
-    ) -> Option<u32> {
+    fn learn_from_end(&mut self, target: TargetIndex, run: &TargetRun, end: RunEnd) -> Option<u32> {
         let now = self.now();
         let took = now.since(run.since);
         let held = self.held.get_mut(&target)?;
@@ -482,12 +500,7 @@
     }
 
     /// Answers a new holder that has found runs.
-    pub(super) fn receive_inquiry(
-        &mut self,
-        from: VmIndex,
-        target: &TargetName,
-        runs: &[RunName],
-    ) {
+    pub(super) fn receive_inquiry(&mut self, from: VmIndex, target: &TargetName, runs: &[RunName]) {
         let index = self.registry.intern(target);
         let mut kept = Vec::new();
         for run in runs {
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -63,8 +63,7 @@
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.give_up, job.tasks.len());
-        self.timers
-            .subscribe(give_up, TimerTopic::JobGiveUp(key));
+        self.timers.subscribe(give_up, TimerTopic::JobGiveUp(key));
         self.notice(FleetNotice::JobAccepted {
             job: id,
             queue: self.catalog.name(queue).clone(),
@@ -242,18 +241,36 @@
     }
 
     /// A run has ended.
-    pub(super) fn receive_end(&mut self, notice: &EndNotice) {
+    pub(super) fn receive_end(&mut self, from: VmIndex, notice: &EndNotice) {
         let Some(task) = self.jobs.find_task(&notice.run.task) else {
             return;
         };
-        let state = self.jobs.task(task);
-        let current = matches!(
-            state.phase,
-            TaskPhase::Placed { .. } | TaskPhase::Orphaned { .. }
-        );
-        if !current || state.run != notice.run.run {
+        let placed = self
+            .placed_at(task)
+            .is_some_and(|(holder, _)| holder == from);
+        if placed && self.jobs.task(task).run == notice.run.run {
+            self.apply_end(task, notice);
+        }
+    }
+
+    /// A run that another VM had ordered has ended. Another home may have given the same number to a
+    /// run of the task elsewhere, so that the target must be the same as well.
+    pub(super) fn receive_found_end(&mut self, notice: &EndNotice) {
+        let Some(task) = self.jobs.find_task(&notice.run.task) else {
             return;
+        };
+        let state = self.jobs.task(task);
+        let place = match state.phase {
+            TaskPhase::Placed { target, .. } | TaskPhase::Orphaned { target, .. } => target,
+            _ => return,
+        };
+        let same_target = self.registry.find(&notice.target) == Some(place);
+        if same_target && state.run == notice.run.run {
+            self.apply_end(task, notice);
         }
+    }
+
+    fn apply_end(&mut self, task: TaskRef, notice: &EndNotice) {
         match notice.end {
             RunEnd::Done => self.finish_task(task, notice),
             RunEnd::Failed => self.fail_task(task, &notice.target),
@@ -298,12 +315,7 @@
     }
 
     /// The holder of these runs does not hold their target any more.
-    pub(super) fn receive_release(
-        &mut self,
-        from: VmIndex,
-        target: &TargetName,
-        runs: &[RunName],
-    ) {
+    pub(super) fn receive_release(&mut self, from: VmIndex, target: &TargetName, runs: &[RunName]) {
         let target = self.registry.intern(target);
         for run in runs {
             let Some(task) = self.jobs.find_task(&run.task) else {
@@ -333,8 +345,7 @@
         let over_at = now + lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN;
         let phase = TaskPhase::Orphaned { target, over_at };
         self.jobs.set_phase(now, task, phase);
-        self.timers
-            .subscribe(over_at, TimerTopic::OrphanOver(task));
+        self.timers.subscribe(over_at, TimerTopic::OrphanOver(task));
     }
 
     /// The lease of an orphaned run has ended.
--- a/crates/fleet/src/engine/orders.rs
+++ b/crates/fleet/src/engine/orders.rs
@@ -43,9 +43,7 @@
         request: &PlaceRequest,
         order: &TaskOrder,
     ) -> Result<(), PlaceRefusal> {
-        let target = self
-            .find_held(request, order)
-            .ok_or(PlaceRefusal::NoRoom)?;
+        let target = self.find_held(request, order).ok_or(PlaceRefusal::NoRoom)?;
         let now = self.now();
         let run = TargetRun {
             run: order.run,
@@ -141,7 +139,10 @@
     pub(super) fn stop_runs_of(&mut self, home: VmIndex) {
         let mut runs = Vec::new();
         for (target, held) in &self.held {
-            let own = held.ledger().runs().filter(|(_, run)| run.home == Some(home));
+            let own = held
+                .ledger()
+                .runs()
+                .filter(|(_, run)| run.home == Some(home));
             runs.extend(own.map(|(task, _)| (*target, *task)));
         }
         for (target, task) in runs {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -185,7 +185,8 @@
             FleetMessage::Decline(offer) => self.receive_decline(from, offer),
             FleetMessage::Started(notice) => self.receive_started(from, &notice),
             FleetMessage::Refused { task, refusal } => self.receive_refusal(from, task, refusal),
-            FleetMessage::Ended(notice) => self.receive_end(&notice),
+            FleetMessage::Ended(notice) => self.receive_end(from, &notice),
+            FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
             FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
             FleetMessage::Inquire { target, runs } => self.receive_inquiry(from, &target, &runs),
             FleetMessage::Keep { target, runs } => self.receive_keep(from, &target, &runs),
@@ -214,7 +215,9 @@
             });
         }
         for peer in due {
-            let link = self.links[peer].as_mut().expect("the link wants an envelope");
+            let link = self.links[peer]
+                .as_mut()
+                .expect("the link wants an envelope");
             let address = link.identity().address;
             let envelope = link.fill(now, template.clone());
             self.counters.envelopes_sent += 1;
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -7,9 +7,7 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
-use filbertpitch_types::fleet::{
-    DemandReport, FleetMessage, OfferNumber, PlaceRequest, TaskOrder,
-};
+use filbertpitch_types::fleet::{DemandReport, FleetMessage, OfferNumber, PlaceRequest, TaskOrder};
 use filbertpitch_types::prelude::*;
 
 use super::holding::millis;
@@ -193,7 +191,12 @@
     /// Asks the holders to run the chosen tasks, one request per job and holder.
     fn request_places(&mut self, choices: Vec<TaskChoice>, offer: Option<OfferNumber>) {
         let now = self.now();
-        let mut requests = Vec::<(VmIndex, filbertpitch_dispatch::entity::JobKey, u16, PlaceRequest)>::new();
+        let mut requests = Vec::<(
+            VmIndex,
+            filbertpitch_dispatch::entity::JobKey,
+            u16,
+            PlaceRequest,
+        )>::new();
         for choice in choices {
             let TaskChoice {
                 task,
@@ -387,11 +390,7 @@
 
 /// What a task costs on a target, in milliseconds: its run time there, the way, and the room that
 /// it leaves unusable.
-fn place_cost(
-    candidate: &PlaceCandidate,
-    room: &RoomSize,
-    expected: Duration,
-) -> f64 {
+fn place_cost(candidate: &PlaceCandidate, room: &RoomSize, expected: Duration) -> f64 {
     let run_ms = expected.as_secs_f64() * 1000.0 * candidate.slowdown.max(0.1);
     let rest = (candidate.free - *room).cpu.0;
     let unusable = rest % room.cpu.0.max(1);
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -27,13 +27,11 @@
     /// The lease that each look and each start grants; targets shorten a longer one.
     pub lease: Duration,
     /// How long a target may wait for an end before it answers a look. Two looks may get lost
-    /// before the lease ends.
+    /// before the lease ends. A look is open at targets without runs as well: its connection breaks
+    /// when the target starts anew.
     pub look_wait: Duration,
     /// The time beyond that in which a look must be answered.
     pub look_margin: Duration,
-    /// The time between looks at a target without runs. It bounds how long a target that has died
-    /// unnoticed still gets work.
-    pub idle_interval: Duration,
     /// The time between looks at a target that does not answer.
     pub lost_interval: Duration,
     /// How long a start order may take to be carried out.
@@ -50,7 +48,6 @@
             lease: Duration::from_secs(1),
             look_wait: Duration::from_millis(400),
             look_margin: Duration::from_millis(250),
-            idle_interval: Duration::from_millis(500),
             lost_interval: Duration::from_millis(150),
             order_window: Duration::from_millis(250),
             stop_interval: Duration::from_millis(100),
@@ -89,6 +86,7 @@
 struct OpenLook {
     number: LookNumber,
     sent_at: TimePoint,
+    wait: Duration,
 }
 
 /// A run that has ended at the target.
@@ -141,6 +139,8 @@
 pub struct HeldTarget {
     settings: HeldSettings,
     token: FencingToken,
+    /// When the token was chosen.
+    claimed_at: TimePoint,
     phase: HoldPhase,
     boot: Option<TargetBoot>,
     clock: RemoteClock,
@@ -177,6 +177,7 @@
             verdict: TargetVerdict::new(settings.verdicts.clone()),
             settings,
             token,
+            claimed_at: now,
             phase: HoldPhase::Claiming,
             boot: None,
             clock: RemoteClock::default(),
@@ -229,10 +230,11 @@
         self.lost_looks < LOST_LOOKS
     }
 
-    /// The room for further runs; nothing while it takes no orders.
+    /// The room for further runs; nothing while it takes no orders. After a lost look the target may
+    /// have started anew, with another holder.
     pub fn open_room(&mut self, now: TimePoint) -> RoomSize {
         let usable = self.phase == HoldPhase::Confirmed
-            && self.is_reachable()
+            && self.lost_looks == 0
             && self.verdict.admits(now, self.ledger.len());
         match usable {
             true => self.ledger.free(),
@@ -249,12 +251,44 @@
     /// Takes no orders until the target has confirmed this VM as its holder again.
     pub fn reconfirm(&mut self, now: TimePoint) {
         self.phase = HoldPhase::Claiming;
+        self.claimed_at = now;
         self.open_look = None;
         self.quick_look = None;
         self.quick_wanted = false;
         self.look_due = now;
     }
 
+    /// Whether the target has not confirmed the claim for so long that another VM may have held it
+    /// since.
+    pub fn is_claim_old(&self, now: TimePoint) -> bool {
+        self.phase == HoldPhase::Claiming
+            && self.open_look.is_none()
+            && now.since(self.claimed_at) >= self.settings.lease
+    }
+
+    /// Claims the target again under a higher token, for example because it has started anew: its clock has too,
+    /// so that orders to its former life are not void, and only the token shuts them out.
+    pub fn claim_again(&mut self, now: TimePoint, token: FencingToken) {
+        self.token = token;
+        self.reconfirm(now);
+        let open = self
+            .ledger
+            .runs()
+            .filter_map(|(task, run)| match run.phase {
+                RunPhase::Ordered { void_at } => Some((*task, void_at)),
+                _ => None,
+            });
+        for (task, void_at) in open.collect::<Vec<_>>() {
+            if let Some(run) = self.ledger.get_mut(&task) {
+                // Answers to orders under the former token are not taken any more.
+                run.phase = RunPhase::Uncertain {
+                    void_at,
+                    lost_at: now,
+                };
+            }
+        }
+    }
+
     /// When [`Self::plan_look`] or [`Self::advance`] has something to do.
     pub fn next_due(&self) -> TimePoint {
         let look = match self.open_look {
@@ -273,47 +307,47 @@
     pub fn plan_look(&mut self, now: TimePoint) -> Option<LookPlan> {
         if self.quick_wanted && self.quick_look.is_none() && self.open_look.is_some() {
             self.quick_wanted = false;
-            let look = self.open_look(now);
+            let look = self.open_look(now, Duration::ZERO);
             self.quick_look = Some(look);
-            return Some(self.describe_look(now, look, Duration::ZERO));
+            return Some(self.describe_look(now, look));
         }
         if self.open_look.is_some() || self.look_due > now {
             return None;
         }
-        let look = self.open_look(now);
-        self.open_look = Some(look);
-        let busy = !self.ledger.is_empty();
         let steady = self.phase == HoldPhase::Confirmed && self.lost_looks == 0;
-        let wait = match busy && steady {
+        let wait = match steady {
             true => self.settings.look_wait,
             false => Duration::ZERO,
         };
-        Some(self.describe_look(now, look, wait))
+        let look = self.open_look(now, wait);
+        self.open_look = Some(look);
+        Some(self.describe_look(now, look))
     }
 
-    fn open_look(&mut self, now: TimePoint) -> OpenLook {
+    fn open_look(&mut self, now: TimePoint, wait: Duration) -> OpenLook {
         let number = self.next_number;
         self.next_number = LookNumber(number.0.wrapping_add(1));
         OpenLook {
             number,
             sent_at: now,
+            wait,
         }
     }
 
-    fn describe_look(&mut self, now: TimePoint, look: OpenLook, wait: Duration) -> LookPlan {
-        let busy = !self.ledger.is_empty();
+    fn describe_look(&mut self, now: TimePoint, look: OpenLook) -> LookPlan {
         // An unreachable target gets no longer lease, so that what runs there ends in bounded time.
-        let renews = busy && self.is_reachable();
-        let lease_end = renews.then(|| self.lease_end(now, self.settings.lease));
+        let lease_end = self
+            .is_reachable()
+            .then(|| self.lease_end(now, self.settings.lease));
         LookPlan {
             number: look.number,
             order: LookOrder {
                 token: self.token,
                 acked_through: self.acked_through,
                 lease_end: lease_end.flatten(),
-                wait,
+                wait: look.wait,
             },
-            timeout: wait + self.settings.look_margin,
+            timeout: look.wait + self.settings.look_margin,
             fresh_connection: self.lost_looks > 0 || self.phase == HoldPhase::Claiming,
         }
     }
@@ -347,7 +381,6 @@
             void_at: now + window + CLOCK_ERROR,
         };
         self.ledger.insert(task, run);
-        self.look_due = now;
         Some(StartOrder {
             run: RunName { task, run: run.run },
             payload,
@@ -447,7 +480,8 @@
     /// them makes certain that they will not start.
     fn absent_orders(&self, asked_at: TimePoint, report: &LookReport) -> Vec<TaskName> {
         let absent = self.ledger.runs().filter(|(task, run)| {
-            let lost = matches!(run.phase, RunPhase::Uncertain { lost_at, .. } if lost_at <= asked_at);
+            let lost =
+                matches!(run.phase, RunPhase::Uncertain { lost_at, .. } if lost_at <= asked_at);
             lost && !report.running.iter().any(|row| row.run.task == **task)
         });
         absent.map(|(task, _)| *task).collect()
@@ -488,8 +522,10 @@
             self.drop_missing(now, look.sent_at, report, &mut outcome);
             outcome.absent_orders = self.absent_orders(look.sent_at, report);
         }
-        self.look_due = match self.ledger.is_empty() {
-            true => now + self.settings.idle_interval,
+        // A target that does not wait although nothing has ended is not asked again at once.
+        let early = report.ended.is_empty() && now.since(look.sent_at) < look.wait / 2;
+        self.look_due = match early {
+            true => look.sent_at + look.wait,
             false => now,
         };
         outcome
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -45,11 +45,8 @@
                 fleet.cut_target(vm, target, true);
             }
         }
-        7 => fleet.targets[target].crash(),
-        8 => {
-            let now = fleet.now;
-            fleet.targets[target].restart(now);
-        }
+        7 => fleet.crash_target(target),
+        8 => fleet.restart_target(target),
         9 => fleet.targets[target].draining = true,
         10 => {
             let slow = fleet.rng.random_range(2..7);
@@ -69,12 +66,11 @@
 fn repair(fleet: &mut SimFleet) {
     fleet.heal();
     fleet.net = Default::default();
-    let now = fleet.now;
-    for target in &mut fleet.targets {
-        target.draining = false;
-        match target.fault {
-            Some(TargetFault::Down) => target.restart(now),
-            _ => target.fault = None,
+    for target in 0..fleet.targets.len() {
+        fleet.targets[target].draining = false;
+        match fleet.targets[target].fault {
+            Some(TargetFault::Down) => fleet.restart_target(target),
+            _ => fleet.targets[target].fault = None,
         }
     }
 }
@@ -119,13 +115,22 @@
     let mut sent = 0;
     for round in 0..20 {
         let vm = round % fleet.vm_count();
-        fleet.submit(vm, JobShape { tasks: 2, ..JobShape::default() });
+        fleet.submit(
+            vm,
+            JobShape {
+                tasks: 2,
+                ..JobShape::default()
+            },
+        );
         sent += 1;
         fleet.run_for(Duration::from_millis(150));
     }
     fleet.run_for(Duration::from_secs(5));
     let served = fleet.completed() - before;
-    assert!(served == sent, "seed {seed}: {served} of {sent} jobs served after repair");
+    assert!(
+        served == sent,
+        "seed {seed}: {served} of {sent} jobs served after repair"
+    );
 }
 
 #[test]
@@ -135,6 +140,21 @@
     }
 }
 
+/// The long run, by hand: `cargo test --release -p filbertpitch-fleet -- --ignored long_run`.
+#[test]
+#[ignore = "takes minutes; run by hand"]
+fn long_run() {
+    let only = std::env::var("FLEET_SEED")
+        .ok()
+        .and_then(|seed| seed.parse::<u64>().ok());
+    for seed in only.map_or(10_000..10_400, |seed| seed..seed + 1) {
+        if let Err(panic) = std::panic::catch_unwind(|| survive(seed)) {
+            println!("seed {seed} failed");
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 8, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,7 +3,7 @@
 //! Every start is checked against the promises that must hold at any moment: no target is ever
 //! overfull, and no task runs twice at the same time.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod client;
 mod target;
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -150,7 +150,13 @@
         fenced
     }
 
-    pub fn start(&mut self, now: u64, order: &StartOrder, room: RoomSize, work: u64) -> StartAnswer {
+    pub fn start(
+        &mut self,
+        now: u64,
+        order: &StartOrder,
+        room: RoomSize,
+        work: u64,
+    ) -> StartAnswer {
         self.advance(now);
         let time = Some(TargetTime(self.clock_ms(now)));
         if self.fence(order.token) {
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1,7 +1,7 @@
 //! Simulated time: the events, the network and the checks.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -104,7 +104,8 @@
         index: TargetIndex,
         target: usize,
         order: StartOrder,
-        late: bool,
+        /// The life of the target that carries the order out late, if it does.
+        late: Option<u64>,
     },
     StopArrives {
         call: u64,
@@ -197,6 +198,8 @@
     target_cuts: HashSet<(usize, usize)>,
     next_caller: u64,
     next_job: u64,
+    /// What targets were told lately, for failures.
+    history: VecDeque<String>,
     pub rng: ChaCha8Rng,
 }
 
@@ -268,6 +271,7 @@
             target_cuts: HashSet::new(),
             next_caller: 0,
             next_job: 1,
+            history: VecDeque::new(),
             rng,
         };
         for vm in 0..count {
@@ -391,6 +395,40 @@
         };
     }
 
+    /// Ends a target's process; it is down until it is restarted. Its connections break.
+    pub fn crash_target(&mut self, target: usize) {
+        self.targets[target].crash();
+        self.break_looks(target);
+    }
+
+    /// Lets a target start anew at once.
+    pub fn restart_target(&mut self, target: usize) {
+        let now = self.now;
+        self.targets[target].restart(now);
+        self.break_looks(target);
+    }
+
+    /// Looks that wait at a target get no answer, and those who asked notice at once.
+    fn break_looks(&mut self, target: usize) {
+        let (broken, kept) = std::mem::take(&mut self.looks)
+            .into_iter()
+            .partition(|look| look.target == target);
+        self.looks = kept;
+        for look in Vec::<WaitingLook>::from(broken) {
+            if self.target_cuts.contains(&(look.vm, target)) {
+                continue;
+            }
+            let lost = FleetEvent::LookAnswered {
+                target: look.index,
+                token: look.plan.order.token,
+                number: look.plan.number,
+                answer: LookAnswer::Lost,
+            };
+            let at = self.now + self.target_delay(look.vm, target);
+            self.schedule_answer(at, look.call, look.vm, lost);
+        }
+    }
+
     /// Heals all cuts.
     pub fn heal(&mut self) {
         self.vm_cuts.clear();
@@ -572,10 +610,7 @@
             }
         }
         self.feed(vm, FleetEvent::TargetsChanged(notices));
-        self.schedule(
-            self.now + LISTING_INTERVAL,
-            Happening::Listing(vm, life),
-        );
+        self.schedule(self.now + LISTING_INTERVAL, Happening::Listing(vm, life));
     }
 
     fn feed(&mut self, vm: usize, event: FleetEvent) {
@@ -649,7 +684,8 @@
                 let call = self.open_call(vm);
                 let mut at = self.now + self.target_delay(vm, target);
                 let late = self.rng.random_bool(self.net.orders_late);
-                if late {
+                let late = late.then_some(self.targets[target].life);
+                if late.is_some() {
                     at += self.rng.random_range(2_000_000..12_000_000);
                 }
                 let lost = FleetEvent::StartAnswered {
@@ -799,9 +835,11 @@
         index: TargetIndex,
         target: usize,
         order: StartOrder,
-        late: bool,
+        late: Option<u64>,
     ) {
-        if !self.reaches(vm, target) {
+        // An order that waits at a target ends with it.
+        let gone = late.is_some_and(|life| life != self.targets[target].life);
+        if !self.reaches(vm, target) || gone {
             return;
         }
         let task = order.run.task;
@@ -810,6 +848,13 @@
         let work = job.shape.work.as_micros() as u64;
         let before = self.targets[target].runs.contains_key(&task);
         let answer = self.targets[target].start(self.now, &order, room, work);
+        self.remember(
+            target,
+            format!(
+                "start vm-{vm} {} token {} {room}: {answer:?}",
+                order.run, order.token
+            ),
+        );
         if let StartAnswer::Accepted(_) = answer
             && !before
         {
@@ -817,7 +862,7 @@
             self.jobs.get_mut(&task.job).unwrap().started = true;
         }
         self.settle_target(target);
-        if late || self.rng.random_bool(self.net.answers_lost) {
+        if late.is_some() || self.rng.random_bool(self.net.answers_lost) {
             return;
         }
         let event = FleetEvent::StartAnswered {
@@ -830,23 +875,68 @@
         self.schedule_answer(at, call, vm, event);
     }
 
+    fn remember(&mut self, target: usize, line: String) {
+        if self.history.len() == 40_000 {
+            self.history.pop_front();
+        }
+        let name = &self.targets[target].name;
+        self.history
+            .push_back(format!("{} {name} {line}", self.now));
+    }
+
+    /// Prints what became of a job, in the order of time.
+    fn print_job(&self, id: JobId) {
+        let name = format!("JobId({})", id.0);
+        let marked = format!(" {id}.");
+        let notices = self.notices.iter();
+        let notices = notices.map(|(at, vm, notice)| (*at, format!("vm-{vm} {notice:?}")));
+        let general = |line: &str| {
+            !line.contains("JobId(") && (line.contains("Peer") || line.contains("Target"))
+        };
+        let notices = notices.filter(|(_, line)| line.contains(&name) || general(line));
+        let orders = self.history.iter();
+        let orders = orders.filter(|line| line.contains(&marked) || line.contains(&name));
+        let orders = orders.map(|line| {
+            let (at, line) = line.split_once(' ').unwrap();
+            (at.parse().unwrap(), line.to_owned())
+        });
+        let mut lines = notices.chain(orders).collect::<Vec<(u64, String)>>();
+        lines.sort_by_key(|(at, _)| *at);
+        let sent_at = self.jobs[&id].sent_at;
+        for (at, line) in lines.iter().filter(|(at, _)| *at >= sent_at) {
+            println!("{at} {line}");
+        }
+    }
+
+    /// Prints what a target was told lately.
+    fn print_history(&self, target: &TargetName) {
+        let marked = format!(" {target} ");
+        let lines = self.history.iter().filter(|line| line.contains(&marked));
+        let lines = lines.collect::<Vec<_>>();
+        for line in &lines[lines.len().saturating_sub(60)..] {
+            println!("{line}");
+        }
+        for (at, vm, notice) in self.notices.iter().rev().take(60).rev() {
+            println!("{at} vm-{vm} {notice:?}");
+        }
+    }
+
     /// The promises that hold at each start.
     fn check_start(&self, target: usize, task: TaskName) {
         let started = &self.targets[target];
         let taken = started.taken();
-        assert!(
-            taken.fits(&started.capacity),
-            "{} is overfull at {} us: {taken}",
-            started.name,
-            self.now
-        );
+        if !taken.fits(&started.capacity) {
+            self.print_history(&started.name);
+            panic!("{} is overfull at {} us: {taken}", started.name, self.now);
+        }
         for (other, place) in self.targets.iter().enumerate() {
-            let twice = other != target && !place.is_down() && place.runs.contains_key(&task);
-            assert!(
-                !twice,
-                "{task} runs on {} and on {} at {} us",
-                started.name, place.name, self.now
-            );
+            if other != target && !place.is_down() && place.runs.contains_key(&task) {
+                self.print_job(task.job);
+                panic!(
+                    "{task} runs on {} and on {} at {} us",
+                    started.name, place.name, self.now
+                );
+            }
         }
     }
 
@@ -862,6 +952,13 @@
             return;
         }
         let answer = self.targets[target].stop(self.now, &order);
+        self.remember(
+            target,
+            format!(
+                "stop vm-{vm} {} token {}: {answer:?}",
+                order.run, order.token
+            ),
+        );
         self.settle_target(target);
         if self.rng.random_bool(self.net.answers_lost) {
             return;
@@ -922,6 +1019,10 @@
                 continue;
             }
             let answer = self.targets[target].report(now, &look.plan.order);
+            self.remember(
+                target,
+                format!("look vm-{} {:?}: {answer:?}", look.vm, look.plan.order),
+            );
             let event = FleetEvent::LookAnswered {
                 target: look.index,
                 token: look.plan.order.token,
@@ -991,7 +1092,10 @@
         for (id, job) in &self.jobs {
             let rejected = matches!(job.reply, Some(JobReply::Rejected { .. }));
             let false_word = rejected && job.all_rejected && job.started;
-            assert!(!false_word, "job {id} was said not to have run");
+            if false_word {
+                self.print_job(*id);
+                panic!("job {id} was said not to have run: {job:?}");
+            }
         }
     }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -376,6 +376,8 @@
     },
     /// From a holder to a home.
     Ended(EndNotice),
+    /// From a new holder to all VMs: how a run has ended that it did not order.
+    FoundEnd(EndNotice),
     /// From a holder to a home: the sender does not hold the target any more. The runs may go on
     /// until their lease ends, or until another holder takes them over.
     Released {
--- a/crates/types/src/room.rs
+++ b/crates/types/src/room.rs
@@ -69,9 +69,9 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, ParseError> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseError::new("number of accelerators", text, "it is not a whole number"))
+        text.parse().map(Self).map_err(|_| {
+            ParseError::new("number of accelerators", text, "it is not a whole number")
+        })
     }
 }
 
