Renew no lease of a run whose home has not confirmed it

Ruled out: a wrong estimate of the target's clock; the run lapsed one lease after the renewal. Change: leases are renewed only when the home of each run is known; a home is told when the runs that it wants to keep are not held any more; a run counts as confirmed when the report that lists it is taken over. A new process waits for the list of VMs before it claims targets.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -231,7 +231,7 @@
     }
 
     fn claim_targets(&mut self) {
-        if self.state != PeerState::Ready {
+        if self.state != PeerState::Ready || self.awaits_peers() {
             return;
         }
         let now = self.now();
@@ -247,7 +247,7 @@
                 .fenced
                 .get(target)
                 .is_some_and(|(at, _)| now.since(*at) < self.settings.fence_pause);
-            !paused && !self.is_held_by_peer(*target) && !self.may_be_held(*target)
+            !paused && !self.is_held_by_peer(*target)
         });
         let claims = free.map(|(target, _)| target).collect::<Vec<_>>();
         for target in claims {
@@ -262,12 +262,13 @@
         present.any(|link| link.holdings().iter().any(|it| it.target == target))
     }
 
-    /// Whether a VM that was not heard yet may hold the target. A process that has just started
-    /// waits for such VMs for a while.
-    fn may_be_held(&self, _target: TargetIndex) -> bool {
+    /// Whether VMs that were not heard yet may hold targets. A process that has just started waits
+    /// for the list of VMs and for those on it for a while; those that live answer in milliseconds.
+    fn awaits_peers(&self) -> bool {
         let fresh = self.now().since(self.started_at) < self.settings.start_patience;
         let mut links = self.links.iter().flatten();
-        fresh && links.any(|link| matches!(link.phase(), LinkPhase::Unheard { .. }))
+        let unheard = links.any(|link| matches!(link.phase(), LinkPhase::Unheard { .. }));
+        fresh && (unheard || !self.peers_listed)
     }
 
     fn claim_target(&mut self, target: TargetIndex) {
@@ -529,15 +530,20 @@
 
     /// Takes over the runs that a home still wants.
     pub(super) fn receive_keep(&mut self, from: VmIndex, target: &TargetName, runs: &[KeptRun]) {
-        let Some(index) = self.registry.find(target) else {
-            return;
-        };
+        let index = self.registry.intern(target);
+        let mut missed = Vec::new();
         for kept in runs {
             let expected = std::time::Duration::from_millis(kept.expected_ms.into());
-            if let Some(held) = self.held.get_mut(&index) {
-                held.adopt_run(kept.run, from, kept.room, expected);
+            let held = self.held.get_mut(&index);
+            if !held.is_some_and(|it| it.adopt_run(kept.run, from, kept.room, expected)) {
+                missed.push(kept.run);
             }
         }
+        if !missed.is_empty() {
+            let target = target.clone();
+            let runs = missed;
+            self.send(from, FleetMessage::Released { target, runs });
+        }
         self.room_changed = true;
     }
 }
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -62,6 +62,7 @@
     catalog: QueueCatalog,
     registry: TargetRegistry,
     targets_listed: bool,
+    peers_listed: bool,
     vms: NameInterner<VmIndex, VmName>,
     /// The other VMs; the first element stands for this one and is not used.
     links: TiVec<VmIndex, Option<PeerLink>>,
@@ -105,6 +106,7 @@
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
             targets_listed: false,
+            peers_listed: false,
             vms,
             links: TiVec::from(vec![None]),
             seeds: BTreeMap::new(),
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -71,6 +71,8 @@
 
     pub(super) fn find_peers(&mut self, peers: Vec<PeerIdentity>) {
         let now = self.now();
+        self.peers_listed = true;
+        self.ownership_changed = true;
         for identity in peers {
             if identity.vm == self.identity.vm {
                 continue;
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -43,7 +43,7 @@
             held: HeldSettings::default(),
             links: LinkSettings::default(),
             review_interval: Duration::from_millis(100),
-            start_patience: Duration::from_millis(1000),
+            start_patience: Duration::from_millis(400),
             fence_pause: Duration::from_millis(1500),
             audit_time: Duration::from_millis(60),
             unlisted_grace: Duration::from_millis(2500),
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -336,9 +336,10 @@
 
     fn describe_look(&mut self, now: TimePoint, look: OpenLook) -> LookPlan {
         // An unreachable target gets no longer lease, so that what runs there ends in bounded time.
-        let lease_end = self
-            .is_reachable()
-            .then(|| self.lease_end(now, self.settings.lease));
+        // Nor do runs whose home has not said that it wants them: it may count on their lapse.
+        let known = self.ledger.runs().all(|(_, run)| run.home.is_some());
+        let lease_end =
+            (self.is_reachable() && known).then(|| self.lease_end(now, self.settings.lease));
         LookPlan {
             number: look.number,
             order: LookOrder {
@@ -518,7 +519,7 @@
         // A report that was overtaken by a later one may list runs whose end is known.
         if report.time.is_none_or(|time| time >= self.reported_at) {
             self.reported_at = report.time.unwrap_or_default();
-            self.apply_running(now, look.sent_at, report, &mut outcome);
+            self.apply_running(now, report, &mut outcome);
             self.drop_missing(now, look.sent_at, report, &mut outcome);
             outcome.absent_orders = self.absent_orders(look.sent_at, report);
         }
@@ -553,21 +554,13 @@
         }
     }
 
-    fn apply_running(
-        &mut self,
-        now: TimePoint,
-        asked_at: TimePoint,
-        report: &LookReport,
-        outcome: &mut LookOutcome,
-    ) {
+    fn apply_running(&mut self, now: TimePoint, report: &LookReport, outcome: &mut LookOutcome) {
         for row in &report.running {
             let RunName { task, run: number } = row.run;
             match self.ledger.get_mut(&task) {
                 Some(run) if run.run == number => {
                     if let RunPhase::Ordered { .. } | RunPhase::Uncertain { .. } = run.phase {
-                        run.phase = RunPhase::Running {
-                            confirmed_at: asked_at,
-                        };
+                        run.phase = RunPhase::Running { confirmed_at: now };
                     }
                 }
                 // Another run of the task has been ordered since; the target decides.
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -29,7 +29,7 @@
     let target = fleet.rng.random_range(0..fleet.targets.len());
     let millis = fleet.rng.random_range(50..4000);
     let duration = Duration::from_millis(millis);
-    match fleet.rng.random_range(0..14) {
+    match fleet.rng.random_range(0..15) {
         0 => fleet.kill_vm(vm, duration, false),
         1 => fleet.kill_vm(vm, duration, true),
         2 => fleet.freeze_vm(vm, duration),
@@ -59,6 +59,13 @@
         }
         11 => fleet.net.answers_lost = 0.2,
         12 => fleet.net.orders_late = 0.1,
+        13 => {
+            let dark = fleet.rng.random_bool(0.5);
+            for vm in 0..fleet.vm_count() {
+                let spread = Duration::from_millis(fleet.rng.random_range(0..500));
+                fleet.kill_vm(vm, Duration::from_millis(500) + spread, dark);
+            }
+        }
         _ => repair(fleet),
     }
 }
