Take over the targets of a silent VM only when there is no cut

Ruled out: load; the targets were idle. Change: targets of a silent VM are claimed only after targets of the zone have answered probes for 400 ms while it stayed silent, and not while it makes itself known in the platform's store.

--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -153,9 +153,10 @@
                 self.metrics.see_notice(&notice);
                 record_notice(&self.log, &notice);
             }
-            FleetAction::Start { .. } | FleetAction::Stop { .. } | FleetAction::Look { .. } => {
-                self.targets.send(self, action);
-            }
+            FleetAction::Start { .. }
+            | FleetAction::Stop { .. }
+            | FleetAction::Probe { .. }
+            | FleetAction::Look { .. } => self.targets.send(self, action),
         }
     }
 
--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -7,14 +7,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_fleet::engine::FleetEvent;
+use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
 use filbertpitch_platform::listing::read_target;
 use filbertpitch_platform::store::{
     KeyedRecord, OPERATOR_TOPIC, ReadAnswer, StoreError, TARGET_TOPIC, VM_TOPIC, decode_value,
     encode_value,
 };
-use filbertpitch_types::fleet::{PeerIdentity, TargetNotice};
+use filbertpitch_types::fleet::{PeerIdentity, PeerSighting, TargetNotice};
 use filbertpitch_types::prelude::*;
 use slog::b;
 
@@ -32,6 +32,9 @@
 /// The time between reads of the list of entry VMs. New VMs make themselves known directly.
 const VM_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The time between reads and announcements while some VM is not heard.
+const WITNESS_INTERVAL: Duration = Duration::from_millis(400);
+
 /// The time before a failed call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -187,31 +190,41 @@
     }
 
     /// Makes this VM known and finds the others. Runs forever.
+    ///
+    /// While some VM is not heard, both are done often: a VM that makes itself known again is alive,
+    /// even if it is cut off from this one.
     pub(super) async fn follow_vms(self: Rc<Self>) {
         let mut state = TopicState::new(VM_TOPIC);
         let mut announced = false;
         loop {
+            let witness = self.driver().inspect(FleetEngine::wants_witness);
+            if witness || !announced {
+                announced = self.announce(&mut state).await;
+            }
             match self.store().newest(VM_TOPIC).await {
                 Ok(newest) => {
                     state.note(&self, None);
-                    let values = newest.records.iter();
-                    let values = values.filter_map(|record| record.value.as_ref());
-                    // A damaged record names no VM.
-                    let peers = values.filter_map(|value| decode_value::<PeerIdentity>(value));
-                    let peers = peers.collect::<Vec<_>>();
-                    announced |= peers.contains(self.identity());
+                    let peers = read_sightings(&newest.records);
+                    announced &= peers.iter().any(|peer| peer.identity == *self.identity());
                     self.driver().feed(FleetEvent::PeersFound(peers));
                 }
                 Err(error) => state.note(&self, Some(&error)),
             }
-            if !announced {
-                announced = self.announce(&mut state).await;
+            let calm = announced && state.reachable;
+            self.wait_for_alarm(if calm { VM_INTERVAL } else { RETRY_INTERVAL })
+                .await;
+        }
+    }
+
+    /// Waits, but not for long while some VM is not heard.
+    async fn wait_for_alarm(&self, limit: Duration) {
+        let mut waited = Duration::ZERO;
+        while waited < limit {
+            monoio::time::sleep(WITNESS_INTERVAL).await;
+            waited += WITNESS_INTERVAL;
+            if self.driver().inspect(FleetEngine::wants_witness) {
+                return;
             }
-            let interval = match announced && state.reachable {
-                true => VM_INTERVAL,
-                false => RETRY_INTERVAL,
-            };
-            monoio::time::sleep(interval).await;
         }
     }
 
@@ -231,6 +244,18 @@
     }
 }
 
+/// Reads the records of entry VMs. A damaged record names none.
+fn read_sightings(records: &[KeyedRecord]) -> Vec<PeerSighting> {
+    let sightings = records.iter().filter_map(|record| {
+        let identity = decode_value::<PeerIdentity>(record.value.as_ref()?)?;
+        Some(PeerSighting {
+            identity,
+            mark: record.offset.0,
+        })
+    });
+    sightings.collect()
+}
+
 fn read_notices(records: &[KeyedRecord]) -> Vec<TargetNotice> {
     let notices = records
         .iter()
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -134,6 +134,11 @@
         ),
         ("looks_sent", "Looks at targets", counters.looks_sent),
         ("looks_lost", "Looks without an answer", counters.looks_lost),
+        (
+            "probes_sent",
+            "Probes of targets of other VMs",
+            counters.probes_sent,
+        ),
         ("runs_done", "Runs that were done", counters.runs_done),
         (
             "runs_not_done",
--- a/crates/filbertpitch/src/fleet/targets.rs
+++ b/crates/filbertpitch/src/fleet/targets.rs
@@ -16,6 +16,9 @@
 /// answer is lost.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// The time for a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// The time for a new connection. A target that does not accept one in this time is not reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -92,6 +95,17 @@
                     });
                 });
             }
+            FleetAction::Probe {
+                target,
+                name,
+                address,
+            } => {
+                let pool = self.pool(address);
+                monoio::spawn(async move {
+                    let reached = orders::send_probe(&pool, &name, PROBE_TIMEOUT).await;
+                    driver.feed(FleetEvent::ProbeAnswered { target, reached });
+                });
+            }
             FleetAction::Look {
                 target,
                 name,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -7,7 +7,7 @@
 use filbertpitch_dispatch::entity::{KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    FleetConfiguration, JobOrder, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, RejectReason,
+    FleetConfiguration, JobOrder, JobReply, PeerEnvelope, PeerReceipt, PeerSighting, RejectReason,
     TargetNotice,
 };
 use filbertpitch_types::lease::{LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder};
@@ -25,7 +25,7 @@
     /// The list of targets has been read to its end for the first time.
     TargetsListed,
     /// Other entry VMs were found.
-    PeersFound(Vec<PeerIdentity>),
+    PeersFound(Vec<PeerSighting>),
     /// Places were found where other entry VMs may listen.
     SeedsFound(Vec<SocketAddr>),
     /// An envelope was confirmed.
@@ -90,6 +90,13 @@
         /// The answer.
         answer: LookAnswer,
     },
+    /// A target of another VM was asked whether it can be reached.
+    ProbeAnswered {
+        /// The target.
+        target: TargetIndex,
+        /// Whether it has answered.
+        reached: bool,
+    },
     /// The process is to stop.
     DrainStarted,
     /// The process cannot wait any longer for its jobs.
@@ -150,6 +157,15 @@
         /// The look.
         plan: LookPlan,
     },
+    /// Find out whether a target can be reached, without an effect on it.
+    Probe {
+        /// The target.
+        target: TargetIndex,
+        /// Its name.
+        name: TargetName,
+        /// Where it takes orders.
+        address: SocketAddr,
+    },
     /// Close the connections to a target that is not held any more.
     Disconnect(SocketAddr),
     /// Log something.
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -230,48 +230,7 @@
         }
     }
 
-    fn claim_targets(&mut self) {
-        if self.state != PeerState::Ready || self.awaits_peers() {
-            return;
-        }
-        let now = self.now();
-        let own = self.own();
-        let wanted = self.desired.iter_enumerated();
-        let wanted = wanted.filter(|(target, desired)| {
-            **desired == Some(own)
-                && !self.held.contains_key(target)
-                && self.registry.is_ready(*target)
-        });
-        let free = wanted.filter(|(target, _)| {
-            let paused = self
-                .fenced
-                .get(target)
-                .is_some_and(|(at, _)| now.since(*at) < self.settings.fence_pause);
-            !paused && !self.is_held_by_peer(*target)
-        });
-        let claims = free.map(|(target, _)| target).collect::<Vec<_>>();
-        for target in claims {
-            self.claim_target(target);
-        }
-    }
-
-    fn is_held_by_peer(&self, target: TargetIndex) -> bool {
-        let links = self.links.iter().flatten();
-        let mut present =
-            links.filter(|link| matches!(link.phase(), LinkPhase::Live | LinkPhase::Silent));
-        present.any(|link| link.holdings().iter().any(|it| it.target == target))
-    }
-
-    /// Whether VMs that were not heard yet may hold targets. A process that has just started waits
-    /// for the list of VMs and for those on it for a while; those that live answer in milliseconds.
-    fn awaits_peers(&self) -> bool {
-        let fresh = self.now().since(self.started_at) < self.settings.start_patience;
-        let mut links = self.links.iter().flatten();
-        let unheard = links.any(|link| matches!(link.phase(), LinkPhase::Unheard { .. }));
-        fresh && (unheard || !self.peers_listed)
-    }
-
-    fn claim_target(&mut self, target: TargetIndex) {
+    pub(super) fn claim_target(&mut self, target: TargetIndex) {
         let Some(entry) = self.registry.entry(target) else {
             return;
         };
@@ -431,7 +390,8 @@
             self.report_end(target, ended);
         }
         for (task, run) in outcome.never_started {
-            self.report_refusal(task, run.home, PlaceRefusal::NeverStarted);
+            let name = RunName { task, run: run.run };
+            self.report_refusal(name, run.home, PlaceRefusal::NeverStarted);
         }
         for task in outcome.absent_orders {
             self.stop_run(target, &task);
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -20,6 +20,10 @@
 /// between them.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
+/// The time by which the two sides of a link notice its loss differently: one beat, one envelope and
+/// one review.
+const NOTICE_MARGIN: Duration = Duration::from_millis(250);
+
 impl FleetEngine {
     pub(super) fn submit_job(
         &mut self,
@@ -179,10 +183,16 @@
         }
     }
 
-    /// The task's phase if a holder was asked to run it.
-    fn placed_at(&self, task: TaskRef) -> Option<(VmIndex, TargetIndex)> {
-        match self.jobs.task(task).phase {
-            TaskPhase::Placed { holder, target, .. } => Some((holder, target)),
+    /// Where a task runs, or may run, if this is its current run.
+    fn place_of(&self, task: TaskRef, run: RunNumber) -> Option<(VmIndex, TargetIndex)> {
+        let state = self.jobs.task(task);
+        match state.phase {
+            TaskPhase::Placed { holder, target, .. }
+            | TaskPhase::Orphaned { holder, target, .. }
+                if state.run == run =>
+            {
+                Some((holder, target))
+            }
             _ => None,
         }
     }
@@ -192,30 +202,31 @@
             return;
         };
         let target = self.registry.intern(&notice.target);
-        if let TaskPhase::Placed {
-            holder,
-            target: place,
-            started,
-            ..
-        } = &mut self.jobs.task_mut(task).phase
-            && *holder == from
-        {
-            *place = target;
-            *started = true;
+        let place = self.place_of(task, notice.run.run);
+        if place.is_some_and(|(holder, _)| holder == from) {
+            let phase = TaskPhase::Placed {
+                holder: from,
+                target,
+                asked_at: self.now(),
+                started: true,
+            };
+            let now = self.now();
+            self.jobs.set_phase(now, task, phase);
         }
     }
 
     /// A holder has certainly not started a task.
-    pub(super) fn receive_refusal(&mut self, from: VmIndex, name: TaskName, refusal: PlaceRefusal) {
-        let Some(task) = self.jobs.find_task(&name) else {
+    pub(super) fn receive_refusal(&mut self, from: VmIndex, run: RunName, refusal: PlaceRefusal) {
+        let Some(task) = self.jobs.find_task(&run.task) else {
             return;
         };
-        let Some((holder, target)) = self.placed_at(task).filter(|(vm, _)| *vm == from) else {
+        let place = self.place_of(task, run.run);
+        let Some((holder, target)) = place.filter(|(vm, _)| *vm == from) else {
             return;
         };
         self.counters.tasks_refused += 1;
         self.notice(FleetNotice::PlaceRefused {
-            task: name,
+            task: run.task,
             holder: self.vms.name(holder).clone(),
             refusal,
         });
@@ -245,10 +256,8 @@
         let Some(task) = self.jobs.find_task(&notice.run.task) else {
             return;
         };
-        let placed = self
-            .placed_at(task)
-            .is_some_and(|(holder, _)| holder == from);
-        if placed && self.jobs.task(task).run == notice.run.run {
+        let place = self.place_of(task, notice.run.run);
+        if place.is_some_and(|(holder, _)| holder == from) {
             self.apply_end(task, notice);
         }
     }
@@ -259,13 +268,10 @@
         let Some(task) = self.jobs.find_task(&notice.run.task) else {
             return;
         };
-        let state = self.jobs.task(task);
-        let place = match state.phase {
-            TaskPhase::Placed { target, .. } | TaskPhase::Orphaned { target, .. } => target,
-            _ => return,
-        };
-        let same_target = self.registry.find(&notice.target) == Some(place);
-        if same_target && state.run == notice.run.run {
+        let place = self
+            .place_of(task, notice.run.run)
+            .map(|(_, target)| target);
+        if place.is_some() && place == self.registry.find(&notice.target) {
             self.apply_end(task, notice);
         }
     }
@@ -317,33 +323,53 @@
     /// The holder of these runs does not hold their target any more.
     pub(super) fn receive_release(&mut self, from: VmIndex, target: &TargetName, runs: &[RunName]) {
         let target = self.registry.intern(target);
+        let over_at = self.lapse_after(self.now());
         for run in runs {
             let Some(task) = self.jobs.find_task(&run.task) else {
                 continue;
             };
-            if self.placed_at(task).is_some_and(|(vm, _)| vm == from) {
-                self.orphan_task(task, target);
+            let place = self.place_of(task, run.run);
+            if place.is_some_and(|(holder, _)| holder == from) {
+                self.orphan_task(task, from, target, over_at);
             }
         }
     }
 
-    /// All tasks that a lost holder was asked to run may still be running, until their leases end.
-    pub(super) fn orphan_holder(&mut self, holder: VmIndex) {
+    /// All tasks that a lost holder was asked to run may still be running. If the holder lives, it
+    /// renews their leases until it notices that it does not hear this VM. It may be paused then and
+    /// not stop them, so that only the lapse of the last lease is certain.
+    pub(super) fn orphan_holder(&mut self, holder: VmIndex, heard: TimePoint) {
+        let noticed = heard + self.settings.links.lost_after + NOTICE_MARGIN;
+        let over_at = self.lapse_after(noticed.min(self.now() + NOTICE_MARGIN));
         let placed = self.jobs.placed();
         let lost = placed
             .filter(|(_, vm, _)| *vm == holder)
             .map(|(task, _, target)| (task, target))
             .collect::<Vec<_>>();
         for (task, target) in lost {
-            self.orphan_task(task, target);
+            self.orphan_task(task, holder, target, over_at);
         }
     }
 
-    fn orphan_task(&mut self, task: TaskRef, target: TargetIndex) {
-        let now = self.now();
+    /// When a run has certainly lapsed whose lease was not renewed after `renewed`.
+    fn lapse_after(&self, renewed: TimePoint) -> TimePoint {
         let lease = self.settings.held.lease;
-        let over_at = now + lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN;
-        let phase = TaskPhase::Orphaned { target, over_at };
+        renewed + lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN
+    }
+
+    fn orphan_task(
+        &mut self,
+        task: TaskRef,
+        holder: VmIndex,
+        target: TargetIndex,
+        over_at: TimePoint,
+    ) {
+        let now = self.now();
+        let phase = TaskPhase::Orphaned {
+            holder,
+            target,
+            over_at,
+        };
         self.jobs.set_phase(now, task, phase);
         self.timers.subscribe(over_at, TimerTopic::OrphanOver(task));
     }
@@ -373,12 +399,8 @@
         holder: VmIndex,
     ) -> bool {
         let now = self.now();
-        let state = self.jobs.task(task);
-        let place = match state.phase {
-            TaskPhase::Placed { target, .. } | TaskPhase::Orphaned { target, .. } => target,
-            _ => return false,
-        };
-        if state.run != run || place != target {
+        let place = self.place_of(task, run);
+        if place.is_none_or(|(_, place)| place != target) {
             return false;
         }
         let phase = TaskPhase::Placed {
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod placement;
 mod settings;
+mod takeover;
 mod view;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -31,6 +32,7 @@
 use crate::held::HeldTarget;
 use crate::home::{JobTable, TaskRef};
 use crate::link::PeerLink;
+use crate::reach::ZoneReach;
 use crate::registry::TargetRegistry;
 
 pub use self::event::{FleetAction, FleetEvent, FleetNotice};
@@ -72,6 +74,10 @@
     /// The VM that should hold each target.
     desired: TiVec<TargetIndex, Option<VmIndex>>,
     ownership_changed: bool,
+    /// The VM that was last known to hold each target.
+    last_holders: BTreeMap<TargetIndex, VmIndex>,
+    /// Whether the targets of each availability zone can be reached.
+    zone_reach: BTreeMap<ZoneName, ZoneReach>,
     /// When another holder was found on a target, and the token that was refused.
     fenced: BTreeMap<TargetIndex, (TimePoint, FencingToken)>,
     last_token: FencingToken,
@@ -114,6 +120,8 @@
             holdings_version: 0,
             desired: TiVec::new(),
             ownership_changed: true,
+            last_holders: BTreeMap::new(),
+            zone_reach: BTreeMap::new(),
             fenced: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
@@ -171,6 +179,7 @@
                 number,
                 answer,
             } => self.receive_look(target, token, number, answer),
+            FleetEvent::ProbeAnswered { target, reached } => self.receive_probe(target, reached),
             FleetEvent::DrainStarted => self.start_draining(),
             FleetEvent::DrainExpired => self.give_up_all(),
             FleetEvent::TimeAdvanced => {}
@@ -198,6 +207,9 @@
         if self.offers.expire(self.clock.time) {
             self.room_changed = true;
         }
+        let now = self.clock.time;
+        let mut reaches = self.zone_reach.values().filter_map(ZoneReach::next_due);
+        self.ownership_changed |= reaches.any(|due| due <= now);
         self.advance_held();
     }
 
@@ -236,7 +248,18 @@
             .flat_map(|link| [link.beat_due(), link.judge_due()])
             .flatten()
             .min();
-        let dues = [self.timers.next_due(), self.offers.next_due(), held, links];
+        let reach = self
+            .zone_reach
+            .values()
+            .filter_map(ZoneReach::next_due)
+            .min();
+        let dues = [
+            self.timers.next_due(),
+            self.offers.next_due(),
+            held,
+            links,
+            reach,
+        ];
         dues.into_iter().flatten().min()
     }
 
@@ -269,9 +292,9 @@
         for held in self.held.values_mut() {
             held.reconfirm(now);
         }
-        for link in self.links.iter_mut().flatten() {
-            link.excuse(now);
-        }
+        // The peers have judged this VM by the same time: what it did for those that have given it up
+        // must not be renewed.
+        self.judge_peers();
         self.room_changed = true;
     }
 }
--- a/crates/fleet/src/engine/orders.rs
+++ b/crates/fleet/src/engine/orders.rs
@@ -32,7 +32,11 @@
                 false => self.run_task(home, &request, order),
             };
             if let Err(refusal) = refusal {
-                self.report_refusal(order.task, Some(home), refusal);
+                let run = RunName {
+                    task: order.task,
+                    run: order.run,
+                };
+                self.report_refusal(run, Some(home), refusal);
             }
         }
     }
@@ -112,12 +116,12 @@
 
     pub(super) fn report_refusal(
         &mut self,
-        task: TaskName,
+        run: RunName,
         home: Option<VmIndex>,
         refusal: PlaceRefusal,
     ) {
         if let Some(home) = home {
-            self.send(home, FleetMessage::Refused { task, refusal });
+            self.send(home, FleetMessage::Refused { run, refusal });
         }
     }
 
@@ -194,7 +198,7 @@
                 self.note_start_refusal(target, name, home, refusal);
             }
             StartOutcome::NotSent => {
-                self.report_refusal(name.task, home, PlaceRefusal::NeverStarted);
+                self.report_refusal(name, home, PlaceRefusal::NeverStarted);
                 self.room_changed = true;
             }
             StartOutcome::Uncertain => {
@@ -223,7 +227,7 @@
             StartRefusal::OldRun => PlaceRefusal::OldRun,
             _ => PlaceRefusal::RefusedByTarget,
         };
-        self.report_refusal(name.task, home, reply);
+        self.report_refusal(name, home, reply);
         let Some(held) = self.held.get_mut(&target) else {
             return;
         };
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -4,8 +4,8 @@
 
 use filbertpitch_dispatch::entity::VmIndex;
 use filbertpitch_types::fleet::{
-    DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState,
-    RoomReport,
+    DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity, PeerReceipt,
+    PeerSighting, PeerState, RoomReport,
 };
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
@@ -48,10 +48,13 @@
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
         }
         if news.dropped {
-            self.drop_peer_work(peer);
+            // Requests that were sent since may be carried out all the same.
+            let now = self.now();
+            self.drop_peer_work(peer, now);
         }
         if news.changed {
             self.ownership_changed = true;
+            self.note_holders(peer);
         }
         for message in news.messages {
             self.inbox.push_back((peer, message));
@@ -69,18 +72,19 @@
         peer
     }
 
-    pub(super) fn find_peers(&mut self, peers: Vec<PeerIdentity>) {
+    pub(super) fn find_peers(&mut self, peers: Vec<PeerSighting>) {
         let now = self.now();
         self.peers_listed = true;
         self.ownership_changed = true;
-        for identity in peers {
+        for PeerSighting { identity, mark } in peers {
             if identity.vm == self.identity.vm {
                 continue;
             }
             let peer = self.intern_peer(&identity);
             let link = self.links[peer].as_mut().expect("the peer was interned");
+            link.note_mark(mark, now);
             if link.note_identity(&identity, now) {
-                self.drop_peer_work(peer);
+                self.drop_peer_work(peer, now);
                 self.ownership_changed = true;
             }
         }
@@ -132,23 +136,27 @@
         let Some(link) = &self.links[peer] else {
             return;
         };
-        let quiet = self.now().since(link.last_heard());
+        let now = self.now();
+        // A process that has ended may have lived until now.
+        let heard = if refused { now } else { link.last_heard() };
+        let quiet = now.since(link.last_heard());
         let name = self.vms.name(peer).clone();
         self.notice(FleetNotice::PeerLost {
             peer: name,
             quiet,
             refused,
         });
-        self.drop_peer_work(peer);
+        self.drop_peer_work(peer, heard);
         self.ownership_changed = true;
     }
 
-    /// Ends what this VM does for a peer, and what it believes that the peer does for it.
-    fn drop_peer_work(&mut self, peer: VmIndex) {
+    /// Ends what this VM does for a peer, and what it believes that the peer does for it. The peer
+    /// was alive for certain at `heard`.
+    fn drop_peer_work(&mut self, peer: VmIndex, heard: TimePoint) {
         self.inbox.retain(|(from, _)| *from != peer);
         self.offers.drop_home(peer);
         self.stop_runs_of(peer);
-        self.orphan_holder(peer);
+        self.orphan_holder(peer, heard);
         self.room_changed = true;
     }
 
@@ -186,7 +194,7 @@
             } => self.receive_offer(from, offer, &target, room),
             FleetMessage::Decline(offer) => self.receive_decline(from, offer),
             FleetMessage::Started(notice) => self.receive_started(from, &notice),
-            FleetMessage::Refused { task, refusal } => self.receive_refusal(from, task, refusal),
+            FleetMessage::Refused { run, refusal } => self.receive_refusal(from, run, refusal),
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
             FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -17,6 +17,8 @@
     /// How long a new process waits for VMs that it knows of and does not hear before it claims
     /// targets that they may hold.
     pub start_patience: Duration,
+    /// How long after the loss of a peer this VM makes itself known in the platform's store.
+    pub witness_time: Duration,
     /// How long a target is left to another holder that was found there.
     pub fence_pause: Duration,
     /// How long homes may take to say whether they want runs that were found.
@@ -44,6 +46,7 @@
             links: LinkSettings::default(),
             review_interval: Duration::from_millis(100),
             start_patience: Duration::from_millis(400),
+            witness_time: Duration::from_secs(20),
             fence_pause: Duration::from_millis(1500),
             audit_time: Duration::from_millis(60),
             unlisted_grace: Duration::from_millis(2500),
--- /dev/null
+++ b/crates/fleet/src/engine/takeover.rs
@@ -0,0 +1,148 @@
+//! When targets are claimed whose holder is silent.
+//!
+//! A silent VM may be dead, or cut off from this VM and still at work. It is taken to be dead when
+//! nothing listens at its address, or when it does not make itself known in the platform's store
+//! while the targets of the zone answer.
+
+use std::collections::BTreeMap;
+
+use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
+use filbertpitch_types::fleet::PeerState;
+use filbertpitch_types::prelude::*;
+
+use super::{FleetAction, FleetEngine};
+use crate::link::{LinkPhase, PeerLink};
+
+impl FleetEngine {
+    /// Claims the targets that this VM should hold and no other VM holds.
+    pub(super) fn claim_targets(&mut self) {
+        let wanted = match self.state == PeerState::Ready && !self.awaits_peers() {
+            true => self.wanted_targets(),
+            false => Vec::new(),
+        };
+        let suspects = self.links.iter().flatten().any(PeerLink::is_suspect);
+        if !suspects {
+            self.zone_reach.clear();
+            for target in wanted {
+                self.claim_target(target);
+            }
+            return;
+        }
+        let mut zones = BTreeMap::<ZoneName, Vec<TargetIndex>>::new();
+        for target in wanted {
+            if let Some(entry) = self.registry.entry(target) {
+                zones.entry(entry.zone.clone()).or_default().push(target);
+            }
+        }
+        self.zone_reach.retain(|zone, _| zones.contains_key(zone));
+        let now = self.now();
+        for (zone, targets) in zones {
+            let reach = self.zone_reach.entry(zone).or_default();
+            if reach.is_proved(now) {
+                for target in targets {
+                    self.claim_target(target);
+                }
+            } else if let Some(target) = reach.plan(now, &targets) {
+                self.probe(target);
+            }
+        }
+    }
+
+    /// The targets that this VM should hold, that nobody holds, and that no silent VM may be
+    /// holding.
+    fn wanted_targets(&self) -> Vec<TargetIndex> {
+        let now = self.now();
+        let own = self.own();
+        let wanted = self.desired.iter_enumerated();
+        let wanted = wanted.filter(|(target, desired)| {
+            let paused = self
+                .fenced
+                .get(target)
+                .is_some_and(|(at, _)| now.since(*at) < self.settings.fence_pause);
+            **desired == Some(own)
+                && !paused
+                && !self.held.contains_key(target)
+                && self.registry.is_ready(*target)
+                && !self.is_held_by_peer(*target)
+                && !self.is_kept_elsewhere(*target)
+        });
+        wanted.map(|(target, _)| target).collect()
+    }
+
+    pub(super) fn is_held_by_peer(&self, target: TargetIndex) -> bool {
+        let links = self.links.iter().flatten();
+        let mut present =
+            links.filter(|link| matches!(link.phase(), LinkPhase::Live | LinkPhase::Silent));
+        present.any(|link| link.holdings().iter().any(|it| it.target == target))
+    }
+
+    /// Whether a VM that is not heard, but alive by the platform's store, may hold the target.
+    fn is_kept_elsewhere(&self, target: TargetIndex) -> bool {
+        let now = self.now();
+        let zone = self.registry.entry(target).map(|entry| &entry.zone);
+        let holder = self.last_holders.get(&target);
+        let mut alive = self.links.iter_enumerated().filter(|(_, link)| {
+            let link = link.as_ref();
+            link.is_some_and(|link| link.is_alive_elsewhere(now))
+        });
+        alive.any(|(vm, link)| match holder {
+            Some(holder) => *holder == vm,
+            None => link.as_ref().map(|link| &link.identity().zone) == zone,
+        })
+    }
+
+    /// Whether VMs that were not heard yet may hold targets. A process that has just started waits
+    /// for the list of VMs and for those on it for a while; those that live answer in milliseconds.
+    fn awaits_peers(&self) -> bool {
+        let fresh = self.now().since(self.started_at) < self.settings.start_patience;
+        let mut links = self.links.iter().flatten();
+        let unheard = links.any(|link| matches!(link.phase(), LinkPhase::Unheard { .. }));
+        fresh && (unheard || !self.peers_listed)
+    }
+
+    fn probe(&mut self, target: TargetIndex) {
+        let Some(address) = self.registry.address(target) else {
+            return;
+        };
+        self.counters.probes_sent += 1;
+        self.actions.push(FleetAction::Probe {
+            target,
+            name: self.registry.name(target).clone(),
+            address,
+        });
+    }
+
+    pub(super) fn receive_probe(&mut self, target: TargetIndex, reached: bool) {
+        let now = self.now();
+        let Some(entry) = self.registry.entry(target) else {
+            return;
+        };
+        if let Some(reach) = self.zone_reach.get_mut(&entry.zone) {
+            reach.answered(now, target, reached);
+            self.ownership_changed = true;
+        }
+    }
+
+    /// Remembers who holds which target, for the time when a holder falls silent.
+    pub(super) fn note_holders(&mut self, peer: VmIndex) {
+        let Some(link) = &self.links[peer] else {
+            return;
+        };
+        for holding in link.holdings() {
+            self.last_holders.insert(holding.target, peer);
+        }
+    }
+
+    /// Whether this VM should make itself known in the platform's store, because others may not
+    /// hear it.
+    pub fn wants_witness(&self) -> bool {
+        let mut links = self.links.iter().flatten();
+        links.any(|link| match link.phase() {
+            LinkPhase::Silent => true,
+            LinkPhase::Lost { since, dead } => {
+                !dead && self.now().since(since) < self.settings.witness_time
+            }
+            LinkPhase::Live | LinkPhase::Unheard { .. } => false,
+        })
+    }
+}
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -34,6 +34,8 @@
     pub looks_sent: u64,
     /// Looks without an answer.
     pub looks_lost: u64,
+    /// Probes of targets of other VMs.
+    pub probes_sent: u64,
     /// Runs that were done.
     pub runs_done: u64,
     /// Runs that have ended otherwise.
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -51,6 +51,8 @@
     },
     /// Its holder was lost. It may still be running.
     Orphaned {
+        /// The holder.
+        holder: VmIndex,
         /// Where it ran.
         target: TargetIndex,
         /// When it has certainly ended.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod home;
 pub mod ledger;
 pub mod link;
+pub mod reach;
 pub mod registry;
 pub mod verdict;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -20,7 +20,7 @@
 pub struct LinkSettings {
     /// The longest time without an envelope to a peer.
     pub beat_interval: Duration,
-    /// The time between envelopes to a peer that was given up.
+    /// The time between envelopes to a peer that was given up long ago.
     pub lost_interval: Duration,
     /// The time without an envelope from a peer after which it gets no work.
     pub silent_after: Duration,
@@ -58,6 +58,8 @@
     Lost {
         /// When.
         since: TimePoint,
+        /// Whether it is certain that its process has ended.
+        dead: bool,
     },
 }
 
@@ -115,10 +117,20 @@
     last_sent: Option<TimePoint>,
     sent_demand: u32,
     confirmed_holdings: Option<u32>,
+    /// The peer's mark in the platform's store, and when it rose.
+    mark: Option<u64>,
+    marked_at: Option<TimePoint>,
     /// Whether an envelope is wanted although no message waits.
     hurried: bool,
 }
 
+/// How long a peer that was given up is contacted as often as before, so that the end of a cut is
+/// noticed at once.
+const RECENT_LOSS: Duration = Duration::from_secs(10);
+
+/// How long a peer that makes itself known in the platform's store counts as alive.
+const SIGHTING_LIFE: Duration = Duration::from_millis(1800);
+
 /// How many former processes of a VM are remembered, to ignore what they sent last.
 const FORMER_LIMIT: usize = 8;
 
@@ -146,6 +158,8 @@
             last_sent: None,
             sent_demand: 0,
             confirmed_holdings: None,
+            mark: None,
+            marked_at: None,
             hurried: false,
         }
     }
@@ -259,6 +273,31 @@
         true
     }
 
+    /// Takes over the peer's mark in the platform's store.
+    pub fn note_mark(&mut self, mark: u64, now: TimePoint) {
+        if self.mark.is_some_and(|former| mark > former) {
+            self.marked_at = Some(now);
+        }
+        self.mark = Some(mark);
+    }
+
+    /// Whether the peer may be alive although it is not heard.
+    pub fn is_suspect(&self) -> bool {
+        match self.phase {
+            LinkPhase::Unheard { .. } | LinkPhase::Silent => true,
+            LinkPhase::Live => false,
+            LinkPhase::Lost { dead, .. } => !dead,
+        }
+    }
+
+    /// Whether the peer is alive by its marks in the platform's store, although it is not heard.
+    pub fn is_alive_elsewhere(&self, now: TimePoint) -> bool {
+        let recent = self
+            .marked_at
+            .is_some_and(|at| now.since(at) < SIGHTING_LIFE);
+        self.is_suspect() && recent
+    }
+
     /// Whether an envelope comes from a process that has been replaced.
     pub fn is_former(&self, incarnation: IncarnationId) -> bool {
         self.former.contains(&incarnation)
@@ -275,15 +314,20 @@
             self.replace(&envelope.from);
             self.phase = LinkPhase::Unheard { since: now };
         }
+        // An envelope that was held up on its way says little about now.
+        let age = self.delays.age(envelope.sent_at, now);
         self.delays.observe(envelope.sent_at, now);
         if envelope.losses > self.their_losses {
             self.their_losses = envelope.losses;
             news.dropped = true;
             self.open_requests.clear();
         }
-        news.appeared = !self.is_live();
-        self.phase = LinkPhase::Live;
-        self.last_heard = now;
+        let heard = now - age;
+        if age < self.settings.silent_after {
+            news.appeared = !self.is_live();
+            self.phase = LinkPhase::Live;
+        }
+        self.last_heard = self.last_heard.max(heard);
         news.changed = news.appeared || news.dropped || envelope.state != self.state;
         self.state = envelope.state;
         self.demand = envelope.demand;
@@ -370,7 +414,9 @@
 
     fn interval(&self) -> Duration {
         match self.phase {
-            LinkPhase::Lost { .. } => self.settings.lost_interval,
+            LinkPhase::Lost { since, .. } if self.last_sent > Some(since + RECENT_LOSS) => {
+                self.settings.lost_interval
+            }
             _ => self.settings.beat_interval,
         }
     }
@@ -436,25 +482,19 @@
         self.in_flight = false;
     }
 
-    /// Starts the wait for a peer anew, because this process could not hear it.
-    pub fn excuse(&mut self, now: TimePoint) {
-        match &mut self.phase {
-            LinkPhase::Unheard { since } => *since = now,
-            LinkPhase::Live | LinkPhase::Silent => self.last_heard = now,
-            LinkPhase::Lost { .. } => {}
-        }
-    }
-
     /// Gives the peer up when nothing was heard for too long, or at once when `refused` says that
     /// nothing listens there. Returns whether it was given up now.
     pub fn judge(&mut self, now: TimePoint, refused: bool) -> bool {
-        let quiet = match self.phase {
-            LinkPhase::Lost { .. } => return false,
-            LinkPhase::Unheard { since } => now.since(since),
+        let quiet = match &mut self.phase {
+            LinkPhase::Lost { dead, .. } => {
+                *dead |= refused;
+                return false;
+            }
+            LinkPhase::Unheard { since } => now.since(*since),
             LinkPhase::Live | LinkPhase::Silent => now.since(self.last_heard),
         };
         if refused || quiet >= self.settings.lost_after {
-            self.give_up(now);
+            self.give_up(now, refused);
             return true;
         }
         if self.is_live() && quiet >= self.settings.silent_after {
@@ -463,8 +503,8 @@
         false
     }
 
-    fn give_up(&mut self, now: TimePoint) {
-        self.phase = LinkPhase::Lost { since: now };
+    fn give_up(&mut self, now: TimePoint, dead: bool) {
+        self.phase = LinkPhase::Lost { since: now, dead };
         self.own_losses += 1;
         self.first_message += self.outbox.len() as u64;
         self.outbox.clear();
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -29,7 +29,7 @@
     let target = fleet.rng.random_range(0..fleet.targets.len());
     let millis = fleet.rng.random_range(50..4000);
     let duration = Duration::from_millis(millis);
-    match fleet.rng.random_range(0..15) {
+    match fleet.rng.random_range(0..17) {
         0 => fleet.kill_vm(vm, duration, false),
         1 => fleet.kill_vm(vm, duration, true),
         2 => fleet.freeze_vm(vm, duration),
@@ -66,6 +66,11 @@
                 fleet.kill_vm(vm, Duration::from_millis(500) + spread, dark);
             }
         }
+        14 => {
+            let zone = fleet.zone_of(vm).clone();
+            fleet.cut_zone(&zone);
+        }
+        15 => fleet.cut_store(vm, true),
         _ => repair(fleet),
     }
 }
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -13,7 +13,7 @@
 };
 use filbertpitch_fleet::held::LookPlan;
 use filbertpitch_types::fleet::{
-    FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, QueueSpec,
+    FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, PeerSighting, QueueSpec,
     ServicePolicy, TargetEntry, TargetNotice, TargetState,
 };
 use filbertpitch_types::lease::{LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder};
@@ -79,6 +79,7 @@
     Start(usize),
     Thaw(usize),
     Listing(usize, u64),
+    Store(usize, u64),
     Envelope {
         call: u64,
         from: usize,
@@ -196,6 +197,10 @@
     looks: Vec<WaitingLook>,
     vm_cuts: HashSet<(usize, usize)>,
     target_cuts: HashSet<(usize, usize)>,
+    store_cuts: HashSet<usize>,
+    /// The life and the mark under which each VM is known in the store.
+    marks: BTreeMap<usize, (u64, u64)>,
+    next_mark: u64,
     next_caller: u64,
     next_job: u64,
     /// What targets were told lately, for failures.
@@ -269,6 +274,9 @@
             looks: Vec::new(),
             vm_cuts: HashSet::new(),
             target_cuts: HashSet::new(),
+            store_cuts: HashSet::new(),
+            marks: BTreeMap::new(),
+            next_mark: 0,
             next_caller: 0,
             next_job: 1,
             history: VecDeque::new(),
@@ -429,10 +437,29 @@
         }
     }
 
+    /// Cuts a zone off from the other zones and from the store.
+    pub fn cut_zone(&mut self, zone: &ZoneName) {
+        for vm in 0..self.vms.len() {
+            let inside = self.vms[vm].zone == *zone;
+            self.cut_store(vm, inside);
+            for other in 0..self.vms.len() {
+                if inside != (self.vms[other].zone == *zone) {
+                    self.cut_vms(vm, other, true);
+                }
+            }
+            for target in 0..self.targets.len() {
+                if inside != (self.targets[target].zone == *zone) {
+                    self.cut_target(vm, target, true);
+                }
+            }
+        }
+    }
+
     /// Heals all cuts.
     pub fn heal(&mut self) {
         self.vm_cuts.clear();
         self.target_cuts.clear();
+        self.store_cuts.clear();
     }
 
     fn delay(&mut self, same_zone: bool) -> u64 {
@@ -494,6 +521,7 @@
                 }
             }
             Happening::Listing(vm, life) => self.list_targets(vm, life),
+            Happening::Store(vm, life) => self.visit_store(vm, life),
             Happening::Envelope {
                 call,
                 from,
@@ -574,7 +602,7 @@
         state.life += 1;
         state.dark = false;
         state.known = vec![false; self.targets.len()];
-        let incarnation = IncarnationId((vm as u64) << 32 | state.life << 12 | vm as u64);
+        let incarnation = incarnation_of(vm, state.life);
         let identity = identity_of(vm, state, incarnation);
         state.engine = Some(FleetEngine::new(
             self.options.settings.clone(),
@@ -582,20 +610,53 @@
             clock,
             incarnation.0,
         ));
-        let peers = self.vms.iter().enumerate().map(|(other, state)| {
-            let incarnation = IncarnationId((other as u64) << 32 | state.life << 12 | other as u64);
-            identity_of(other, state, incarnation)
-        });
-        let peers = peers.filter(|peer| peer.incarnation.0 >> 12 & 0xf_ffff > 0);
-        let peers = peers.collect();
-        self.feed(vm, FleetEvent::PeersFound(peers));
+        let life = self.vms[vm].life;
+        self.visit_store(vm, life);
         let configuration = Rc::clone(&self.configuration);
         self.feed(vm, FleetEvent::Configured(configuration));
-        let life = self.vms[vm].life;
         self.list_targets(vm, life);
         self.feed(vm, FleetEvent::TargetsListed);
     }
 
+    /// A VM makes itself known in the store if it must, and reads who else is known there.
+    fn visit_store(&mut self, vm: usize, life: u64) {
+        if self.vms[vm].life != life || self.vms[vm].engine.is_none() {
+            return;
+        }
+        let alarmed = self.engine(vm).wants_witness();
+        if !self.store_cuts.contains(&vm) {
+            let known = self.marks.get(&vm).is_some_and(|(known, _)| *known == life);
+            if alarmed || !known {
+                self.next_mark += 1;
+                self.marks.insert(vm, (life, self.next_mark));
+            }
+            let sightings = self.marks.iter().map(|(other, (life, mark))| {
+                let incarnation = incarnation_of(*other, *life);
+                PeerSighting {
+                    identity: identity_of(*other, &self.vms[*other], incarnation),
+                    mark: *mark,
+                }
+            });
+            let sightings = sightings.collect();
+            self.feed(vm, FleetEvent::PeersFound(sightings));
+        }
+        let pause = if alarmed { 400_000 } else { 3_000_000 };
+        self.schedule(self.now + pause, Happening::Store(vm, life));
+    }
+
+    /// Cuts a VM off from the store, or lets it reach the store again.
+    pub fn cut_store(&mut self, vm: usize, cut: bool) {
+        match cut {
+            true => self.store_cuts.insert(vm),
+            false => self.store_cuts.remove(&vm),
+        };
+    }
+
+    /// The availability zone of a VM, by its position.
+    pub fn zone_of(&self, vm: usize) -> &ZoneName {
+        &self.vms[vm].zone
+    }
+
     fn list_targets(&mut self, vm: usize, life: u64) {
         if self.vms[vm].life != life || self.vms[vm].engine.is_none() {
             return;
@@ -762,6 +823,24 @@
                     },
                 );
             }
+            FleetAction::Probe {
+                target: index,
+                name,
+                ..
+            } => {
+                let target = self.find_target(&name);
+                let call = self.open_call(vm);
+                let reached = self.reaches(vm, target);
+                let at = match reached {
+                    true => self.now + 2 * self.target_delay(vm, target),
+                    false => self.now + 200_000,
+                };
+                let event = FleetEvent::ProbeAnswered {
+                    target: index,
+                    reached,
+                };
+                self.schedule_answer(at, call, vm, event);
+            }
             FleetAction::Disconnect(_) => {}
             FleetAction::Notice(notice) => self.notices.push((self.now, vm, notice)),
         }
@@ -1108,6 +1187,10 @@
     }
 }
 
+fn incarnation_of(vm: usize, life: u64) -> IncarnationId {
+    IncarnationId((vm as u64) << 32 | life << 12 | vm as u64)
+}
+
 fn call_life(call: u64) -> u64 {
     call >> 40
 }
@@ -1115,7 +1198,7 @@
 /// The VM whose process must run for an event to happen.
 fn acting_vm(what: &Happening) -> Option<usize> {
     match what {
-        Happening::Wake(vm, _) | Happening::Listing(vm, _) => Some(*vm),
+        Happening::Wake(vm, _) | Happening::Listing(vm, _) | Happening::Store(vm, _) => Some(*vm),
         Happening::Envelope { to, .. } => Some(*to),
         Happening::Receipt { from, .. } | Happening::EnvelopeLost { from, .. } => Some(*from),
         Happening::Answer { vm, .. } => Some(*vm),
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -214,6 +214,15 @@
     pub zone: ZoneName,
 }
 
+/// An entry VM as the platform's store knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSighting {
+    /// The VM.
+    pub identity: PeerIdentity,
+    /// Rises each time the VM makes itself known.
+    pub mark: u64,
+}
+
 /// Where an entry VM is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -369,8 +378,8 @@
     Started(RunNotice),
     /// From a holder to a home.
     Refused {
-        /// The task.
-        task: TaskName,
+        /// The run that was not started.
+        run: RunName,
         /// Why.
         refusal: PlaceRefusal,
     },
