Forget removed VMs, and let jobs wait while targets get holders

Ruled out: slow processes; they were ready 20 ms after their start. Change: VMs renew their records, and old records of VMs that are not heard are ignored; probes start at once; for 1.5 s after a change of the VMs, targets without a holder count as capacity.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -14,7 +14,7 @@
     KeyedRecord, OPERATOR_TOPIC, ReadAnswer, StoreError, TARGET_TOPIC, VM_TOPIC, decode_value,
     encode_value,
 };
-use filbertpitch_types::fleet::{PeerIdentity, PeerSighting, TargetNotice};
+use filbertpitch_types::fleet::{PeerRecord, PeerSighting, TargetNotice};
 use filbertpitch_types::prelude::*;
 use slog::b;
 
@@ -32,6 +32,9 @@
 /// The time between reads of the list of entry VMs. New VMs make themselves known directly.
 const VM_INTERVAL: Duration = Duration::from_secs(3);
 
+/// The time between renewals of this VM's record.
+const RECORD_INTERVAL: Duration = Duration::from_secs(9);
+
 /// The time between reads and announcements while some VM is not heard.
 const WITNESS_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -196,16 +199,20 @@
     pub(super) async fn follow_vms(self: Rc<Self>) {
         let mut state = TopicState::new(VM_TOPIC);
         let mut announced = false;
+        let mut written_at = TimePoint(0);
         loop {
             let witness = self.driver().inspect(FleetEngine::wants_witness);
-            if witness || !announced {
-                announced = self.announce(&mut state).await;
+            let now = self.driver().now();
+            if witness || !announced || now.time.since(written_at) >= RECORD_INTERVAL {
+                announced = self.announce(&mut state, now.wall).await;
+                written_at = now.time;
             }
             match self.store().newest(VM_TOPIC).await {
                 Ok(newest) => {
                     state.note(&self, None);
                     let peers = read_sightings(&newest.records);
-                    announced &= peers.iter().any(|peer| peer.identity == *self.identity());
+                    let own = |peer: &PeerSighting| peer.record.identity == *self.identity();
+                    announced &= peers.iter().any(own);
                     self.driver().feed(FleetEvent::PeersFound(peers));
                 }
                 Err(error) => state.note(&self, Some(&error)),
@@ -228,12 +235,15 @@
         }
     }
 
-    async fn announce(&self, state: &mut TopicState) -> bool {
-        let identity = self.identity();
-        let Some(value) = encode_value(identity) else {
+    async fn announce(&self, state: &mut TopicState, written_at: WallTime) -> bool {
+        let record = PeerRecord {
+            identity: self.identity().clone(),
+            written_at,
+        };
+        let Some(value) = encode_value(&record) else {
             return false;
         };
-        let key = identity.vm.as_str();
+        let key = record.identity.vm.as_str();
         match self.store().publish(VM_TOPIC, key, &value).await {
             Ok(()) => true,
             Err(error) => {
@@ -247,9 +257,8 @@
 /// Reads the records of entry VMs. A damaged record names none.
 fn read_sightings(records: &[KeyedRecord]) -> Vec<PeerSighting> {
     let sightings = records.iter().filter_map(|record| {
-        let identity = decode_value::<PeerIdentity>(record.value.as_ref()?)?;
         Some(PeerSighting {
-            identity,
+            record: decode_value::<PeerRecord>(record.value.as_ref()?)?,
             mark: record.offset.0,
         })
     });
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::KindIndex;
-use filbertpitch_types::fleet::{JobOrder, PeerState, QueueSpec, RejectReason, StepOrder};
+use filbertpitch_types::fleet::{
+    JobOrder, PeerState, QueueSpec, RejectReason, StepOrder, TargetEntry,
+};
 use rand::Rng;
 
 use super::FleetEngine;
@@ -136,18 +138,26 @@
         Duration::from_secs_f64(waiting as f64 / cores / 1000.0)
     }
 
-    /// The cores of all targets that some VM holds.
+    /// The cores of all targets that some VM holds. While VMs come and go, targets without a holder
+    /// will have one within moments.
     fn usable_cores(&self) -> f64 {
-        let peers = self.links.iter().flatten().filter(|link| link.is_live());
-        let peers = peers.flat_map(|link| link.holdings().iter().map(|it| it.target));
-        let held = self.held.keys().copied().chain(peers);
-        let entries = held.filter_map(|target| self.registry.entry(target));
-        let millis = entries
-            .map(|entry| u64::from(entry.capacity.cpu.0))
-            .sum::<u64>();
+        let cores = |entry: &TargetEntry| u64::from(entry.capacity.cpu.0);
+        let millis = if self.is_settling() {
+            self.registry.listed().map(|(_, entry)| cores(entry)).sum()
+        } else {
+            let peers = self.links.iter().flatten().filter(|link| link.is_live());
+            let peers = peers.flat_map(|link| link.holdings().iter().map(|it| it.target));
+            let held = self.held.keys().copied().chain(peers);
+            let entries = held.filter_map(|target| self.registry.entry(target));
+            entries.map(cores).sum::<u64>()
+        };
         millis as f64 / 1000.0 * self.settings.usable_share
     }
 
+    fn is_settling(&self) -> bool {
+        self.now().since(self.unsettled_at) < self.settings.settling_time
+    }
+
     /// When a rejected client may return; spread, so that clients that were rejected together do
     /// not return together.
     pub(super) fn retry_hint(&mut self, wait: Duration) -> Duration {
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -49,6 +49,7 @@
         let complete = self.targets_listed && self.catalog.version().is_some();
         if self.state == PeerState::Starting && complete {
             self.state = PeerState::Ready;
+            self.unsettled_at = self.now();
             self.ownership_changed = true;
         }
     }
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -60,6 +60,8 @@
     identity: PeerIdentity,
     clock: ClockReading,
     started_at: TimePoint,
+    /// When this VM became ready or a peer was lost.
+    unsettled_at: TimePoint,
     state: PeerState,
     catalog: QueueCatalog,
     registry: TargetRegistry,
@@ -108,6 +110,7 @@
             identity,
             clock,
             started_at: clock.time,
+            unsettled_at: clock.time,
             state: PeerState::Starting,
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -76,8 +76,13 @@
         let now = self.now();
         self.peers_listed = true;
         self.ownership_changed = true;
-        for PeerSighting { identity, mark } in peers {
-            if identity.vm == self.identity.vm {
+        let wall = self.clock.wall;
+        for PeerSighting { record, mark } in peers {
+            let identity = record.identity;
+            let old = wall.since(record.written_at) >= self.settings.record_life;
+            let known = self.vms.get(&identity.vm).is_some();
+            // The record of a VM that was removed stays in the store.
+            if identity.vm == self.identity.vm || (old && !known) {
                 continue;
             }
             let peer = self.intern_peer(&identity);
@@ -133,10 +138,11 @@
     }
 
     fn lose_peer(&mut self, peer: VmIndex, refused: bool) {
+        let now = self.now();
         let Some(link) = &self.links[peer] else {
             return;
         };
-        let now = self.now();
+        self.unsettled_at = now;
         // A process that has ended may have lived until now.
         let heard = if refused { now } else { link.last_heard() };
         let quiet = now.since(link.last_heard());
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -14,9 +14,12 @@
     pub links: LinkSettings,
     /// How often ownership is reviewed without a change.
     pub review_interval: Duration,
-    /// How long a new process waits for VMs that it knows of and does not hear before it claims
-    /// targets that they may hold.
-    pub start_patience: Duration,
+    /// How long a new process waits for the list of VMs before it claims targets that they may hold,
+    /// and how long after a change of the VMs targets without a holder count as capacity.
+    pub settling_time: Duration,
+    /// The age at which the record of a VM that is not heard counts as that of a removed VM. VMs
+    /// renew their records several times in this time.
+    pub record_life: Duration,
     /// How long after the loss of a peer this VM makes itself known in the platform's store.
     pub witness_time: Duration,
     /// How long a target is left to another holder that was found there.
@@ -45,7 +48,8 @@
             held: HeldSettings::default(),
             links: LinkSettings::default(),
             review_interval: Duration::from_millis(100),
-            start_patience: Duration::from_millis(400),
+            settling_time: Duration::from_millis(1500),
+            record_life: Duration::from_secs(30),
             witness_time: Duration::from_secs(20),
             fence_pause: Duration::from_millis(1500),
             audit_time: Duration::from_millis(60),
--- a/crates/fleet/src/engine/takeover.rs
+++ b/crates/fleet/src/engine/takeover.rs
@@ -91,13 +91,9 @@
         })
     }
 
-    /// Whether VMs that were not heard yet may hold targets. A process that has just started waits
-    /// for the list of VMs and for those on it for a while; those that live answer in milliseconds.
+    /// Whether a process that has just started does not know the other VMs yet.
     fn awaits_peers(&self) -> bool {
-        let fresh = self.now().since(self.started_at) < self.settings.start_patience;
-        let mut links = self.links.iter().flatten();
-        let unheard = links.any(|link| matches!(link.phase(), LinkPhase::Unheard { .. }));
-        fresh && (unheard || !self.peers_listed)
+        !self.peers_listed && self.now().since(self.started_at) < self.settings.settling_time
     }
 
     fn probe(&mut self, target: TargetIndex) {
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -13,8 +13,8 @@
 };
 use filbertpitch_fleet::held::LookPlan;
 use filbertpitch_types::fleet::{
-    FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, PeerSighting, QueueSpec,
-    ServicePolicy, TargetEntry, TargetNotice, TargetState,
+    FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerReceipt, PeerRecord,
+    PeerSighting, QueueSpec, ServicePolicy, TargetEntry, TargetNotice, TargetState,
 };
 use filbertpitch_types::lease::{LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder};
 use filbertpitch_types::prelude::*;
@@ -633,7 +633,10 @@
             let sightings = self.marks.iter().map(|(other, (life, mark))| {
                 let incarnation = incarnation_of(*other, *life);
                 PeerSighting {
-                    identity: identity_of(*other, &self.vms[*other], incarnation),
+                    record: PeerRecord {
+                        identity: identity_of(*other, &self.vms[*other], incarnation),
+                        written_at: self.clock().wall,
+                    },
                     mark: *mark,
                 }
             });
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -214,11 +214,20 @@
     pub zone: ZoneName,
 }
 
+/// What an entry VM writes into the platform's store to make itself known.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerRecord {
+    /// The VM.
+    pub identity: PeerIdentity,
+    /// When it was written, by the clock of the VM.
+    pub written_at: WallTime,
+}
+
 /// An entry VM as the platform's store knows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerSighting {
-    /// The VM.
-    pub identity: PeerIdentity,
+    /// What the VM has written.
+    pub record: PeerRecord,
     /// Rises each time the VM makes itself known.
     pub mark: u64,
 }
