--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -43,6 +43,7 @@
             queue,
             tasks,
             objective,
+            patience,
             wait,
             version,
         } => log.record(
@@ -52,6 +53,7 @@
                 "queue" => queue.as_str(),
                 "tasks" => tasks,
                 "objective_ms" => millis(*objective),
+                "patience_ms" => millis(*patience),
                 "wait_ms" => millis(*wait),
                 "version" => version.map(|version| version.0)
             ),
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use super::FleetEngine;
-use crate::home::{JobPlan, task_work};
+use crate::home::JobPlan;
 
 /// Bounds of the time after which a rejected client is asked to return.
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
@@ -114,28 +114,21 @@
     /// The time until the waiting tasks that come before those of a job have been served.
     fn expect_wait(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
         let needed = plan.expected.iter().sum::<Duration>();
-        let start_by = self.clock.time + plan.objective.saturating_sub(needed);
+        let slack = plan.objective.saturating_sub(needed);
         let links = self.links.iter().flatten();
         let elsewhere = links
             .filter(|link| link.is_live())
-            .map(|link| link.demand().work)
+            .map(|link| link.demand().work.before(slack))
             .sum::<u64>();
-        let waiting = self.jobs.work_before(start_by) + elsewhere;
-        let own = order.steps.iter().zip(&plan.expected);
-        let own = own
-            .map(|(step, expected)| task_work(&step.room, *expected) * u64::from(step.count))
-            .sum::<u64>();
-        if waiting == 0 && own == 0 {
-            return Duration::ZERO;
-        }
+        let ahead = self.jobs.waiting_work(self.now()).before(slack) + elsewhere;
         let cores = self.usable_cores();
-        if cores <= 0.0 {
+        if cores <= 0.0 && !order.steps.is_empty() {
             return Duration::MAX;
         }
-        if waiting == 0 {
+        if ahead == 0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(waiting as f64 / cores / 1000.0)
+        Duration::from_secs_f64(ahead as f64 / cores / 1000.0)
     }
 
     /// The cores of all targets that some VM holds. While VMs come and go, targets without a holder
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -187,6 +187,8 @@
         tasks: usize,
         /// The time in which it should be answered.
         objective: Duration,
+        /// How long its client waits.
+        patience: Duration,
         /// The expected wait for room.
         wait: Duration,
         /// The configuration in force.
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -64,6 +64,7 @@
         self.counters.jobs_accepted += 1;
         let plan: JobPlan = admitted.plan;
         let (id, objective, queue) = (order.id, plan.objective, plan.queue);
+        let patience = plan.patience;
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.give_up, job.tasks.len());
@@ -73,6 +74,7 @@
             queue: self.catalog.name(queue).clone(),
             tasks,
             objective,
+            patience,
             wait: admitted.wait,
             version: self.catalog.version(),
         });
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -212,16 +212,17 @@
     /// Sends the envelopes that are due.
     pub(super) fn send_envelopes(&mut self) {
         let now = self.now();
-        let demand = self.demand_report();
+        let waiting = self.jobs.waiting_len();
         let due = self.links.iter_enumerated().filter(|(_, link)| {
             link.as_ref()
-                .is_some_and(|link| link.wants_envelope(now, &demand))
+                .is_some_and(|link| link.wants_envelope(now, waiting))
         });
         let due = due.map(|(peer, _)| peer).collect::<Vec<_>>();
         let greeted = self.due_seeds();
         if due.is_empty() && greeted.is_empty() {
             return;
         }
+        let demand = self.demand_report();
         let template = self.envelope_template(demand);
         for address in greeted {
             self.actions.push(FleetAction::SendEnvelope {
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -375,7 +375,7 @@
             tasks: u32::try_from(self.jobs.waiting_len()).unwrap_or(u32::MAX),
             slack_ms: slack.clamp(i32::MIN.into(), i32::MAX.into()) as i32,
             least,
-            work: self.jobs.waiting_work(),
+            work: self.jobs.waiting_work(now),
         }
     }
 }
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -10,7 +10,7 @@
 
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_types::fleet::{JobOrder, StepOrder};
+use filbertpitch_types::fleet::{JobOrder, StepOrder, WaitingWork};
 use filbertpitch_types::prelude::*;
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -171,8 +171,6 @@
     jobs: SlotMap<JobKey, HomeJob>,
     ids: HashMap<JobId, JobKey>,
     waiting: BTreeSet<QueuePlace>,
-    /// The core-milliseconds that the waiting tasks are expected to take.
-    waiting_work: u64,
 }
 
 /// What is decided about a job when it is accepted.
@@ -311,15 +309,10 @@
     /// Moves a task to another phase and keeps the queue in line with it.
     pub fn set_phase(&mut self, now: TimePoint, task: TaskRef, phase: TaskPhase) {
         let job = &mut self.jobs[task.job];
-        let work = task_work(
-            &job.step_of(task.position).room,
-            job.expected_of(task.position),
-        );
         let start_by = job.start_by(task.position);
         let state = &mut job.tasks[task.position];
         if let Some(place) = state.queued.take() {
             self.waiting.remove(&place);
-            self.waiting_work = self.waiting_work.saturating_sub(work);
         }
         if phase == TaskPhase::Waiting {
             let place = QueuePlace {
@@ -329,7 +322,6 @@
             };
             state.queued = Some(place);
             self.waiting.insert(place);
-            self.waiting_work += work;
         }
         state.phase = phase;
     }
@@ -352,13 +344,8 @@
     pub fn remove(&mut self, key: JobKey) -> Option<HomeJob> {
         let job = self.jobs.remove(key)?;
         self.ids.remove(&job.id);
-        for (position, task) in job.tasks.iter().enumerate() {
-            if let Some(place) = &task.queued {
-                self.waiting.remove(place);
-                let room = &job.step_of(position).room;
-                let work = task_work(room, job.expected_of(position));
-                self.waiting_work = self.waiting_work.saturating_sub(work);
-            }
+        for place in job.tasks.iter().filter_map(|task| task.queued.as_ref()) {
+            self.waiting.remove(place);
         }
         Some(job)
     }
@@ -383,23 +370,17 @@
         self.waiting.len()
     }
 
-    /// The core-milliseconds that the waiting tasks are expected to take.
-    pub fn waiting_work(&self) -> u64 {
-        self.waiting_work
-    }
-
-    /// The core-milliseconds of the waiting tasks that come before one that must start by
-    /// `start_by`.
-    pub fn work_before(&self, start_by: TimePoint) -> u64 {
-        let before = self.waiting.iter();
-        let before = before.take_while(|place| !place.late && place.start_by <= start_by);
-        before
-            .map(|place| {
-                let job = &self.jobs[place.task.job];
-                let position = place.task.position;
-                task_work(&job.step_of(position).room, job.expected_of(position))
-            })
-            .sum()
+    /// The work of the waiting tasks by the time until they must start.
+    pub fn waiting_work(&self, now: TimePoint) -> WaitingWork {
+        let mut work = WaitingWork::default();
+        for place in &self.waiting {
+            let job = &self.jobs[place.task.job];
+            let position = place.task.position;
+            let task = task_work(&job.step_of(position).room, job.expected_of(position));
+            let slack = (!place.late).then(|| place.start_by.since(now));
+            work.add(slack, task);
+        }
+        work
     }
 
     /// The tasks that a holder was asked to run, with the holder and the target.
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -387,11 +387,11 @@
     }
 
     /// Whether an envelope is to be sent now.
-    pub fn wants_envelope(&self, now: TimePoint, demand: &DemandReport) -> bool {
+    pub fn wants_envelope(&self, now: TimePoint, waiting: usize) -> bool {
         if self.in_flight {
             return false;
         }
-        let new_demand = demand.tasks > 0 && self.sent_demand == 0 && self.is_live();
+        let new_demand = waiting > 0 && self.sent_demand == 0 && self.is_live();
         let beat_due = self
             .last_sent
             .is_none_or(|sent| now.since(sent) >= self.interval());
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -262,6 +262,40 @@
     pub slowdown_percent: u16,
 }
 
+/// The classes of waiting work by the time until it must start, in milliseconds; a last class has
+/// the rest.
+const SLACK_CLASSES_MS: [u32; 6] = [25, 50, 100, 200, 400, 800];
+
+/// How much work waits, by the time until it must start, in core-milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct WaitingWork([u64; SLACK_CLASSES_MS.len() + 1]);
+
+impl WaitingWork {
+    /// Adds work that must start within `slack`; nothing for work that is late already, which comes
+    /// last.
+    pub fn add(&mut self, slack: Option<Duration>, work: u64) {
+        let class = slack.map_or(SLACK_CLASSES_MS.len(), Self::class);
+        self.0[class] += work;
+    }
+
+    /// The work that comes before work that must start within `slack`. Of the class that the slack
+    /// is in, half comes before.
+    pub fn before(&self, slack: Duration) -> u64 {
+        let class = Self::class(slack);
+        self.0[..class].iter().sum::<u64>() + self.0[class] / 2
+    }
+
+    /// All of it.
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+
+    fn class(slack: Duration) -> usize {
+        SLACK_CLASSES_MS.partition_point(|bound| slack >= Duration::from_millis((*bound).into()))
+    }
+}
+
 /// The tasks that wait at the sender because no target has room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
@@ -271,8 +305,8 @@
     pub slack_ms: i32,
     /// In each dimension, the least that any of them takes.
     pub least: RoomSize,
-    /// The processor time that all of them are expected to take, in core-milliseconds.
-    pub work: u64,
+    /// The processor time that they are expected to take.
+    pub work: WaitingWork,
 }
 
 /// Identifies an offer among those of its sender.
