--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -218,6 +218,9 @@
     803 TargetUnlisted "target_unlisted" Info
         "A target is draining or no longer listed and gets no new tasks."
         "None.";
+    804 LoadSampled "load_sampled" Info
+        "How full the targets are that this VM holds, once a second."
+        "Add targets if `open_m` stays near zero while tasks wait.";
     900 JobAccepted "job_accepted" Info
         "A job was accepted."
         "None.";
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -179,6 +179,24 @@
             LogEvent::PeerSilent,
             b!("peer" => peer.as_str(), "quiet_ms" => millis(*quiet), "refused" => refused),
         ),
+        FleetNotice::LoadSampled {
+            targets,
+            capacity,
+            free,
+            open,
+            runs,
+            waiting,
+        } => log.record(
+            LogEvent::LoadSampled,
+            b!(
+                "targets" => targets,
+                "cores_m" => capacity.cpu.0,
+                "free_m" => free.cpu.0,
+                "open_m" => open.cpu.0,
+                "runs" => runs,
+                "waiting" => waiting
+            ),
+        ),
         FleetNotice::Paused(gap) => {
             log.record(LogEvent::ProcessPaused, b!("gap_ms" => millis(*gap)));
         }
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use super::FleetEngine;
-use crate::home::JobPlan;
+use crate::home::{JobPlan, task_work};
 
 /// Bounds of the time after which a rejected client is asked to return.
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
@@ -66,16 +66,14 @@
             return Err(Rejection::now(RejectReason::NoCapableTarget));
         }
         let plan = self.make_plan(queue, spec, order, patience);
-        let wait = self.expect_wait(order, &plan);
-        let tolerated = plan.objective.mul_f64(self.settings.late_tolerance);
-        let needed = plan.expected.iter().sum::<Duration>();
-        if wait > plan.objective.saturating_sub(needed) + tolerated {
+        let lateness = self.expect_lateness(order, &plan);
+        if !lateness.is_zero() {
             return Err(Rejection {
                 reason: RejectReason::Overloaded,
-                wait,
+                wait: lateness,
             });
         }
-        Ok(Admission { plan, wait })
+        Ok(Admission { plan, wait: lateness })
     }
 
     /// Whether some listed target could ever run a task of the step.
@@ -111,24 +109,28 @@
         }
     }
 
-    /// The time until the waiting tasks that come before those of a job have been served.
-    fn expect_wait(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
-        let needed = plan.expected.iter().sum::<Duration>();
-        let slack = plan.objective.saturating_sub(needed);
-        let links = self.links.iter().flatten();
-        let elsewhere = links
-            .filter(|link| link.is_live())
-            .map(|link| link.demand().work.before(slack))
-            .sum::<u64>();
-        let ahead = self.jobs.waiting_work(self.now()).before(slack) + elsewhere;
+    /// The time by which a job would delay itself, or work that was accepted before, beyond what
+    /// its objective allows.
+    fn expect_lateness(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
         let cores = self.usable_cores();
-        if cores <= 0.0 && !order.steps.is_empty() {
+        if cores <= 0.0 {
             return Duration::MAX;
         }
-        if ahead == 0 {
+        let needed = plan.expected.iter().sum::<Duration>();
+        let slack = plan.objective.saturating_sub(needed);
+        let mut waiting = self.jobs.waiting_work(self.now());
+        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
+            waiting.merge(&link.demand().work);
+        }
+        if waiting.total() == 0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(ahead as f64 / cores / 1000.0)
+        let steps = order.steps.iter().zip(&plan.expected);
+        let work = steps
+            .map(|(step, expected)| task_work(&step.room, *expected) * u64::from(step.count))
+            .sum();
+        let excess = waiting.excess_ms(slack, work, cores) - self.settings.start_grace_ms;
+        Duration::from_secs_f64(excess.max(0.0) / 1000.0)
     }
 
     /// The cores of all targets that some VM holds. While VMs come and go, targets without a holder
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -310,6 +310,21 @@
         /// Whether nothing listens there.
         refused: bool,
     },
+    /// How full the held targets are, once a second.
+    LoadSampled {
+        /// The targets that this VM holds.
+        targets: usize,
+        /// Their room.
+        capacity: RoomSize,
+        /// What no run takes.
+        free: RoomSize,
+        /// What of that may be used now.
+        open: RoomSize,
+        /// The runs on them.
+        runs: usize,
+        /// The tasks of this VM's jobs that wait for room.
+        waiting: usize,
+    },
     /// This process was paused.
     Paused(Duration),
 }
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -51,6 +51,8 @@
     OrphanOver(TaskRef),
     /// Ownership is reviewed.
     Review,
+    /// The load is sampled.
+    Sample,
 }
 
 /// The dispatcher of one entry VM.
@@ -105,6 +107,7 @@
         vms.intern(&identity.vm);
         let mut timers = TimerService::default();
         timers.subscribe(clock.time, TimerTopic::Review);
+        timers.subscribe(clock.time + settings.sample_interval, TimerTopic::Sample);
         Self {
             settings,
             identity,
@@ -205,6 +208,7 @@
                 TimerTopic::JobGiveUp(job) => self.give_up_job(job),
                 TimerTopic::OrphanOver(task) => self.recover_orphan(task),
                 TimerTopic::Review => self.review(),
+                TimerTopic::Sample => self.sample_load(),
             }
         }
         if self.offers.expire(self.clock.time) {
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -14,6 +14,8 @@
     pub links: LinkSettings,
     /// How often ownership is reviewed without a change.
     pub review_interval: Duration,
+    /// How often the load is logged.
+    pub sample_interval: Duration,
     /// How long a new process waits for the list of VMs before it claims targets that they may hold,
     /// and how long after a change of the VMs targets without a holder count as capacity.
     pub settling_time: Duration,
@@ -38,8 +40,9 @@
     pub usable_share: f64,
     /// How much longer tasks run away from their data.
     pub far_factor: f64,
-    /// The expected lateness at which a job is rejected, as a part of its objective.
-    pub late_tolerance: f64,
+    /// How much more work may have to start within some time than can end in it, in milliseconds:
+    /// a task must only start in time, and goes on after that.
+    pub start_grace_ms: f64,
 }
 
 impl Default for FleetSettings {
@@ -48,6 +51,7 @@
             held: HeldSettings::default(),
             links: LinkSettings::default(),
             review_interval: Duration::from_millis(100),
+            sample_interval: Duration::from_secs(1),
             settling_time: Duration::from_millis(1500),
             record_life: Duration::from_secs(30),
             witness_time: Duration::from_secs(20),
@@ -58,7 +62,7 @@
             patience_limit: Duration::from_secs(60),
             usable_share: 0.85,
             far_factor: 1.5,
-            late_tolerance: 0.0,
+            start_grace_ms: 60.0,
         }
     }
 }
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -3,7 +3,7 @@
 use filbertpitch_types::fleet::PeerState;
 use filbertpitch_types::prelude::*;
 
-use super::FleetEngine;
+use super::{FleetEngine, FleetNotice, TimerTopic};
 
 /// Counts since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -77,6 +77,32 @@
         self.counters
     }
 
+    /// Logs how full the held targets are.
+    pub(super) fn sample_load(&mut self) {
+        let now = self.now();
+        let due = now + self.settings.sample_interval;
+        self.timers.subscribe(due, TimerTopic::Sample);
+        let mut capacity = RoomSize::default();
+        let mut free = RoomSize::default();
+        let mut open = RoomSize::default();
+        let mut runs = 0;
+        for held in self.held.values_mut() {
+            capacity += held.ledger().capacity();
+            free += held.ledger().free();
+            open += held.open_room(now);
+            runs += held.ledger().len();
+        }
+        let notice = FleetNotice::LoadSampled {
+            targets: self.held.len(),
+            capacity,
+            free,
+            open,
+            runs,
+            waiting: self.jobs.waiting_len(),
+        };
+        self.notice(notice);
+    }
+
     /// Describes the current state.
     pub fn view(&self) -> FleetView {
         FleetView {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -279,11 +279,29 @@
         self.0[class] += work;
     }
 
-    /// The work that comes before work that must start within `slack`. Of the class that the slack
-    /// is in, half comes before.
-    pub fn before(&self, slack: Duration) -> u64 {
-        let class = Self::class(slack);
-        self.0[..class].iter().sum::<u64>() + self.0[class] / 2
+    /// By how much the work that must start within some time would exceed what `cores` can start in
+    /// it, if `work` with this slack were added; in milliseconds, negative while there is room. Only
+    /// times from `slack` on count: more urgent work is not delayed.
+    pub fn excess_ms(&self, slack: Duration, work: u64, cores: f64) -> f64 {
+        let own = Self::class(slack);
+        let slack_ms = slack.as_secs_f64() * 1000.0;
+        let mut excess = f64::MIN;
+        let mut sum = work;
+        for (class, more) in self.0.iter().take(SLACK_CLASSES_MS.len()).enumerate() {
+            sum += more;
+            if class >= own {
+                let bound = f64::from(SLACK_CLASSES_MS[class]).max(slack_ms);
+                excess = excess.max(sum as f64 / cores - bound);
+            }
+        }
+        excess
+    }
+
+    /// Adds the work of another VM.
+    pub fn merge(&mut self, other: &Self) {
+        for (class, work) in self.0.iter_mut().zip(other.0) {
+            *class += work;
+        }
     }
 
     /// All of it.
