--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,5 +1,6 @@
 //! The queues and services in force.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use filbertpitch_types::fleet::{FleetConfiguration, QueueSpec};
 use filbertpitch_types::prelude::*;
 
+use crate::patience::PatienceModel;
+
 /// The run time that is assumed of a queue before its first job: the middle of sub-second tasks.
 const TYPICAL_RUN: Duration = Duration::from_millis(200);
 
@@ -27,6 +30,8 @@
     queues: NameInterner<KindIndex, QueueName>,
     services: NameInterner<ServiceIndex, ServiceName>,
     estimator: RunEstimator,
+    /// What the patience of clients tells of each queue's jobs.
+    patience: HashMap<KindIndex, PatienceModel>,
 }
 
 impl Default for QueueCatalog {
@@ -36,6 +41,7 @@
             queues: NameInterner::default(),
             services: NameInterner::default(),
             estimator: RunEstimator::new(EstimateSettings::default()),
+            patience: HashMap::new(),
         }
     }
 }
@@ -95,9 +101,26 @@
         self.queues.get(name)
     }
 
-    /// The learned run times.
-    pub fn estimator(&self) -> &RunEstimator {
-        &self.estimator
+    /// The expected run time of a task, by what clients declare and by how long they wait.
+    pub fn expect(&self, queue: KindIndex, declared: Duration, patience: Duration) -> Duration {
+        let plain = self.estimator.predict(queue, declared).expected;
+        let model = self.patience.get(&queue);
+        model
+            .and_then(|model| model.predict(patience))
+            .unwrap_or(plain)
+    }
+
+    /// Learns from a job of one step that was done, whose longest task took `longest`.
+    pub fn observe_job(
+        &mut self,
+        queue: KindIndex,
+        declared: Duration,
+        patience: Duration,
+        longest: Duration,
+    ) {
+        let plain = self.estimator.predict(queue, declared).expected;
+        let model = self.patience.entry(queue).or_default();
+        model.observe(patience, longest, plain);
     }
 
     /// Learns from a run that was done.
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -93,10 +93,9 @@
         order: &JobOrder,
         patience: Duration,
     ) -> JobPlan {
-        let estimator = self.catalog.estimator();
         let steps = order.steps.iter();
         let expected = steps
-            .map(|step| estimator.predict(queue, step.declared).expected)
+            .map(|step| self.catalog.expect(queue, step.declared, patience))
             .collect::<Vec<_>>();
         let chain = expected.iter().sum::<Duration>();
         let objective = chain.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -291,20 +291,32 @@
 
     fn finish_task(&mut self, task: TaskRef, notice: &EndNotice) {
         let now = self.now();
-        let job = self.jobs.get(task.job).expect("the job is live");
+        let job = self.jobs.get_mut(task.job).expect("the job is live");
         let queue = job.queue;
         let declared = job.step_of(task.position).declared;
         if let Some(took) = notice.took_ms {
             let took = Duration::from_millis(took.into());
+            job.longest = job.longest.max(took);
             self.catalog.observe(queue, declared, took);
         }
         if self.jobs.finish_task(now, task) {
+            self.learn_from_job(task.job);
             self.answer_job(task.job, JobReply::Completed);
         } else {
             self.room_changed = true;
         }
     }
 
+    fn learn_from_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key).filter(|job| job.order.steps.len() == 1) else {
+            return;
+        };
+        let declared = job.order.steps[0].declared;
+        let (queue, patience, longest) = (job.queue, job.patience, job.longest);
+        self.catalog
+            .observe_job(queue, declared, patience, longest);
+    }
+
     fn fail_task(&mut self, task: TaskRef, target: &TargetName) {
         let target = self.registry.intern(target);
         let job = self.jobs.get(task.job).expect("the job is live");
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -62,7 +62,7 @@
             patience_limit: Duration::from_secs(60),
             usable_share: 0.85,
             far_factor: 1.5,
-            start_grace_ms: 60.0,
+            start_grace_ms: 0.0,
         }
     }
 }
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -117,8 +117,12 @@
     pub arrived: TimePoint,
     /// The time in which it should be answered.
     pub objective: Duration,
+    /// How long its client waits.
+    pub patience: Duration,
     /// When nobody needs its answer any more.
     pub give_up: TimePoint,
+    /// How long its longest task took so far.
+    pub longest: Duration,
     /// The expected run time of a task of each step.
     pub expected: Vec<Duration>,
     /// Its tasks, step by step.
@@ -224,7 +228,9 @@
             queue: plan.queue,
             arrived: now,
             objective: plan.objective,
+            patience: plan.patience,
             give_up: now + plan.patience,
+            longest: Duration::ZERO,
             expected: plan.expected,
             unfinished: tasks.len(),
             tasks,
--- /dev/null
+++ b/crates/fleet/src/patience.rs
@@ -0,0 +1,80 @@
+//! Predicts how long the tasks of a job run from how long its client waits.
+//!
+//! Clients that send larger jobs wait longer for them, which often tells more than the run time that
+//! they declare. Whether it does, and how much, is learned for each queue: a line is fitted through
+//! the jobs that were done, with older ones fading out.
+
+use std::time::Duration;
+
+/// How many of the latest jobs dominate.
+const MEMORY_JOBS: f64 = 200.0;
+
+/// The jobs after which the line is used.
+const LEARNED_JOBS: u32 = 12;
+
+/// The share of the latest job in the recent prediction error.
+const ERROR_GAIN: f64 = 0.05;
+
+/// Errors beyond this many doublings count as this.
+const ERROR_CAP: f64 = 4.0;
+
+/// The line is used when its error is below this fraction of the error without it.
+const ADVANTAGE: f64 = 0.8;
+
+/// The shortest run time that is predicted, in milliseconds.
+const SHORTEST_MS: f64 = 1.0;
+
+/// A line through the points (patience, run time), both in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PatienceModel {
+    jobs: u32,
+    weight: f64,
+    mean_patience: f64,
+    mean_run: f64,
+    variance: f64,
+    covariance: f64,
+    /// The recent errors with the line and without it, in doublings.
+    line_error: f64,
+    plain_error: f64,
+}
+
+impl PatienceModel {
+    /// The run time that the line predicts, if it has proved to predict better than the estimate
+    /// without it.
+    pub fn predict(&self, patience: Duration) -> Option<Duration> {
+        let proved = self.jobs >= LEARNED_JOBS && self.line_error < self.plain_error * ADVANTAGE;
+        let predicted = proved.then(|| self.line(patience)).flatten()?;
+        Some(Duration::from_secs_f64(predicted / 1000.0))
+    }
+
+    fn line(&self, patience: Duration) -> Option<f64> {
+        if self.variance <= f64::EPSILON {
+            return None;
+        }
+        let slope = self.covariance / self.variance;
+        let offset = patience.as_secs_f64() * 1000.0 - self.mean_patience;
+        Some((self.mean_run + slope * offset).max(SHORTEST_MS))
+    }
+
+    /// Learns from a job whose longest task took `run`; `plain` is what was estimated without the
+    /// line.
+    pub fn observe(&mut self, patience: Duration, run: Duration, plain: Duration) {
+        let run_ms = (run.as_secs_f64() * 1000.0).max(SHORTEST_MS);
+        let plain_ms = (plain.as_secs_f64() * 1000.0).max(SHORTEST_MS);
+        if let Some(predicted) = self.line(patience).filter(|_| self.jobs >= LEARNED_JOBS / 2) {
+            let error = |value: f64| (value / run_ms).log2().abs().min(ERROR_CAP);
+            self.line_error += (error(predicted) - self.line_error) * ERROR_GAIN;
+            self.plain_error += (error(plain_ms) - self.plain_error) * ERROR_GAIN;
+        }
+        self.jobs = self.jobs.saturating_add(1);
+        self.weight = self.weight.min(MEMORY_JOBS) + 1.0;
+        let share = 1.0 / self.weight;
+        let patience_ms = patience.as_secs_f64() * 1000.0;
+        let from_patience = patience_ms - self.mean_patience;
+        let from_run = run_ms - self.mean_run;
+        self.mean_patience += from_patience * share;
+        self.mean_run += from_run * share;
+        self.variance = (1.0 - share) * (self.variance + share * from_patience * from_patience);
+        self.covariance = (1.0 - share) * (self.covariance + share * from_patience * from_run);
+    }
+}
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -13,11 +13,13 @@
 
 fn shape(fleet: &mut SimFleet) -> JobShape {
     let rng = &mut fleet.rng;
+    let work = Duration::from_millis(rng.random_range(20..400));
     JobShape {
         queue: rng.random_range(0..2),
         tasks: rng.random_range(1..6),
         cores: rng.random_range(15..40),
-        work: Duration::from_millis(rng.random_range(20..400)),
+        work,
+        declared: work,
         patience: Duration::from_millis(rng.random_range(1500..2800)),
     }
 }
--- a/crates/fleet/tests/support/client.rs
+++ b/crates/fleet/tests/support/client.rs
@@ -17,6 +17,8 @@
     pub cores: u32,
     /// How long each runs.
     pub work: Duration,
+    /// What the client says that each runs.
+    pub declared: Duration,
     /// How long the client waits.
     pub patience: Duration,
 }
@@ -28,6 +30,7 @@
             tasks: 4,
             cores: 27,
             work: Duration::from_millis(100),
+            declared: Duration::from_millis(100),
             patience: Duration::from_millis(2000),
         }
     }
@@ -65,7 +68,7 @@
             steps: vec![StepOrder {
                 count: self.shape.tasks,
                 room: RoomSize::from((self.shape.cores * 1000, 64, 0)),
-                declared: self.shape.work,
+                declared: self.shape.declared,
                 after: Vec::new(),
                 required_label: None,
                 near_rack: None,
--- /dev/null
+++ b/crates/fleet/tests/support/load.rs
@@ -0,0 +1,174 @@
+//! A mix of short and long jobs whose rate changes, and what of it was served in time.
+
+use std::time::Duration;
+
+use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::prelude::*;
+use rand::Rng;
+
+use super::client::JobShape;
+use super::world::SimFleet;
+
+/// One kind of jobs.
+#[derive(Clone, Copy, Debug)]
+pub struct JobKind {
+    /// The mean number of tasks.
+    pub tasks: f64,
+    /// The mean run time of a task.
+    pub work_ms: f64,
+    /// How many of these come for each 100 jobs of the most frequent kind.
+    pub share: f64,
+    /// What a job that is served in time is worth.
+    pub worth: f64,
+}
+
+/// Short jobs of many tasks, long jobs, and small jobs of medium length.
+pub const JOB_KINDS: [JobKind; 3] = [
+    JobKind {
+        tasks: 8.0,
+        work_ms: 51.0,
+        share: 34.4,
+        worth: 0.0291,
+    },
+    JobKind {
+        tasks: 4.0,
+        work_ms: 760.0,
+        share: 6.25,
+        worth: 0.16,
+    },
+    JobKind {
+        tasks: 2.0,
+        work_ms: 170.0,
+        share: 100.0,
+        worth: 0.01,
+    },
+];
+
+/// The objective as a multiple of the run time, and what is allowed beyond.
+pub const STRETCH: f64 = 1.6;
+pub const ALLOWANCE_MS: f64 = 60.0;
+
+/// How many objectives after its submission a job is worth nothing, and what it is worth until then.
+const LATE_OBJECTIVES: f64 = 3.0;
+const LATE_WORTH: f64 = 0.2;
+
+/// The share of jobs that run several times longer than usual.
+const TAIL_SHARE: f64 = 0.03;
+const TAIL_FACTOR: f64 = 7.0;
+
+/// What became of the jobs of a kind.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KindResult {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub rejected: u32,
+    pub failed: u32,
+    pub worth: f64,
+    pub owed: f64,
+}
+
+/// The results of all kinds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadResult(pub [KindResult; 3]);
+
+impl LoadResult {
+    /// The part of the worth that was earned.
+    pub fn earned(&self) -> f64 {
+        let owed = self.0.iter().map(|kind| kind.owed).sum::<f64>();
+        self.0.iter().map(|kind| kind.worth).sum::<f64>() / owed
+    }
+
+    /// The part of the jobs that were served, in time or late.
+    pub fn served(&self) -> f64 {
+        let asked = self.0.iter().map(|kind| kind.asked).sum::<u32>();
+        let served = self.0.iter().map(|kind| kind.in_time + kind.late).sum::<u32>();
+        f64::from(served) / f64::from(asked)
+    }
+}
+
+fn normal<R>(rng: &mut R) -> f64
+where
+    R: Rng,
+{
+    // The sum of twelve uniform numbers is close to normal.
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
+
+/// A job of a random kind with random sizes.
+pub fn random_shape(fleet: &mut SimFleet, cores: f64) -> JobShape {
+    let total = JOB_KINDS.iter().map(|kind| kind.share).sum::<f64>();
+    let mut pick = fleet.rng.random::<f64>() * total;
+    let queue = JOB_KINDS.iter().position(|kind| {
+        pick -= kind.share;
+        pick < 0.0
+    });
+    let queue = queue.unwrap_or(JOB_KINDS.len() - 1);
+    let kind = JOB_KINDS[queue];
+    let mut work = kind.work_ms * (0.4 * normal(&mut fleet.rng)).exp();
+    if fleet.rng.random::<f64>() < TAIL_SHARE {
+        work *= TAIL_FACTOR;
+    }
+    let tasks = kind.tasks * (0.4 * normal(&mut fleet.rng)).exp();
+    let cores = cores * (0.2 * normal(&mut fleet.rng)).exp();
+    let declared = work * (0.4 * normal(&mut fleet.rng)).exp();
+    let objective = STRETCH * work + ALLOWANCE_MS;
+    JobShape {
+        queue,
+        tasks: tasks.round().clamp(1.0, kind.tasks * 4.0) as u16,
+        cores: cores.round().max(1.0) as u32,
+        work: Duration::from_secs_f64(work / 1000.0),
+        declared: Duration::from_secs_f64(declared / 1000.0),
+        patience: Duration::from_secs_f64((1500.0 + LATE_OBJECTIVES * objective) / 1000.0),
+    }
+}
+
+/// Sends jobs at a rate per second that depends on the time since the start, in seconds. The clients
+/// of a VM send as much as `weights` says.
+pub fn run_load<F>(fleet: &mut SimFleet, seconds: f64, cores: f64, weights: &[f64], rate: F) -> LoadResult
+where
+    F: Fn(f64) -> f64,
+{
+    let start = fleet.now;
+    let mut ids = Vec::<JobId>::new();
+    let total = weights.iter().sum::<f64>();
+    loop {
+        let time = (fleet.now - start) as f64 / 1e6;
+        if time >= seconds {
+            break;
+        }
+        let gap = -fleet.rng.random::<f64>().max(1e-9).ln() / rate(time).max(0.1);
+        fleet.run_for(Duration::from_secs_f64(gap));
+        let mut pick = fleet.rng.random::<f64>() * total;
+        let vm = weights.iter().position(|weight| {
+            pick -= weight;
+            pick < 0.0
+        });
+        let shape = random_shape(fleet, cores);
+        ids.push(fleet.submit(vm.unwrap_or(0), shape));
+    }
+    fleet.run_for(Duration::from_secs(12));
+    let mut result = LoadResult::default();
+    for id in ids {
+        let job = &fleet.jobs[&id];
+        let kind = &mut result.0[job.shape.queue];
+        let worth = JOB_KINDS[job.shape.queue].worth;
+        let objective = STRETCH * job.shape.work.as_secs_f64() + ALLOWANCE_MS / 1000.0;
+        let waited = job.waited().as_secs_f64();
+        kind.asked += 1;
+        kind.owed += worth;
+        match job.reply {
+            Some(JobReply::Completed) if waited <= objective => {
+                kind.in_time += 1;
+                kind.worth += worth;
+            }
+            Some(JobReply::Completed) if waited <= objective * LATE_OBJECTIVES => {
+                kind.late += 1;
+                kind.worth += worth * LATE_WORTH;
+            }
+            Some(JobReply::Rejected { .. }) => kind.rejected += 1,
+            _ => kind.failed += 1,
+        }
+    }
+    result
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -6,9 +6,11 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod client;
+mod load;
 mod target;
 mod world;
 
 pub use client::{ClientJob, JobShape};
+pub use load::{ALLOWANCE_MS, JOB_KINDS, LoadResult, STRETCH, run_load};
 pub use target::{SimTarget, TargetFault};
 pub use world::{NetFault, SimFleet, SimOptions};
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -51,6 +51,8 @@
     next_end: u64,
     pub starts: u64,
     pub max_lease_ms: u64,
+    /// How fast it works, as a percentage of the usual speed.
+    pub speed_percent: u64,
 }
 
 impl SimTarget {
@@ -73,6 +75,7 @@
             next_end: 1,
             starts: 0,
             max_lease_ms: 1000,
+            speed_percent: 100,
         }
     }
 
@@ -173,6 +176,7 @@
         if self.over.get(&task).is_some_and(|over| run <= *over) {
             return StartAnswer::Refused(StartRefusal::OldRun, time);
         }
+        let work = work * 100 / self.speed_percent;
         let (work, end) = match self.fault {
             Some(TargetFault::Failing) => (3_000, RunEnd::Failed),
             Some(TargetFault::Slow(factor)) => (work * u64::from(factor), RunEnd::Done),
