--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -102,6 +102,7 @@
         let patience = patience.min(self.settings.patience_limit);
         JobPlan {
             queue,
+            priority: spec.priority,
             objective,
             patience,
             expected,
--- a/crates/fleet/src/engine/offers.rs
+++ b/crates/fleet/src/engine/offers.rs
@@ -39,7 +39,7 @@
             let link = link.as_ref().filter(|link| link.is_live())?;
             let demand = link.demand();
             let fits = demand.tasks > 0 && demand.least.fits(room);
-            fits.then_some((demand.slack_ms, vm))
+            fits.then_some((demand.rank(), vm))
         });
         homes.min().map(|(_, vm)| vm)
     }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -13,6 +13,7 @@
 use super::holding::millis;
 use super::{FleetEngine, FleetNotice};
 use crate::home::{TaskPhase, TaskRef};
+use crate::link::PeerLink;
 
 /// How many waiting tasks that fit nowhere are looked at before the search ends.
 const SEARCH_LIMIT: usize = 24;
@@ -38,8 +39,14 @@
     capacity: RoomSize,
     slowdown: f64,
     hop_ms: f64,
+    /// The rank of the most urgent task of another home that may use the room.
+    rival: Option<TaskRank>,
 }
 
+/// Orders tasks of all homes: late ones last, then by priority and by the time until they must
+/// start.
+type TaskRank = (bool, u8, i32);
+
 /// A task and the target that was chosen for it.
 #[derive(Clone, Copy, Debug)]
 struct TaskChoice {
@@ -90,6 +97,7 @@
         let now = self.now();
         let own = self.own();
         let mut candidates = Vec::new();
+        let rivals = self.rival_demands();
         let own_zone = &self.identity.zone;
         for (target, held) in &mut self.held {
             let Some(entry) = self.registry.entry(*target) else {
@@ -106,6 +114,11 @@
                     capacity: entry.capacity,
                     slowdown: held.verdict().slowdown(),
                     hop_ms: hop(entry.zone == *own_zone, true),
+                    rival: rivals
+                        .iter()
+                        .filter(|(_, least)| least.fits(&free))
+                        .map(|(rank, _)| *rank)
+                        .min(),
                 });
             }
         }
@@ -127,6 +140,7 @@
                         capacity: entry.capacity,
                         slowdown: f64::from(holding.report.slowdown_percent) / 100.0,
                         hop_ms: hop(local, false),
+                        rival: None,
                     });
                 }
             }
@@ -134,6 +148,24 @@
         candidates
     }
 
+    /// The most urgent waiting task of each other home, and the least room that one there takes.
+    fn rival_demands(&self) -> Vec<(TaskRank, RoomSize)> {
+        let links = self.links.iter().flatten().filter(|link| link.is_live());
+        let demands = links.map(PeerLink::demand);
+        let demands = demands.filter(|demand| demand.tasks > 0);
+        demands
+            .map(|demand| (demand.rank(), demand.least))
+            .collect()
+    }
+
+    fn rank_of(&self, task: TaskRef) -> TaskRank {
+        let now = self.now();
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let start_by = job.start_by(task.position);
+        let slack = slack_ms(now, start_by);
+        (slack < 0, job.priority, slack)
+    }
+
     /// The position of the candidate that suits a task best.
     fn choose(&self, task: TaskRef, candidates: &[PlaceCandidate]) -> Option<usize> {
         let job = self.jobs.get(task.job)?;
@@ -141,7 +173,11 @@
         let spec = self.catalog.spec(job.queue)?;
         let state = &job.tasks[task.position];
         let expected = job.expected_of(task.position);
+        let rank = self.rank_of(task);
         let suits = |candidate: &&PlaceCandidate| {
+            if candidate.rival.is_some_and(|rival| rival < rank) {
+                return false;
+            }
             let Some(entry) = self.registry.entry(candidate.target) else {
                 return false;
             };
@@ -324,6 +360,7 @@
             capacity,
             slowdown: 1.0,
             hop_ms: 0.0,
+            rival: None,
         }];
         let now = self.now();
         self.jobs.demote_late(now);
@@ -364,22 +401,23 @@
             return DemandReport::default();
         };
         let first = self.jobs.waiting().next();
-        let slack = first.map_or(0, |task| {
-            let job = self.jobs.get(task.job).expect("the job is live");
-            let start_by = job.start_by(task.position);
-            let ahead = millis(start_by.since(now));
-            let late = millis(now.since(start_by));
-            i64::from(ahead) - i64::from(late)
-        });
+        let (_, priority, slack) = first.map_or((false, 0, 0), |task| self.rank_of(task));
         DemandReport {
             tasks: u32::try_from(self.jobs.waiting_len()).unwrap_or(u32::MAX),
-            slack_ms: slack.clamp(i32::MIN.into(), i32::MAX.into()) as i32,
+            priority,
+            slack_ms: slack,
             least,
             work: self.jobs.waiting_work(now),
         }
     }
 }
 
+/// The time until `start_by`, in milliseconds; negative when it has passed.
+fn slack_ms(now: TimePoint, start_by: TimePoint) -> i32 {
+    let signed = |millis: u32| i32::try_from(millis).unwrap_or(i32::MAX);
+    signed(millis(start_by.since(now))) - signed(millis(now.since(start_by)))
+}
+
 fn hop(local: bool, own: bool) -> f64 {
     match (local, own) {
         (true, true) => 0.0,
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -111,6 +111,8 @@
     pub callers: SmallVec<[CallerToken; 1]>,
     /// Its queue.
     pub queue: KindIndex,
+    /// The priority of its queue; 0 is the most important.
+    pub priority: u8,
     /// What it asks for.
     pub order: JobOrder,
     /// When it arrived.
@@ -165,6 +167,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct QueuePlace {
     late: bool,
+    priority: u8,
     start_by: TimePoint,
     task: TaskRef,
 }
@@ -182,6 +185,8 @@
 pub struct JobPlan {
     /// Its queue.
     pub queue: KindIndex,
+    /// The priority of its queue; 0 is the most important.
+    pub priority: u8,
     /// The time in which it should be answered.
     pub objective: Duration,
     /// How long its answer is needed.
@@ -226,6 +231,7 @@
             id,
             callers: SmallVec::from_elem(caller, 1),
             queue: plan.queue,
+            priority: plan.priority,
             arrived: now,
             objective: plan.objective,
             patience: plan.patience,
@@ -316,6 +322,7 @@
     pub fn set_phase(&mut self, now: TimePoint, task: TaskRef, phase: TaskPhase) {
         let job = &mut self.jobs[task.job];
         let start_by = job.start_by(task.position);
+        let priority = job.priority;
         let state = &mut job.tasks[task.position];
         if let Some(place) = state.queued.take() {
             self.waiting.remove(&place);
@@ -323,6 +330,7 @@
         if phase == TaskPhase::Waiting {
             let place = QueuePlace {
                 late: start_by < now,
+                priority,
                 start_by,
                 task,
             };
@@ -358,11 +366,11 @@
 
     /// Moves the tasks that have become late behind the others.
     pub fn demote_late(&mut self, now: TimePoint) {
-        while let Some(first) = self.waiting.first().copied()
-            && !first.late
-            && first.start_by < now
-        {
-            self.set_phase(now, first.task, TaskPhase::Waiting);
+        let late = self.waiting.iter().take_while(|place| !place.late);
+        let late = late.filter(|place| place.start_by < now);
+        let late = late.map(|place| place.task).collect::<Vec<_>>();
+        for task in late {
+            self.set_phase(now, task, TaskPhase::Waiting);
         }
     }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -245,7 +245,7 @@
             host: "host".into(),
             path_prefix: format!("/queue-{queue}/").into(),
             service: "desk".parse().unwrap(),
-            priority: 0,
+            priority: self_priority(queue),
             attempt_limit: 3,
             stretch: *stretch,
             allowance: *allowance,
@@ -1190,6 +1190,11 @@
     }
 }
 
+/// The priorities of the queues, in their order.
+fn self_priority(queue: usize) -> u8 {
+    [0, 2, 1].get(queue).copied().unwrap_or(0)
+}
+
 fn incarnation_of(vm: usize, life: u64) -> IncarnationId {
     IncarnationId((vm as u64) << 32 | life << 12 | vm as u64)
 }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -319,7 +319,9 @@
 pub struct DemandReport {
     /// How many.
     pub tasks: u32,
-    /// The time until the most urgent one must start, in milliseconds; negative if it is late.
+    /// The priority of the most urgent one; 0 is the most important. Late tasks come after all others.
+    pub priority: u8,
+    /// The time until it must start, in milliseconds; negative if it is late.
     pub slack_ms: i32,
     /// In each dimension, the least that any of them takes.
     pub least: RoomSize,
@@ -327,6 +329,13 @@
     pub work: WaitingWork,
 }
 
+impl DemandReport {
+    /// Orders reports by their most urgent task, the most urgent first.
+    pub fn rank(&self) -> (bool, u8, i32) {
+        (self.slack_ms < 0, self.priority, self.slack_ms)
+    }
+}
+
 /// Identifies an offer among those of its sender.
 pub type OfferNumber = u32;
 
