--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
-use filbertpitch_types::fleet::OfferNumber;
+use filbertpitch_dispatch::work_rate::WorkRate;
+use filbertpitch_types::fleet::{AcceptedWork, OfferNumber, PRIORITY_CLASSES};
 use filbertpitch_types::prelude::*;
 
 /// How long room is kept for a home that was offered it: a few round trips between availability
@@ -77,3 +78,24 @@
         self.offers.values().map(|offer| offer.until).min()
     }
 }
+
+/// How much work of each priority was accepted in the last second.
+#[derive(Clone, Debug, Default)]
+pub struct AcceptedRates([WorkRate; PRIORITY_CLASSES]);
+
+impl AcceptedRates {
+    /// Counts the core-milliseconds of a job.
+    pub fn record(&mut self, now: TimePoint, priority: u8, work: u64) {
+        let class = usize::from(priority).min(PRIORITY_CLASSES - 1);
+        self.0[class].record(now, Duration::from_millis(work));
+    }
+
+    /// The rates now.
+    pub fn report(&self, now: TimePoint) -> AcceptedWork {
+        AcceptedWork(std::array::from_fn(|class| {
+            let mut rate = self.0[class];
+            rate.advance(now);
+            u32::try_from(rate.per_second().as_secs()).unwrap_or(u32::MAX)
+        }))
+    }
+}
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -12,12 +12,23 @@
 use rand::Rng;
 
 use super::FleetEngine;
-use crate::home::{JobPlan, task_work};
+use crate::home::{JobPlan, careful, task_work};
 
 /// Bounds of the time after which a rejected client is asked to return.
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
+/// The part of the cores that work of any priority can count on.
+const LEAST_SHARE: f64 = 0.1;
+
+/// The core-milliseconds of a job.
+pub(super) fn job_work(order: &JobOrder, plan: &JobPlan) -> u64 {
+    let steps = order.steps.iter().zip(&plan.expected);
+    let works =
+        steps.map(|(step, expected)| task_work(&step.room, *expected) * u64::from(step.count));
+    works.sum()
+}
+
 /// A job that is accepted.
 pub(super) struct Admission {
     pub(super) plan: JobPlan,
@@ -102,7 +113,7 @@
         let patience = patience.min(self.settings.patience_limit);
         JobPlan {
             queue,
-            priority: spec.priority,
+            priority: spec.priority.min(1),
             objective,
             patience,
             expected,
@@ -112,24 +123,25 @@
     /// The time by which a job would delay itself, or work that was accepted before, beyond what
     /// its objective allows.
     fn expect_lateness(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
+        let mut waiting = self.jobs.waiting_work(self.now());
+        let mut above = self.accepted.report(self.now()).above(plan.priority);
+        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
+            let demand = link.demand();
+            waiting.merge(&demand.work);
+            above += demand.accepted.above(plan.priority);
+        }
         let cores = self.usable_cores();
         if cores <= 0.0 {
             return Duration::MAX;
         }
-        let needed = plan.expected.iter().sum::<Duration>();
-        let slack = plan.objective.saturating_sub(needed);
-        let mut waiting = self.jobs.waiting_work(self.now());
-        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
-            waiting.merge(&link.demand().work);
-        }
         if waiting.total() == 0 {
             return Duration::ZERO;
         }
-        let steps = order.steps.iter().zip(&plan.expected);
-        let work = steps
-            .map(|(step, expected)| task_work(&step.room, *expected) * u64::from(step.count))
-            .sum();
-        let excess = waiting.excess_ms(slack, work, cores) - self.settings.start_grace_ms;
+        // Work of a higher priority goes on to arrive and comes first.
+        let cores = (cores - above).max(cores * LEAST_SHARE);
+        let needed = plan.expected.iter().sum::<Duration>();
+        let slack = plan.objective.saturating_sub(careful(needed));
+        let excess = waiting.excess_ms(plan.priority, slack, job_work(order, plan), cores);
         Duration::from_secs_f64(excess.max(0.0) / 1000.0)
     }
 
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -9,7 +9,7 @@
 };
 use filbertpitch_types::prelude::*;
 
-use super::admission::Admission;
+use super::admission::{Admission, job_work};
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
 use crate::home::{HomeJob, JobPlan, TaskPhase, TaskRef};
 
@@ -65,10 +65,15 @@
         let plan: JobPlan = admitted.plan;
         let (id, objective, queue) = (order.id, plan.objective, plan.queue);
         let patience = plan.patience;
+        let work = job_work(&order, &plan);
+        self.accepted.record(now, plan.priority, work);
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.give_up, job.tasks.len());
+        let hopeless = job.hopeless_at();
         self.timers.subscribe(give_up, TimerTopic::JobGiveUp(key));
+        self.timers
+            .subscribe(hopeless, TimerTopic::JobHopeless(key));
         self.notice(FleetNotice::JobAccepted {
             job: id,
             queue: self.catalog.name(queue).clone(),
@@ -177,6 +182,13 @@
         self.answer_job(key, reply);
     }
 
+    /// A job cannot be of use any more. Unless a task of it may have started, its client is told so.
+    pub(super) fn drop_hopeless(&mut self, key: JobKey) {
+        if self.jobs.get(key).is_some_and(|job| job.possible_starts == 0) {
+            self.give_up_job(key);
+        }
+    }
+
     /// Answers all jobs, because the process ends.
     pub(super) fn give_up_all(&mut self) {
         let keys = self.jobs.iter().map(|(key, _)| key).collect::<Vec<_>>();
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -28,7 +28,7 @@
 use typed_index_collections::TiVec;
 
 use crate::catalog::QueueCatalog;
-use crate::demand::OfferTable;
+use crate::demand::{AcceptedRates, OfferTable};
 use crate::held::HeldTarget;
 use crate::home::{JobTable, TaskRef};
 use crate::link::PeerLink;
@@ -47,6 +47,8 @@
 enum TimerTopic {
     /// Nobody needs the answer to a job any more.
     JobGiveUp(JobKey),
+    /// The answer to a job is hardly of use any more.
+    JobHopeless(JobKey),
     /// The run of a lost holder has certainly ended.
     OrphanOver(TaskRef),
     /// Ownership is reviewed.
@@ -86,6 +88,7 @@
     fenced: BTreeMap<TargetIndex, (TimePoint, FencingToken)>,
     last_token: FencingToken,
     jobs: JobTable,
+    accepted: AcceptedRates,
     room_changed: bool,
     offers: OfferTable,
     timers: TimerService<TimerTopic>,
@@ -131,6 +134,7 @@
             fenced: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
+            accepted: AcceptedRates::default(),
             room_changed: false,
             offers: OfferTable::default(),
             timers,
@@ -206,6 +210,7 @@
         while let Some(topic) = self.timers.pop_due(self.clock.time) {
             match topic {
                 TimerTopic::JobGiveUp(job) => self.give_up_job(job),
+                TimerTopic::JobHopeless(job) => self.drop_hopeless(job),
                 TimerTopic::OrphanOver(task) => self.recover_orphan(task),
                 TimerTopic::Review => self.review(),
                 TimerTopic::Sample => self.sample_load(),
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -212,10 +212,13 @@
     /// Sends the envelopes that are due.
     pub(super) fn send_envelopes(&mut self) {
         let now = self.now();
-        let waiting = self.jobs.waiting_len();
+        let most_urgent = self.jobs.waiting().next().map(|task| {
+            let (hope, priority, _) = self.rank_of(task);
+            (hope, priority)
+        });
         let due = self.links.iter_enumerated().filter(|(_, link)| {
             link.as_ref()
-                .is_some_and(|link| link.wants_envelope(now, waiting))
+                .is_some_and(|link| link.wants_envelope(now, most_urgent))
         });
         let due = due.map(|(peer, _)| peer).collect::<Vec<_>>();
         let greeted = self.due_seeds();
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
-use filbertpitch_types::fleet::{DemandReport, FleetMessage, OfferNumber, PlaceRequest, TaskOrder};
+use filbertpitch_types::fleet::{
+    DemandReport, FleetMessage, OfferNumber, PlaceRequest, TaskOrder, TaskRank,
+};
 use filbertpitch_types::prelude::*;
 
 use super::holding::millis;
@@ -43,10 +45,6 @@
     rival: Option<TaskRank>,
 }
 
-/// Orders tasks of all homes: late ones last, then by priority and by the time until they must
-/// start.
-type TaskRank = (bool, u8, i32);
-
 /// A task and the target that was chosen for it.
 #[derive(Clone, Copy, Debug)]
 struct TaskChoice {
@@ -158,12 +156,11 @@
             .collect()
     }
 
-    fn rank_of(&self, task: TaskRef) -> TaskRank {
+    pub(super) fn rank_of(&self, task: TaskRef) -> TaskRank {
         let now = self.now();
         let job = self.jobs.get(task.job).expect("the job is live");
-        let start_by = job.start_by(task.position);
-        let slack = slack_ms(now, start_by);
-        (slack < 0, job.priority, slack)
+        let slack = slack_ms(now, job.start_by(task.position));
+        (job.hope(now, task.position), job.priority, slack)
     }
 
     /// The position of the candidate that suits a task best.
@@ -397,17 +394,24 @@
             let room = job.step_of(task.position).room;
             least = Some(least.map_or(room, |least| least.least(room)));
         }
+        let accepted = self.accepted.report(now);
         let Some(least) = least else {
-            return DemandReport::default();
+            return DemandReport {
+                accepted,
+                ..DemandReport::default()
+            };
         };
         let first = self.jobs.waiting().next();
-        let (_, priority, slack) = first.map_or((false, 0, 0), |task| self.rank_of(task));
+        let rank = first.map(|task| self.rank_of(task));
+        let (hope, priority, slack_ms) = rank.unwrap_or_default();
         DemandReport {
             tasks: u32::try_from(self.jobs.waiting_len()).unwrap_or(u32::MAX),
+            hope,
             priority,
-            slack_ms: slack,
+            slack_ms,
             least,
             work: self.jobs.waiting_work(now),
+            accepted,
         }
     }
 }
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -40,9 +40,6 @@
     pub usable_share: f64,
     /// How much longer tasks run away from their data.
     pub far_factor: f64,
-    /// How much more work may have to start within some time than can end in it, in milliseconds:
-    /// a task must only start in time, and goes on after that.
-    pub start_grace_ms: f64,
 }
 
 impl Default for FleetSettings {
@@ -62,7 +59,6 @@
             patience_limit: Duration::from_secs(60),
             usable_share: 0.85,
             far_factor: 1.5,
-            start_grace_ms: 0.0,
         }
     }
 }
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -1,8 +1,8 @@
 //! The jobs that clients have sent to this VM.
 //!
-//! Their waiting tasks form one queue, ordered by the latest moment at which a task must start for
-//! its job to meet its objective. Tasks whose moment has passed come after all others: serving them
-//! first would make the others late as well.
+//! Their waiting tasks form one queue: first those whose job can be answered in time, by priority and
+//! by the latest moment at which a task must start for that. Tasks whose moment has passed come after
+//! all others: serving them first would make the others late as well.
 
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_types::fleet::{JobOrder, StepOrder, WaitingWork};
+use filbertpitch_types::fleet::{JobOrder, StepOrder, TaskHope, WaitingWork};
 use filbertpitch_types::prelude::*;
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -22,6 +22,22 @@
 /// How many targets a task avoids.
 const EXCLUDED_LIMIT: usize = 4;
 
+/// How many objectives after its arrival the answer to a job is hardly of use to its client. Up to
+/// then the users count it as late, and after that as not served.
+const LATE_OBJECTIVES: u32 = 3;
+
+/// By how much longer than expected a run is planned, in percent: targets differ in speed, and a job
+/// is done with the last of its tasks.
+const RUN_MARGIN_PERCENT: u32 = 15;
+
+/// The time for the way of an answer to its client, and for the way of the job.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// The time to plan for a run that is expected to take `run`.
+pub fn careful(run: Duration) -> Duration {
+    run + run * RUN_MARGIN_PERCENT / 100 + ANSWER_MARGIN
+}
+
 /// A task of a live job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskRef {
@@ -152,7 +168,31 @@
     pub fn start_by(&self, position: usize) -> TimePoint {
         let step = usize::from(self.tasks[position].name.step);
         let rest = self.expected[step..].iter().sum::<Duration>();
-        self.arrived + self.objective.saturating_sub(rest)
+        self.arrived + self.objective.saturating_sub(careful(rest))
+    }
+
+    /// Whether a task that starts now can still be useful. What was done for a job is lost unless it
+    /// is finished, so that a job that has started is finished first even if it will be late.
+    pub fn hope(&self, now: TimePoint, position: usize) -> TaskHope {
+        let start_by = self.start_by(position);
+        let grace = match self.possible_starts > 0 {
+            true => self.objective,
+            false => Duration::ZERO,
+        };
+        if now <= start_by + grace {
+            TaskHope::InTime
+        } else if now <= start_by + self.objective * (LATE_OBJECTIVES - 1) {
+            TaskHope::Late
+        } else {
+            TaskHope::TooLate
+        }
+    }
+
+    /// When no task of it can be of use any more unless one has started.
+    pub fn hopeless_at(&self) -> TimePoint {
+        let starts = (0..self.tasks.len()).map(|position| self.start_by(position));
+        let first = starts.min().unwrap_or(self.arrived);
+        first + self.objective * (LATE_OBJECTIVES - 1)
     }
 
     /// Whether all tasks of the steps that `step` waits for are done.
@@ -166,7 +206,7 @@
 /// The order of waiting tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 struct QueuePlace {
-    late: bool,
+    hope: TaskHope,
     priority: u8,
     start_by: TimePoint,
     task: TaskRef,
@@ -323,13 +363,14 @@
         let job = &mut self.jobs[task.job];
         let start_by = job.start_by(task.position);
         let priority = job.priority;
+        let hope = job.hope(now, task.position);
         let state = &mut job.tasks[task.position];
         if let Some(place) = state.queued.take() {
             self.waiting.remove(&place);
         }
         if phase == TaskPhase::Waiting {
             let place = QueuePlace {
-                late: start_by < now,
+                hope,
                 priority,
                 start_by,
                 task,
@@ -364,12 +405,14 @@
         Some(job)
     }
 
-    /// Moves the tasks that have become late behind the others.
+    /// Moves the tasks that have lost hope behind the others.
     pub fn demote_late(&mut self, now: TimePoint) {
-        let late = self.waiting.iter().take_while(|place| !place.late);
-        let late = late.filter(|place| place.start_by < now);
-        let late = late.map(|place| place.task).collect::<Vec<_>>();
-        for task in late {
+        let changed = self.waiting.iter().filter(|place| {
+            let job = &self.jobs[place.task.job];
+            job.hope(now, place.task.position) != place.hope
+        });
+        let changed = changed.map(|place| place.task).collect::<Vec<_>>();
+        for task in changed {
             self.set_phase(now, task, TaskPhase::Waiting);
         }
     }
@@ -384,15 +427,17 @@
         self.waiting.len()
     }
 
-    /// The work of the waiting tasks by the time until they must start.
+    /// The work of the waiting tasks that can be in time, by the time until they must start.
     pub fn waiting_work(&self, now: TimePoint) -> WaitingWork {
         let mut work = WaitingWork::default();
         for place in &self.waiting {
+            if place.hope > TaskHope::InTime {
+                break;
+            }
             let job = &self.jobs[place.task.job];
             let position = place.task.position;
             let task = task_work(&job.step_of(position).room, job.expected_of(position));
-            let slack = (!place.late).then(|| place.start_by.since(now));
-            work.add(slack, task);
+            work.add(place.priority, place.start_by.since(now), task);
         }
         work
     }
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -9,7 +9,7 @@
 
 use filbertpitch_dispatch::entity::TargetIndex;
 use filbertpitch_types::fleet::{
-    DemandReport, FleetMessage, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState, RoomReport,
+    DemandClass, DemandReport, FleetMessage, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState, RoomReport,
 };
 use filbertpitch_types::prelude::*;
 
@@ -20,6 +20,8 @@
 pub struct LinkSettings {
     /// The longest time without an envelope to a peer.
     pub beat_interval: Duration,
+    /// The longest time without an envelope to a peer while tasks wait.
+    pub demand_interval: Duration,
     /// The time between envelopes to a peer that was given up long ago.
     pub lost_interval: Duration,
     /// The time without an envelope from a peer after which it gets no work.
@@ -34,6 +36,7 @@
     fn default() -> Self {
         Self {
             beat_interval: Duration::from_millis(150),
+            demand_interval: Duration::from_millis(25),
             lost_interval: Duration::from_millis(1000),
             silent_after: Duration::from_millis(450),
             lost_after: Duration::from_millis(900),
@@ -115,7 +118,8 @@
     open_requests: VecDeque<OpenRequest>,
     in_flight: bool,
     last_sent: Option<TimePoint>,
-    sent_demand: u32,
+    /// The class of the most urgent task that the last envelope told of.
+    sent_class: Option<DemandClass>,
     confirmed_holdings: Option<u32>,
     /// The peer's mark in the platform's store, and when it rose.
     mark: Option<u64>,
@@ -156,7 +160,7 @@
             open_requests: VecDeque::new(),
             in_flight: false,
             last_sent: None,
-            sent_demand: 0,
+            sent_class: None,
             confirmed_holdings: None,
             mark: None,
             marked_at: None,
@@ -387,15 +391,18 @@
     }
 
     /// Whether an envelope is to be sent now.
-    pub fn wants_envelope(&self, now: TimePoint, waiting: usize) -> bool {
+    pub fn wants_envelope(&self, now: TimePoint, most_urgent: Option<DemandClass>) -> bool {
         if self.in_flight {
             return false;
         }
-        let new_demand = waiting > 0 && self.sent_demand == 0 && self.is_live();
-        let beat_due = self
-            .last_sent
-            .is_none_or(|sent| now.since(sent) >= self.interval());
-        !self.outbox.is_empty() || self.hurried || new_demand || beat_due
+        let quiet = self.last_sent.map(|sent| now.since(sent));
+        let due = |interval: Duration| quiet.is_none_or(|quiet| quiet >= interval);
+        let new_demand = self.is_live()
+            && most_urgent.is_some_and(|class| {
+                let more_urgent = self.sent_class.is_none_or(|sent| class < sent);
+                more_urgent || due(self.settings.demand_interval)
+            });
+        !self.outbox.is_empty() || self.hurried || new_demand || due(self.interval())
     }
 
     /// Sends the next envelope as soon as possible.
@@ -436,7 +443,7 @@
         self.in_flight = true;
         self.hurried = false;
         self.last_sent = Some(now);
-        self.sent_demand = envelope.demand.tasks;
+        self.sent_class = envelope.demand.class();
         let unknown = matches!(self.phase, LinkPhase::Unheard { .. });
         envelope.to = (!unknown).then_some(self.identity.incarnation);
         envelope.losses = self.own_losses;
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -34,8 +34,13 @@
 const WEIGHTS: [f64; 7] = [6.0, 10.0, 4.0, 12.0, 8.0, 9.0, 5.0];
 
 fn show(name: &str, result: &LoadResult) {
-    println!("{name}: earned {:.3} served {:.3}", result.earned(), result.served());
-    for kind in &result.0 {
+    println!(
+        "{name}: earned {:.3} served {:.3} used {:.3}",
+        result.earned(),
+        result.served(),
+        result.used
+    );
+    for kind in &result.kinds {
         println!("  {kind:?}");
     }
 }
@@ -62,3 +67,26 @@
     }
     println!("mean earned: calm {:.3} peak {:.3} flood {:.3}", sums[0], sums[1], sums[2]);
 }
+
+#[test]
+#[ignore = "prints figures"]
+fn urgent_losses() {
+    let mut fleet = desk_fleet(0);
+    run_load(&mut fleet, 10.0, CORES, &WEIGHTS, |_| 100.0);
+    run_load(&mut fleet, 6.0, CORES, &WEIGHTS, |_| 300.0);
+    let mut shown = 0;
+    for (id, job) in &fleet.jobs {
+        let objective = STRETCH * job.shape.work.as_secs_f64() * 1000.0 + ALLOWANCE_MS;
+        let waited = job.waited().as_secs_f64() * 1000.0;
+        let completed = job.reply == Some(filbertpitch_types::fleet::JobReply::Completed);
+        if job.shape.queue != 0 || !completed || waited <= objective || shown > 12 {
+            continue;
+        }
+        shown += 1;
+        println!(
+            "job {id} at {} vm {} tasks {} cores {} work {:?} objective {objective:.0} waited {waited:.0}",
+            job.sent_at, job.vm, job.shape.tasks, job.shape.cores, job.shape.work
+        );
+        fleet.print_job(*id);
+    }
+}
--- a/crates/fleet/tests/support/load.rs
+++ b/crates/fleet/tests/support/load.rs
@@ -70,19 +70,23 @@
 
 /// The results of all kinds.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LoadResult(pub [KindResult; 3]);
+pub struct LoadResult {
+    pub kinds: [KindResult; 3],
+    /// The part of the cores that was in use.
+    pub used: f64,
+}
 
 impl LoadResult {
     /// The part of the worth that was earned.
     pub fn earned(&self) -> f64 {
-        let owed = self.0.iter().map(|kind| kind.owed).sum::<f64>();
-        self.0.iter().map(|kind| kind.worth).sum::<f64>() / owed
+        let owed = self.kinds.iter().map(|kind| kind.owed).sum::<f64>();
+        self.kinds.iter().map(|kind| kind.worth).sum::<f64>() / owed
     }
 
     /// The part of the jobs that were served, in time or late.
     pub fn served(&self) -> f64 {
-        let asked = self.0.iter().map(|kind| kind.asked).sum::<u32>();
-        let served = self.0.iter().map(|kind| kind.in_time + kind.late).sum::<u32>();
+        let asked = self.kinds.iter().map(|kind| kind.asked).sum::<u32>();
+        let served = self.kinds.iter().map(|kind| kind.in_time + kind.late).sum::<u32>();
         f64::from(served) / f64::from(asked)
     }
 }
@@ -132,6 +136,7 @@
     let start = fleet.now;
     let mut ids = Vec::<JobId>::new();
     let total = weights.iter().sum::<f64>();
+    let (mut used, mut samples) = (0.0, 0.0);
     loop {
         let time = (fleet.now - start) as f64 / 1e6;
         if time >= seconds {
@@ -139,6 +144,10 @@
         }
         let gap = -fleet.rng.random::<f64>().max(1e-9).ln() / rate(time).max(0.1);
         fleet.run_for(Duration::from_secs_f64(gap));
+        let taken = fleet.targets.iter().map(|target| target.taken().cpu.0);
+        let capacity = fleet.targets.iter().map(|target| target.capacity.cpu.0);
+        used += f64::from(taken.sum::<u32>()) / f64::from(capacity.sum::<u32>());
+        samples += 1.0;
         let mut pick = fleet.rng.random::<f64>() * total;
         let vm = weights.iter().position(|weight| {
             pick -= weight;
@@ -148,10 +157,13 @@
         ids.push(fleet.submit(vm.unwrap_or(0), shape));
     }
     fleet.run_for(Duration::from_secs(12));
-    let mut result = LoadResult::default();
+    let mut result = LoadResult {
+        used: used / samples,
+        ..LoadResult::default()
+    };
     for id in ids {
         let job = &fleet.jobs[&id];
-        let kind = &mut result.0[job.shape.queue];
+        let kind = &mut result.kinds[job.shape.queue];
         let worth = JOB_KINDS[job.shape.queue].worth;
         let objective = STRETCH * job.shape.work.as_secs_f64() + ALLOWANCE_MS / 1000.0;
         let waited = job.waited().as_secs_f64();
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -967,7 +967,7 @@
     }
 
     /// Prints what became of a job, in the order of time.
-    fn print_job(&self, id: JobId) {
+    pub fn print_job(&self, id: JobId) {
         let name = format!("JobId({})", id.0);
         let marked = format!(" {id}.");
         let notices = self.notices.iter();
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -262,35 +262,49 @@
     pub slowdown_percent: u16,
 }
 
-/// The classes of waiting work by the time until it must start, in milliseconds; a last class has
-/// the rest.
+/// The classes of waiting work by the time until it must start, in milliseconds; work that must
+/// start later is in a last class.
 const SLACK_CLASSES_MS: [u32; 6] = [25, 50, 100, 200, 400, 800];
 
-/// How much work waits, by the time until it must start, in core-milliseconds.
+/// How many priorities are told apart; higher numbers count as the last one.
+pub const PRIORITY_CLASSES: usize = 4;
+
+/// The class of a priority.
+fn priority_class(priority: u8) -> usize {
+    usize::from(priority).min(PRIORITY_CLASSES - 1)
+}
+
+/// The work of one priority that waits and is not late, by the time until it must start, in
+/// core-milliseconds.
+type SlackWork = [u64; SLACK_CLASSES_MS.len() + 1];
+
+/// How much work waits that is not late.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct WaitingWork([u64; SLACK_CLASSES_MS.len() + 1]);
+pub struct WaitingWork([SlackWork; PRIORITY_CLASSES]);
 
 impl WaitingWork {
-    /// Adds work that must start within `slack`; nothing for work that is late already, which comes
-    /// last.
-    pub fn add(&mut self, slack: Option<Duration>, work: u64) {
-        let class = slack.map_or(SLACK_CLASSES_MS.len(), Self::class);
-        self.0[class] += work;
+    /// Adds work that must start within `slack`.
+    pub fn add(&mut self, priority: u8, slack: Duration, work: u64) {
+        self.0[priority_class(priority)][Self::class(slack)] += work;
     }
 
     /// By how much the work that must start within some time would exceed what `cores` can start in
-    /// it, if `work` with this slack were added; in milliseconds, negative while there is room. Only
-    /// times from `slack` on count: more urgent work is not delayed.
-    pub fn excess_ms(&self, slack: Duration, work: u64, cores: f64) -> f64 {
+    /// it, if `work` with this priority and slack were added; in milliseconds, negative while there
+    /// is room. Work of a lower priority and more urgent work of the same one are not delayed by it
+    /// and do not count.
+    pub fn excess_ms(&self, priority: u8, slack: Duration, work: u64, cores: f64) -> f64 {
         let own = Self::class(slack);
         let slack_ms = slack.as_secs_f64() * 1000.0;
+        let priority = priority_class(priority);
+        let before = self.0[..priority].iter().flatten().sum::<u64>();
         let mut excess = f64::MIN;
-        let mut sum = work;
-        for (class, more) in self.0.iter().take(SLACK_CLASSES_MS.len()).enumerate() {
+        let mut sum = work + before;
+        for (class, more) in self.0[priority].iter().enumerate() {
             sum += more;
             if class >= own {
-                let bound = f64::from(SLACK_CLASSES_MS[class]).max(slack_ms);
+                let bound = SLACK_CLASSES_MS.get(class).copied().unwrap_or(u32::MAX);
+                let bound = f64::from(bound).max(slack_ms);
                 excess = excess.max(sum as f64 / cores - bound);
             }
         }
@@ -299,14 +313,15 @@
 
     /// Adds the work of another VM.
     pub fn merge(&mut self, other: &Self) {
-        for (class, work) in self.0.iter_mut().zip(other.0) {
+        let pairs = self.0.iter_mut().flatten().zip(other.0.iter().flatten());
+        for (class, work) in pairs {
             *class += work;
         }
     }
 
     /// All of it.
     pub fn total(&self) -> u64 {
-        self.0.iter().sum()
+        self.0.iter().flatten().sum()
     }
 
     fn class(slack: Duration) -> usize {
@@ -314,25 +329,67 @@
     }
 }
 
+/// How much work was accepted lately of each priority, in cores: core-milliseconds per millisecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct AcceptedWork(pub [u32; PRIORITY_CLASSES]);
+
+impl AcceptedWork {
+    /// The cores that work of a higher priority takes.
+    pub fn above(&self, priority: u8) -> f64 {
+        self.0[..priority_class(priority)].iter().copied().map(f64::from).sum()
+    }
+}
+
+/// Whether a waiting task can still be useful. A class comes before the next one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskHope {
+    /// Its job can be answered in time.
+    #[default]
+    InTime,
+    /// Its job will be late.
+    Late,
+    /// Its job will be so late that the answer is hardly of use.
+    TooLate,
+}
+
 /// The tasks that wait at the sender because no target has room.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
     /// How many.
     pub tasks: u32,
-    /// The priority of the most urgent one; 0 is the most important. Late tasks come after all others.
+    /// Whether the most urgent one can be answered in time.
+    pub hope: TaskHope,
+    /// Its priority; 0 is the most important.
     pub priority: u8,
-    /// The time until it must start, in milliseconds; negative if it is late.
+    /// The time until it must start, in milliseconds; negative if that has passed.
     pub slack_ms: i32,
     /// In each dimension, the least that any of them takes.
     pub least: RoomSize,
-    /// The processor time that they are expected to take.
+    /// The processor time that those in time are expected to take.
     pub work: WaitingWork,
+    /// What the sender has accepted lately.
+    pub accepted: AcceptedWork,
 }
 
+/// Orders waiting tasks of all VMs: by hope, by priority, and by the time until they must start.
+pub type TaskRank = (TaskHope, u8, i32);
+
+/// The hope and the priority of a task; lower classes are served first.
+pub type DemandClass = (TaskHope, u8);
+
 impl DemandReport {
     /// Orders reports by their most urgent task, the most urgent first.
-    pub fn rank(&self) -> (bool, u8, i32) {
-        (self.slack_ms < 0, self.priority, self.slack_ms)
+    pub fn rank(&self) -> TaskRank {
+        (self.hope, self.priority, self.slack_ms)
+    }
+
+    /// The class of the most urgent task, if any waits.
+    pub fn class(&self) -> Option<DemandClass> {
+        (self.tasks > 0).then_some((self.hope, self.priority))
     }
 }
 
