--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -44,7 +44,6 @@
             tasks,
             objective,
             patience,
-            wait,
             version,
         } => log.record(
             LogEvent::JobAccepted,
@@ -54,7 +53,6 @@
                 "tasks" => tasks,
                 "objective_ms" => millis(*objective),
                 "patience_ms" => millis(*patience),
-                "wait_ms" => millis(*wait),
                 "version" => version.map(|version| version.0)
             ),
         ),
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,7 +9,7 @@
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_dispatch::work_rate::WorkRate;
-use filbertpitch_types::fleet::{AcceptedWork, OfferNumber, PRIORITY_CLASSES};
+use filbertpitch_types::fleet::{OfferedWork, OfferNumber, PRIORITY_CLASSES};
 use filbertpitch_types::prelude::*;
 
 /// How long room is kept for a home that was offered it: a few round trips between availability
@@ -79,11 +79,11 @@
     }
 }
 
-/// How much work of each priority was accepted in the last second.
+/// How much work of each priority clients have offered in the last second.
 #[derive(Clone, Debug, Default)]
-pub struct AcceptedRates([WorkRate; PRIORITY_CLASSES]);
+pub struct OfferedRates([WorkRate; PRIORITY_CLASSES]);
 
-impl AcceptedRates {
+impl OfferedRates {
     /// Counts the core-milliseconds of a job.
     pub fn record(&mut self, now: TimePoint, priority: u8, work: u64) {
         let class = usize::from(priority).min(PRIORITY_CLASSES - 1);
@@ -91,8 +91,8 @@
     }
 
     /// The rates now.
-    pub fn report(&self, now: TimePoint) -> AcceptedWork {
-        AcceptedWork(std::array::from_fn(|class| {
+    pub fn report(&self, now: TimePoint) -> OfferedWork {
+        OfferedWork(std::array::from_fn(|class| {
             let mut rate = self.0[class];
             rate.advance(now);
             u32::try_from(rate.per_second().as_secs()).unwrap_or(u32::MAX)
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -7,7 +7,7 @@
 
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_types::fleet::{
-    JobOrder, PeerState, QueueSpec, RejectReason, StepOrder, TargetEntry,
+    JobOrder, PeerState, QueueSpec, RejectReason, StepOrder, TargetEntry, WaitingWork,
 };
 use rand::Rng;
 
@@ -18,9 +18,6 @@
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
-/// The part of the cores that work of any priority can count on.
-const LEAST_SHARE: f64 = 0.1;
-
 /// The core-milliseconds of a job.
 pub(super) fn job_work(order: &JobOrder, plan: &JobPlan) -> u64 {
     let steps = order.steps.iter().zip(&plan.expected);
@@ -29,11 +26,14 @@
     works.sum()
 }
 
-/// A job that is accepted.
-pub(super) struct Admission {
-    pub(super) plan: JobPlan,
-    /// The expected wait for room.
-    pub(super) wait: Duration,
+/// The part of the cores that work of any priority can count on.
+const LEAST_SHARE: f64 = 0.1;
+
+/// The load of all VMs, as far as it matters for a job.
+struct FleetLoad {
+    waiting: WaitingWork,
+    /// Work of a higher priority that is offered, in cores.
+    offered_above: f64,
 }
 
 /// A job that is not accepted.
@@ -54,11 +54,11 @@
 
 impl FleetEngine {
     pub(super) fn plan_job(
-        &self,
+        &mut self,
         queue: KindIndex,
         order: &JobOrder,
         patience: Duration,
-    ) -> Result<Admission, Rejection> {
+    ) -> Result<JobPlan, Rejection> {
         match self.state {
             PeerState::Starting => return Err(Rejection::now(RejectReason::NotReady)),
             PeerState::Ready | PeerState::Leaving => {}
@@ -77,14 +77,13 @@
             return Err(Rejection::now(RejectReason::NoCapableTarget));
         }
         let plan = self.make_plan(queue, spec, order, patience);
-        let lateness = self.expect_lateness(order, &plan);
-        if !lateness.is_zero() {
-            return Err(Rejection {
+        match self.judge_load(order, &plan) {
+            Ok(()) => Ok(plan),
+            Err(wait) => Err(Rejection {
                 reason: RejectReason::Overloaded,
-                wait: lateness,
-            });
+                wait,
+            }),
         }
-        Ok(Admission { plan, wait: lateness })
     }
 
     /// Whether some listed target could ever run a task of the step.
@@ -113,36 +112,51 @@
         let patience = patience.min(self.settings.patience_limit);
         JobPlan {
             queue,
-            priority: spec.priority.min(1),
+            priority: spec.priority,
             objective,
             patience,
             expected,
         }
     }
 
-    /// The time by which a job would delay itself, or work that was accepted before, beyond what
-    /// its objective allows.
-    fn expect_lateness(&self, order: &JobOrder, plan: &JobPlan) -> Duration {
-        let mut waiting = self.jobs.waiting_work(self.now());
-        let mut above = self.accepted.report(self.now()).above(plan.priority);
-        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
-            let demand = link.demand();
-            waiting.merge(&demand.work);
-            above += demand.accepted.above(plan.priority);
-        }
+    /// Whether a job is accepted under the load that there is; if not, when there may be room.
+    fn judge_load(&mut self, order: &JobOrder, plan: &JobPlan) -> Result<(), Duration> {
+        let now = self.now();
+        let work = job_work(order, plan);
+        self.offered.record(now, plan.priority, work);
         let cores = self.usable_cores();
         if cores <= 0.0 {
-            return Duration::MAX;
+            return Err(Duration::MAX);
         }
-        if waiting.total() == 0 {
-            return Duration::ZERO;
+        let load = self.fleet_load(plan.priority);
+        let backlog = Duration::from_secs_f64(load.waiting.total() as f64 / cores / 1000.0);
+        if backlog < self.settings.calm_backlog {
+            return Ok(());
         }
         // Work of a higher priority goes on to arrive and comes first.
-        let cores = (cores - above).max(cores * LEAST_SHARE);
+        let cores = (cores - load.offered_above).max(cores * LEAST_SHARE);
         let needed = plan.expected.iter().sum::<Duration>();
         let slack = plan.objective.saturating_sub(careful(needed));
-        let excess = waiting.excess_ms(plan.priority, slack, job_work(order, plan), cores);
-        Duration::from_secs_f64(excess.max(0.0) / 1000.0)
+        let excess = load.waiting.excess_ms(plan.priority, slack, work, cores);
+        match excess > 0.0 {
+            true => Err(Duration::from_secs_f64(excess / 1000.0)),
+            false => Ok(()),
+        }
+    }
+
+    /// What waits at all VMs, and what is offered of a higher priority.
+    fn fleet_load(&self, priority: u8) -> FleetLoad {
+        let now = self.now();
+        let mut load = FleetLoad {
+            waiting: self.jobs.waiting_work(now),
+            offered_above: self.offered.report(now).above(priority),
+        };
+        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
+            let demand = link.demand();
+            load.waiting.merge(&demand.work);
+            load.offered_above += demand.offered.above(priority);
+        }
+        load
     }
 
     /// The cores of all targets that some VM holds. While VMs come and go, targets without a holder
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -189,8 +189,6 @@
         objective: Duration,
         /// How long its client waits.
         patience: Duration,
-        /// The expected wait for room.
-        wait: Duration,
         /// The configuration in force.
         version: Option<ConfigVersion>,
     },
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -9,7 +9,6 @@
 };
 use filbertpitch_types::prelude::*;
 
-use super::admission::{Admission, job_work};
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
 use crate::home::{HomeJob, JobPlan, TaskPhase, TaskRef};
 
@@ -59,14 +58,11 @@
         self.accept_job(caller, order, plan);
     }
 
-    fn accept_job(&mut self, caller: CallerToken, order: JobOrder, admitted: Admission) {
+    fn accept_job(&mut self, caller: CallerToken, order: JobOrder, plan: JobPlan) {
         let now = self.now();
         self.counters.jobs_accepted += 1;
-        let plan: JobPlan = admitted.plan;
         let (id, objective, queue) = (order.id, plan.objective, plan.queue);
         let patience = plan.patience;
-        let work = job_work(&order, &plan);
-        self.accepted.record(now, plan.priority, work);
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.give_up, job.tasks.len());
@@ -80,7 +76,6 @@
             tasks,
             objective,
             patience,
-            wait: admitted.wait,
             version: self.catalog.version(),
         });
         self.room_changed = true;
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -28,7 +28,7 @@
 use typed_index_collections::TiVec;
 
 use crate::catalog::QueueCatalog;
-use crate::demand::{AcceptedRates, OfferTable};
+use crate::demand::{OfferedRates, OfferTable};
 use crate::held::HeldTarget;
 use crate::home::{JobTable, TaskRef};
 use crate::link::PeerLink;
@@ -88,7 +88,7 @@
     fenced: BTreeMap<TargetIndex, (TimePoint, FencingToken)>,
     last_token: FencingToken,
     jobs: JobTable,
-    accepted: AcceptedRates,
+    offered: OfferedRates,
     room_changed: bool,
     offers: OfferTable,
     timers: TimerService<TimerTopic>,
@@ -134,7 +134,7 @@
             fenced: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
-            accepted: AcceptedRates::default(),
+            offered: OfferedRates::default(),
             room_changed: false,
             offers: OfferTable::default(),
             timers,
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -394,10 +394,10 @@
             let room = job.step_of(task.position).room;
             least = Some(least.map_or(room, |least| least.least(room)));
         }
-        let accepted = self.accepted.report(now);
+        let offered = self.offered.report(now);
         let Some(least) = least else {
             return DemandReport {
-                accepted,
+                offered,
                 ..DemandReport::default()
             };
         };
@@ -411,7 +411,7 @@
             slack_ms,
             least,
             work: self.jobs.waiting_work(now),
-            accepted,
+            offered,
         }
     }
 }
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -49,7 +49,8 @@
 #[ignore = "prints figures"]
 fn overload_figures() {
     let mut sums = [0.0; 3];
-    for seed in 0..4 {
+    let mut counts = [0.0; 3];
+    for seed in 0..6 {
         let mut fleet = desk_fleet(seed);
         let calm = run_load(&mut fleet, 10.0, CORES, &WEIGHTS, |_| 100.0);
         let peak = run_load(&mut fleet, 8.0, CORES, &WEIGHTS, |time| {
@@ -61,11 +62,12 @@
             show("peak", &peak);
             show("flood", &flood);
         }
-        for (sum, result) in sums.iter_mut().zip([calm, peak, flood]) {
-            *sum += result.earned() / 4.0;
+        for ((sum, count), result) in sums.iter_mut().zip(&mut counts).zip([calm, peak, flood]) {
+            *sum += result.earned() / 6.0;
+            *count += result.served() / 6.0;
         }
     }
-    println!("mean earned: calm {:.3} peak {:.3} flood {:.3}", sums[0], sums[1], sums[2]);
+    println!("mean earned {sums:.3?} served {counts:.3?} for calm, peak and flood");
 }
 
 #[test]
--- a/crates/fleet/tests/support/load.rs
+++ b/crates/fleet/tests/support/load.rs
@@ -4,7 +4,8 @@
 
 use filbertpitch_types::fleet::JobReply;
 use filbertpitch_types::prelude::*;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use super::client::JobShape;
 use super::world::SimFleet;
@@ -100,22 +101,25 @@
 }
 
 /// A job of a random kind with random sizes.
-pub fn random_shape(fleet: &mut SimFleet, cores: f64) -> JobShape {
+pub fn random_shape<R>(rng: &mut R, cores: f64) -> JobShape
+where
+    R: Rng,
+{
     let total = JOB_KINDS.iter().map(|kind| kind.share).sum::<f64>();
-    let mut pick = fleet.rng.random::<f64>() * total;
+    let mut pick = rng.random::<f64>() * total;
     let queue = JOB_KINDS.iter().position(|kind| {
         pick -= kind.share;
         pick < 0.0
     });
     let queue = queue.unwrap_or(JOB_KINDS.len() - 1);
     let kind = JOB_KINDS[queue];
-    let mut work = kind.work_ms * (0.4 * normal(&mut fleet.rng)).exp();
-    if fleet.rng.random::<f64>() < TAIL_SHARE {
+    let mut work = kind.work_ms * (0.4 * normal(rng)).exp();
+    if rng.random::<f64>() < TAIL_SHARE {
         work *= TAIL_FACTOR;
     }
-    let tasks = kind.tasks * (0.4 * normal(&mut fleet.rng)).exp();
-    let cores = cores * (0.2 * normal(&mut fleet.rng)).exp();
-    let declared = work * (0.4 * normal(&mut fleet.rng)).exp();
+    let tasks = kind.tasks * (0.4 * normal(rng)).exp();
+    let cores = cores * (0.2 * normal(rng)).exp();
+    let declared = work * (0.4 * normal(rng)).exp();
     let objective = STRETCH * work + ALLOWANCE_MS;
     JobShape {
         queue,
@@ -134,6 +138,8 @@
     F: Fn(f64) -> f64,
 {
     let start = fleet.now;
+    // The jobs must not depend on what the fleet does with them.
+    let mut rng = ChaCha8Rng::seed_from_u64(fleet.seed() ^ (seconds * 1000.0) as u64);
     let mut ids = Vec::<JobId>::new();
     let total = weights.iter().sum::<f64>();
     let (mut used, mut samples) = (0.0, 0.0);
@@ -142,18 +148,18 @@
         if time >= seconds {
             break;
         }
-        let gap = -fleet.rng.random::<f64>().max(1e-9).ln() / rate(time).max(0.1);
+        let gap = -rng.random::<f64>().max(1e-9).ln() / rate(time).max(0.1);
         fleet.run_for(Duration::from_secs_f64(gap));
         let taken = fleet.targets.iter().map(|target| target.taken().cpu.0);
         let capacity = fleet.targets.iter().map(|target| target.capacity.cpu.0);
         used += f64::from(taken.sum::<u32>()) / f64::from(capacity.sum::<u32>());
         samples += 1.0;
-        let mut pick = fleet.rng.random::<f64>() * total;
+        let mut pick = rng.random::<f64>() * total;
         let vm = weights.iter().position(|weight| {
             pick -= weight;
             pick < 0.0
         });
-        let shape = random_shape(fleet, cores);
+        let shape = random_shape(&mut rng, cores);
         ids.push(fleet.submit(vm.unwrap_or(0), shape));
     }
     fleet.run_for(Duration::from_secs(12));
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -289,6 +289,11 @@
         fleet
     }
 
+    /// The seed of the run.
+    pub fn seed(&self) -> u64 {
+        self.options.seed
+    }
+
     /// How many VMs there are.
     pub fn vm_count(&self) -> usize {
         self.vms.len()
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -329,15 +329,17 @@
     }
 }
 
-/// How much work was accepted lately of each priority, in cores: core-milliseconds per millisecond.
+/// How much work clients have offered lately of each priority, in cores: core-milliseconds per
+/// millisecond.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct AcceptedWork(pub [u32; PRIORITY_CLASSES]);
+pub struct OfferedWork(pub [u32; PRIORITY_CLASSES]);
 
-impl AcceptedWork {
+impl OfferedWork {
     /// The cores that work of a higher priority takes.
     pub fn above(&self, priority: u8) -> f64 {
-        self.0[..priority_class(priority)].iter().copied().map(f64::from).sum()
+        let above = &self.0[..priority_class(priority)];
+        above.iter().copied().map(f64::from).sum()
     }
 }
 
@@ -371,8 +373,8 @@
     pub least: RoomSize,
     /// The processor time that those in time are expected to take.
     pub work: WaitingWork,
-    /// What the sender has accepted lately.
-    pub accepted: AcceptedWork,
+    /// What the sender's clients have offered lately.
+    pub offered: OfferedWork,
 }
 
 /// Orders waiting tasks of all VMs: by hope, by priority, and by the time until they must start.
