--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -9,7 +9,7 @@
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_dispatch::work_rate::WorkRate;
-use filbertpitch_types::fleet::{OfferedWork, OfferNumber, PRIORITY_CLASSES};
+use filbertpitch_types::fleet::{OfferNumber, OfferedWork, PRIORITY_CLASSES};
 use filbertpitch_types::prelude::*;
 
 /// How long room is kept for a home that was offered it: a few round trips between availability
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -179,7 +179,11 @@
 
     /// A job cannot be of use any more. Unless a task of it may have started, its client is told so.
     pub(super) fn drop_hopeless(&mut self, key: JobKey) {
-        if self.jobs.get(key).is_some_and(|job| job.possible_starts == 0) {
+        if self
+            .jobs
+            .get(key)
+            .is_some_and(|job| job.possible_starts == 0)
+        {
             self.give_up_job(key);
         }
     }
@@ -320,8 +324,7 @@
         };
         let declared = job.order.steps[0].declared;
         let (queue, patience, longest) = (job.queue, job.patience, job.longest);
-        self.catalog
-            .observe_job(queue, declared, patience, longest);
+        self.catalog.observe_job(queue, declared, patience, longest);
     }
 
     fn fail_task(&mut self, task: TaskRef, target: &TargetName) {
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -28,7 +28,7 @@
 use typed_index_collections::TiVec;
 
 use crate::catalog::QueueCatalog;
-use crate::demand::{OfferedRates, OfferTable};
+use crate::demand::{OfferTable, OfferedRates};
 use crate::held::HeldTarget;
 use crate::home::{JobTable, TaskRef};
 use crate::link::PeerLink;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -9,7 +9,8 @@
 
 use filbertpitch_dispatch::entity::TargetIndex;
 use filbertpitch_types::fleet::{
-    DemandClass, DemandReport, FleetMessage, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState, RoomReport,
+    DemandClass, DemandReport, FleetMessage, PeerEnvelope, PeerIdentity, PeerReceipt, PeerState,
+    RoomReport,
 };
 use filbertpitch_types::prelude::*;
 
--- a/crates/fleet/src/patience.rs
+++ b/crates/fleet/src/patience.rs
@@ -61,7 +61,10 @@
     pub fn observe(&mut self, patience: Duration, run: Duration, plain: Duration) {
         let run_ms = (run.as_secs_f64() * 1000.0).max(SHORTEST_MS);
         let plain_ms = (plain.as_secs_f64() * 1000.0).max(SHORTEST_MS);
-        if let Some(predicted) = self.line(patience).filter(|_| self.jobs >= LEARNED_JOBS / 2) {
+        if let Some(predicted) = self
+            .line(patience)
+            .filter(|_| self.jobs >= LEARNED_JOBS / 2)
+        {
             let error = |value: f64| (value / run_ms).log2().abs().min(ERROR_CAP);
             self.line_error += (error(predicted) - self.line_error) * ERROR_GAIN;
             self.plain_error += (error(plain_ms) - self.plain_error) * ERROR_GAIN;
--- a/crates/fleet/tests/support/load.rs
+++ b/crates/fleet/tests/support/load.rs
@@ -87,7 +87,11 @@
     /// The part of the jobs that were served, in time or late.
     pub fn served(&self) -> f64 {
         let asked = self.kinds.iter().map(|kind| kind.asked).sum::<u32>();
-        let served = self.kinds.iter().map(|kind| kind.in_time + kind.late).sum::<u32>();
+        let served = self
+            .kinds
+            .iter()
+            .map(|kind| kind.in_time + kind.late)
+            .sum::<u32>();
         f64::from(served) / f64::from(asked)
     }
 }
@@ -133,7 +137,13 @@
 
 /// Sends jobs at a rate per second that depends on the time since the start, in seconds. The clients
 /// of a VM send as much as `weights` says.
-pub fn run_load<F>(fleet: &mut SimFleet, seconds: f64, cores: f64, weights: &[f64], rate: F) -> LoadResult
+pub fn run_load<F>(
+    fleet: &mut SimFleet,
+    seconds: f64,
+    cores: f64,
+    weights: &[f64],
+    rate: F,
+) -> LoadResult
 where
     F: Fn(f64) -> f64,
 {
