--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -147,7 +147,7 @@
                 peer,
                 address,
                 envelope,
-            } => self.peers.send(self, peer, address, envelope),
+            } => self.peers.send(self, peer, address, *envelope),
             FleetAction::Disconnect(address) => self.targets.disconnect(address),
             FleetAction::Notice(notice) => {
                 self.metrics.see_notice(&notice);
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -122,7 +122,7 @@
         /// Where it listens.
         address: SocketAddr,
         /// The envelope.
-        envelope: PeerEnvelope,
+        envelope: Box<PeerEnvelope>,
     },
     /// Send a start order.
     Start {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -231,7 +231,7 @@
             self.actions.push(FleetAction::SendEnvelope {
                 peer: None,
                 address,
-                envelope: template.clone(),
+                envelope: Box::new(template.clone()),
             });
         }
         for peer in due {
@@ -244,7 +244,7 @@
             self.actions.push(FleetAction::SendEnvelope {
                 peer: Some(peer),
                 address,
-                envelope,
+                envelope: Box::new(envelope),
             });
         }
     }
