Space reports of waiting tasks by the number of peers

Change: the pause between two reports to a peer is at least 4 ms times the number of live peers, and a quarter of that for a more urgent task.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -216,9 +216,11 @@
             let (hope, priority, _) = self.rank_of(task);
             (hope, priority)
         });
+        let live = self.links.iter().flatten().filter(|link| link.is_live());
+        let peers = live.count();
         let due = self.links.iter_enumerated().filter(|(_, link)| {
             link.as_ref()
-                .is_some_and(|link| link.wants_envelope(now, most_urgent))
+                .is_some_and(|link| link.wants_envelope(now, most_urgent, peers))
         });
         let due = due.map(|(peer, _)| peer).collect::<Vec<_>>();
         let greeted = self.due_seeds();
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -21,8 +21,11 @@
 pub struct LinkSettings {
     /// The longest time without an envelope to a peer.
     pub beat_interval: Duration,
-    /// The longest time without an envelope to a peer while tasks wait.
+    /// The longest time without an envelope to a peer of a small fleet while tasks wait.
     pub demand_interval: Duration,
+    /// The least time between two envelopes that only tell of waiting tasks, to whichever peers:
+    /// bounds the processor time for them in a large fleet.
+    pub demand_spacing: Duration,
     /// The time between envelopes to a peer that was given up long ago.
     pub lost_interval: Duration,
     /// The time without an envelope from a peer after which it gets no work.
@@ -33,11 +36,24 @@
     pub stale_after: Duration,
 }
 
+/// A more urgent task is told of after this part of the interval.
+const URGENT_PART: u32 = 4;
+
+impl LinkSettings {
+    /// The time between two envelopes that tell one of `peers` of waiting tasks.
+    fn demand_pause(&self, peers: usize) -> Duration {
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let spaced = self.demand_spacing.saturating_mul(peers);
+        self.demand_interval.max(spaced)
+    }
+}
+
 impl Default for LinkSettings {
     fn default() -> Self {
         Self {
             beat_interval: Duration::from_millis(150),
             demand_interval: Duration::from_millis(25),
+            demand_spacing: Duration::from_millis(4),
             lost_interval: Duration::from_millis(1000),
             silent_after: Duration::from_millis(450),
             lost_after: Duration::from_millis(900),
@@ -391,8 +407,13 @@
         }
     }
 
-    /// Whether an envelope is to be sent now.
-    pub fn wants_envelope(&self, now: TimePoint, most_urgent: Option<DemandClass>) -> bool {
+    /// Whether an envelope is to be sent now; `peers` is the number of live peers.
+    pub fn wants_envelope(
+        &self,
+        now: TimePoint,
+        most_urgent: Option<DemandClass>,
+        peers: usize,
+    ) -> bool {
         if self.in_flight {
             return false;
         }
@@ -401,7 +422,11 @@
         let new_demand = self.is_live()
             && most_urgent.is_some_and(|class| {
                 let more_urgent = self.sent_class.is_none_or(|sent| class < sent);
-                more_urgent || due(self.settings.demand_interval)
+                let pause = self.settings.demand_pause(peers);
+                due(match more_urgent {
+                    true => pause / URGENT_PART,
+                    false => pause,
+                })
             });
         !self.outbox.is_empty() || self.hurried || new_demand || due(self.interval())
     }
