--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -66,6 +66,9 @@
         let Some(spec) = self.catalog.spec(queue) else {
             return Err(Rejection::now(RejectReason::UnknownQueue));
         };
+        if order.check().is_err() {
+            return Err(Rejection::now(RejectReason::Invalid));
+        }
         let unsupported = order.unsupported.is_some()
             || !order.ephemeral
             || spec.advised
--- /dev/null
+++ b/crates/fleet/tests/assignment_rules.rs
@@ -0,0 +1,128 @@
+//! Which VM should hold which target: shares, zones, and what moves when VMs come and go.
+
+use std::collections::BTreeMap;
+
+use filbertpitch_fleet::assignment::{HolderSeat, TargetSeat, assign_targets};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Names and zones of VMs and targets.
+struct Fleet {
+    vms: Vec<(String, String)>,
+    targets: Vec<(String, String)>,
+}
+
+impl Fleet {
+    fn new(vms: &[usize], targets: &[usize]) -> Self {
+        let seats = |prefix: &str, counts: &[usize]| {
+            let zones = counts.iter().enumerate();
+            let names = zones.flat_map(|(zone, count)| {
+                (0..*count)
+                    .map(move |index| (format!("{prefix}-{zone}-{index}"), format!("z{zone}")))
+            });
+            names.collect::<Vec<_>>()
+        };
+        Self {
+            vms: seats("vm", vms),
+            targets: seats("target", targets),
+        }
+    }
+
+    fn assign(&self) -> Vec<Option<usize>> {
+        let holders = self.vms.iter();
+        let holders = holders.map(|(vm, zone)| HolderSeat { vm, zone });
+        let targets = self.targets.iter();
+        let targets = targets.map(|(target, zone)| TargetSeat { target, zone });
+        assign_targets(&holders.collect::<Vec<_>>(), &targets.collect::<Vec<_>>())
+    }
+
+    fn holder_names(&self) -> Vec<Option<&str>> {
+        let assigned = self.assign().into_iter();
+        let names = assigned.map(|holder| holder.map(|holder| self.vms[holder].0.as_str()));
+        names.collect()
+    }
+}
+
+fn fixed_cases() -> ProptestConfig {
+    ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+#[test]
+fn nothing_is_assigned_without_vms() {
+    let fleet = Fleet::new(&[], &[3]);
+    assert_eq!(fleet.assign(), vec![None; 3]);
+}
+
+/// Guards against targets without a holder while all VMs of their zone are gone.
+#[test]
+fn targets_of_a_zone_without_vms_are_spread_over_all_others() {
+    let fleet = Fleet::new(&[0, 2, 2], &[8, 0, 0]);
+    let mut loads = BTreeMap::<usize, usize>::new();
+    for holder in fleet.assign() {
+        *loads.entry(holder.expect("it has a holder")).or_default() += 1;
+    }
+    assert_eq!(loads.values().copied().collect::<Vec<_>>(), [2, 2, 2, 2]);
+}
+
+/// Guards against a fleet whose VMs disagree because they list the others in different orders.
+#[test]
+fn the_order_of_the_lists_does_not_matter() {
+    let mut fleet = Fleet::new(&[2, 3], &[7, 9]);
+    let before = fleet.holder_names();
+    let before = before.into_iter().map(|name| name.map(str::to_owned));
+    let before = before.collect::<Vec<_>>();
+    fleet.vms.reverse();
+    let after = fleet.holder_names();
+    let after = after.into_iter().map(|name| name.map(str::to_owned));
+    assert_eq!(before, after.collect::<Vec<_>>());
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    /// Guards against a VM that holds much more than the others, and against holders in another
+    /// zone, whose targets are lost to a cut between zones.
+    #[test]
+    fn shares_are_even_within_a_zone(
+        vms in prop::collection::vec(0_usize..6, 1..4),
+        targets in prop::collection::vec(0_usize..40, 4),
+    ) {
+        let targets = &targets[..vms.len()];
+        let fleet = Fleet::new(&vms, targets);
+        let assigned = fleet.assign();
+        for (zone, (holders, count)) in vms.iter().zip(targets).enumerate() {
+            let zone = format!("z{zone}");
+            if *holders == 0 {
+                continue;
+            }
+            let share = count.div_ceil(*holders);
+            let mut loads = vec![0; fleet.vms.len()];
+            for (target, holder) in fleet.targets.iter().zip(&assigned) {
+                if target.1 == zone {
+                    let holder = holder.expect("the zone has VMs");
+                    prop_assert_eq!(&fleet.vms[holder].1, &zone);
+                    loads[holder] += 1;
+                }
+            }
+            prop_assert!(loads.iter().all(|load| *load <= share));
+        }
+    }
+
+    /// Guards against a restart of one VM that interrupts work on targets that it does not hold.
+    #[test]
+    fn the_loss_of_a_vm_moves_few_other_targets(vms in 3_usize..8, targets in 8_usize..64, lost in 0_usize..3) {
+        let mut fleet = Fleet::new(&[vms], &[targets]);
+        let before = fleet.holder_names().into_iter().map(|name| name.unwrap().to_owned());
+        let before = before.collect::<Vec<_>>();
+        let name = fleet.vms.remove(lost).0;
+        let after = fleet.holder_names();
+        let moved = before.iter().zip(&after);
+        let moved = moved.filter(|(before, after)| **before != name && after.unwrap() != before.as_str());
+        prop_assert!(moved.count() <= targets / 4);
+    }
+}
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -147,6 +147,42 @@
     pub unsupported: Option<&'static str>,
 }
 
+/// The most tasks of one job: several times the largest jobs that are planned for.
+pub const JOB_TASK_LIMIT: usize = 4096;
+
+/// Why the steps of a job make no sense.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobFault {
+    /// It has no step, or a step without tasks, and would never be done.
+    Empty,
+    /// It has more tasks than [`JOB_TASK_LIMIT`].
+    TooLarge,
+    /// A step waits for itself, for a later step or for one that is not there.
+    StepOrder,
+}
+
+impl JobOrder {
+    /// Checks that the job can be done at all.
+    ///
+    /// # Errors
+    /// When its steps make no sense.
+    pub fn check(&self) -> Result<(), JobFault> {
+        let tasks = self.steps.iter().map(|step| usize::from(step.count));
+        if self.steps.is_empty() || tasks.clone().any(|count| count == 0) {
+            return Err(JobFault::Empty);
+        }
+        if tasks.sum::<usize>() > JOB_TASK_LIMIT {
+            return Err(JobFault::TooLarge);
+        }
+        let mut steps = self.steps.iter().enumerate();
+        match steps.all(|(index, step)| step.after.iter().all(|&other| usize::from(other) < index))
+        {
+            true => Ok(()),
+            false => Err(JobFault::StepOrder),
+        }
+    }
+}
+
 /// Why a job was not accepted. Nothing of it has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RejectReason {
@@ -154,6 +190,8 @@
     NotReady,
     /// The queue has left the configuration.
     UnknownQueue,
+    /// The job's steps make no sense.
+    Invalid,
     /// The job asks for something that this version cannot do.
     Unsupported,
     /// No target could ever run one of its tasks.
@@ -172,6 +210,7 @@
         match self {
             Self::NotReady => "not_ready",
             Self::UnknownQueue => "unknown_queue",
+            Self::Invalid => "invalid",
             Self::Unsupported => "unsupported",
             Self::NoCapableTarget => "no_capable_target",
             Self::Overloaded => "overloaded",
