--- /dev/null
+++ b/crates/fleet/tests/home_queue.rs
@@ -0,0 +1,211 @@
+//! The queue of waiting tasks of one VM: which task is served first, and which not at all.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::home::{JobPlan, JobTable, TaskPhase, TaskRef};
+use filbertpitch_types::fleet::{JobOrder, StepOrder, TaskHope};
+use filbertpitch_types::prelude::*;
+
+const START: TimePoint = TimePoint(1_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn step(count: u16, after: &[u16]) -> StepOrder {
+    StepOrder {
+        count,
+        room: RoomSize::from((14_000, 64, 0)),
+        declared: ms(100),
+        after: after.to_vec(),
+        required_label: None,
+        near_rack: None,
+        spread_limit: None,
+        unsupported: None,
+    }
+}
+
+/// Accepts a job whose tasks run for `run` and whose objective is `objective`.
+fn accept(
+    jobs: &mut JobTable,
+    id: u64,
+    priority: u8,
+    objective: Duration,
+    steps: Vec<StepOrder>,
+) -> JobKey {
+    let plan = JobPlan {
+        queue: KindIndex::from(0),
+        priority,
+        objective,
+        patience: ms(5000),
+        expected: vec![ms(100); steps.len()],
+    };
+    let order = JobOrder {
+        id: JobId(id),
+        payload: Rc::from("work"),
+        steps,
+        ephemeral: true,
+        unsupported: None,
+    };
+    jobs.accept(START, CallerToken(id), order, plan)
+}
+
+fn place(jobs: &mut JobTable, task: TaskRef) {
+    let phase = TaskPhase::Placed {
+        holder: VmIndex::from(0),
+        target: TargetIndex::from(0),
+        asked_at: START,
+        started: true,
+    };
+    jobs.set_phase(START, task, phase);
+    jobs.get_mut(task.job).unwrap().possible_starts += 1;
+}
+
+fn order_of(jobs: &JobTable) -> Vec<u64> {
+    let waiting = jobs.waiting();
+    waiting.map(|task| jobs.task(task).name.job.0).collect()
+}
+
+/// Guards against an important job that waits behind others of the same urgency, and against an
+/// urgent one that waits behind those with more time.
+#[test]
+fn priority_comes_before_urgency() {
+    let mut jobs = JobTable::default();
+    accept(&mut jobs, 1, 1, ms(300), vec![step(1, &[])]);
+    accept(&mut jobs, 2, 0, ms(900), vec![step(1, &[])]);
+    accept(&mut jobs, 3, 0, ms(400), vec![step(1, &[])]);
+    assert_eq!(order_of(&jobs), [3, 2, 1]);
+}
+
+/// Guards against a flood in which every job is late because the late ones are served first.
+#[test]
+fn late_jobs_wait_behind_those_that_can_be_in_time() {
+    let mut jobs = JobTable::default();
+    let urgent = accept(&mut jobs, 1, 0, ms(300), vec![step(1, &[])]);
+    accept(&mut jobs, 2, 1, ms(2000), vec![step(1, &[])]);
+    jobs.demote_late(START + ms(100));
+    assert_eq!(order_of(&jobs), [1, 2]);
+    // The run takes 100 ms, with a margin of 25 ms.
+    let start_by = jobs.get(urgent).unwrap().start_by(0);
+    assert_eq!(start_by, START + ms(175));
+    jobs.demote_late(start_by + ms(1));
+    assert_eq!(order_of(&jobs), [2, 1]);
+    let job = jobs.get(urgent).unwrap();
+    assert_eq!(job.hope(start_by, 0), TaskHope::InTime);
+    assert_eq!(job.hope(start_by + ms(1), 0), TaskHope::Late);
+    assert_eq!(job.hope(start_by + ms(601), 0), TaskHope::TooLate);
+}
+
+/// Guards against work that is thrown away: a job that has begun is finished before others begin.
+#[test]
+fn a_job_that_has_begun_keeps_its_place() {
+    let mut jobs = JobTable::default();
+    let begun = accept(&mut jobs, 1, 0, ms(300), vec![step(2, &[])]);
+    accept(&mut jobs, 2, 0, ms(700), vec![step(1, &[])]);
+    place(
+        &mut jobs,
+        TaskRef {
+            job: begun,
+            position: 0,
+        },
+    );
+    jobs.demote_late(START + ms(400));
+    assert_eq!(order_of(&jobs), [1, 2]);
+    jobs.demote_late(START + ms(476));
+    assert_eq!(order_of(&jobs), [2, 1]);
+}
+
+/// Guards against a job that waits until its client leaves although nothing can save it.
+#[test]
+fn a_job_is_hopeless_two_objectives_after_its_last_start() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 0, ms(300), vec![step(1, &[]), step(1, &[0])]);
+    let job = jobs.get(key).unwrap();
+    // Both steps in a row take 200 ms, with a margin of 40 ms.
+    assert_eq!(job.start_by(0), START + ms(60));
+    assert_eq!(job.hopeless_at(), START + ms(660));
+}
+
+/// Guards against a step that begins before those that it waits for are done.
+#[test]
+fn steps_wait_for_earlier_ones() {
+    let mut jobs = JobTable::default();
+    let steps = vec![step(2, &[]), step(1, &[0]), step(1, &[0, 1])];
+    let key = accept(&mut jobs, 1, 0, ms(900), steps);
+    let tasks = [0, 1, 2, 3].map(|position| TaskRef { job: key, position });
+    assert_eq!(jobs.waiting_len(), 2);
+    assert!(!jobs.finish_task(START, tasks[0]));
+    assert_eq!(jobs.task(tasks[2]).phase, TaskPhase::Blocked);
+    assert!(!jobs.finish_task(START, tasks[1]));
+    assert_eq!(jobs.task(tasks[2]).phase, TaskPhase::Waiting);
+    assert_eq!(jobs.task(tasks[3]).phase, TaskPhase::Blocked);
+    assert!(!jobs.finish_task(START, tasks[2]));
+    assert!(jobs.finish_task(START, tasks[3]));
+}
+
+/// Guards against tasks of a job that has its answer and still wait for room.
+#[test]
+fn a_removed_job_leaves_the_queue() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 0, ms(900), vec![step(3, &[])]);
+    place(
+        &mut jobs,
+        TaskRef {
+            job: key,
+            position: 1,
+        },
+    );
+    assert_eq!(jobs.placed().count(), 1);
+    assert_eq!(jobs.waiting_len(), 2);
+    assert!(jobs.remove(key).is_some());
+    assert_eq!(jobs.waiting_len(), 0);
+    assert_eq!(jobs.find(JobId(1)), None);
+    assert!(jobs.remove(key).is_none());
+}
+
+#[test]
+fn tasks_are_found_by_name() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 0, ms(900), vec![step(2, &[]), step(3, &[0])]);
+    for position in 0..5 {
+        let name = jobs.get(key).unwrap().tasks[position].name;
+        assert_eq!(jobs.find_task(&name), Some(TaskRef { job: key, position }));
+    }
+    let mut name = jobs.get(key).unwrap().tasks[4].name;
+    name.index = 3;
+    assert_eq!(jobs.find_task(&name), None);
+}
+
+/// Guards against a report that counts late work and so refuses jobs that would be in time.
+#[test]
+fn only_work_that_can_be_in_time_is_reported() {
+    let mut jobs = JobTable::default();
+    accept(&mut jobs, 1, 0, ms(300), vec![step(2, &[])]);
+    accept(&mut jobs, 2, 1, ms(2000), vec![step(1, &[])]);
+    // 14 cores for 100 ms, three times.
+    assert_eq!(jobs.waiting_work(START).total(), 4200);
+    let later = START + ms(400);
+    jobs.demote_late(later);
+    assert_eq!(jobs.waiting_work(later).total(), 1400);
+}
+
+/// Guards against a task that returns to the target where it has just failed.
+#[test]
+fn a_task_avoids_the_latest_targets() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 0, ms(300), vec![step(1, &[])]);
+    let task = jobs.task_mut(TaskRef {
+        job: key,
+        position: 0,
+    });
+    for target in [0, 1, 2, 2, 3, 4] {
+        task.exclude(TargetIndex::from(target));
+    }
+    let excluded = task.excluded.iter().map(|target| usize::from(*target));
+    assert_eq!(excluded.collect::<Vec<_>>(), [1, 2, 3, 4]);
+    task.skip_runs();
+    assert!(task.run > RunNumber(2));
+}
--- /dev/null
+++ b/crates/fleet/tests/link_exchange.rs
@@ -0,0 +1,301 @@
+//! The exchange between two VMs over connections that break, repeat and delay.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::TargetIndex;
+use filbertpitch_fleet::link::{LinkNews, LinkPhase, LinkSettings, PeerLink};
+use filbertpitch_types::fleet::{
+    DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity, PeerState, RoomReport,
+    TaskHope,
+};
+use filbertpitch_types::prelude::*;
+
+const START: TimePoint = TimePoint(9_000_000);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn identity(vm: &str, incarnation: u64) -> PeerIdentity {
+    PeerIdentity {
+        vm: vm.parse().unwrap(),
+        incarnation: IncarnationId(incarnation),
+        address: "127.0.0.1:7000".parse().unwrap(),
+        zone: "north".parse().unwrap(),
+    }
+}
+
+fn template(from: PeerIdentity, now: TimePoint) -> PeerEnvelope {
+    PeerEnvelope {
+        from,
+        to: None,
+        losses: 0,
+        sent_at: now,
+        state: PeerState::Ready,
+        config_version: None,
+        first_message: 0,
+        messages: Vec::new(),
+        next_expected: 0,
+        demand: DemandReport::default(),
+        holdings_version: 1,
+        holdings: Some(vec![HoldingReport {
+            target: "target-1".parse().unwrap(),
+            token: FencingToken(3),
+        }]),
+        rooms: vec![RoomReport {
+            free: RoomSize::from((8000, 64, 0)),
+            slowdown_percent: 100,
+        }],
+        heard: Vec::new(),
+    }
+}
+
+fn message(number: u32) -> FleetMessage {
+    FleetMessage::Decline(number)
+}
+
+/// Two VMs and the links between them.
+struct Pair {
+    a: PeerLink,
+    b: PeerLink,
+    a_process: u64,
+    now: TimePoint,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let link =
+            |vm, process| PeerLink::new(LinkSettings::default(), identity(vm, process), START);
+        let mut pair = Self {
+            a: link("vm-b", 2),
+            b: link("vm-a", 1),
+            a_process: 1,
+            now: START,
+        };
+        pair.deliver();
+        pair.answer();
+        pair
+    }
+
+    /// The next envelope of A.
+    fn envelope(&mut self) -> PeerEnvelope {
+        let template = template(identity("vm-a", self.a_process), self.now);
+        self.a.fill(self.now, template)
+    }
+
+    fn take(&mut self, envelope: PeerEnvelope) -> LinkNews {
+        self.b.receive(self.now, envelope, |_| TargetIndex::from(4))
+    }
+
+    /// Sends an envelope from A to B and confirms it.
+    fn deliver(&mut self) -> LinkNews {
+        let envelope = self.envelope();
+        let news = self.take(envelope);
+        let receipt = self.b.receipt(IncarnationId(2));
+        self.a.confirmed(&receipt);
+        news
+    }
+
+    /// Sends an envelope from B to A.
+    fn answer(&mut self) {
+        let template = template(identity("vm-b", 2), self.now);
+        let envelope = self.b.fill(self.now, template);
+        self.a.receive(self.now, envelope, |_| TargetIndex::from(4));
+        let receipt = self.a.receipt(IncarnationId(self.a_process));
+        self.b.confirmed(&receipt);
+    }
+}
+
+/// Guards against a message that takes effect twice after its receipt was lost.
+#[test]
+fn a_message_is_delivered_once_in_order() {
+    let mut pair = Pair::new();
+    pair.a.push(message(1));
+    let envelope = pair.envelope();
+    assert_eq!(pair.take(envelope).messages, [message(1)]);
+    // The receipt is lost.
+    pair.a.failed();
+    pair.a.push(message(2));
+    assert_eq!(pair.deliver().messages, [message(2)]);
+    assert_eq!(pair.deliver().messages, []);
+}
+
+/// Guards against a message that is lost with its connection.
+#[test]
+fn an_envelope_that_did_not_arrive_is_repeated() {
+    let mut pair = Pair::new();
+    pair.a.push(message(1));
+    pair.envelope();
+    pair.a.failed();
+    assert!(pair.a.wants_envelope(pair.now, None, 1));
+    assert_eq!(pair.deliver().messages, [message(1)]);
+    assert!(!pair.a.wants_envelope(pair.now, None, 1));
+}
+
+/// Guards against a peer that is given work although it is silent, and against one that is given up
+/// for a short silence.
+#[test]
+fn a_silent_peer_is_given_up_later() {
+    let mut pair = Pair::new();
+    let settings = LinkSettings::default();
+    assert!(!pair.b.judge(START + settings.silent_after - ms(1), false));
+    assert!(pair.b.is_live());
+    assert!(!pair.b.judge(START + settings.silent_after, false));
+    assert_eq!(pair.b.phase(), LinkPhase::Silent);
+    let lost_at = START + settings.lost_after;
+    assert_eq!(pair.b.judge_due(), Some(lost_at));
+    assert!(pair.b.judge(lost_at, false));
+    assert!(!pair.b.judge(lost_at, false), "it is given up once");
+    assert!(pair.b.holdings().is_empty());
+    pair.now = lost_at + ms(10);
+    let news = pair.deliver();
+    assert!(news.appeared);
+    assert_eq!(
+        pair.b.holdings().len(),
+        0,
+        "the peer believes that its holdings are known"
+    );
+}
+
+/// Guards against a process that has ended and still counts as alive.
+#[test]
+fn a_refused_connection_gives_the_peer_up_at_once() {
+    let mut pair = Pair::new();
+    assert!(pair.b.judge(START + ms(1), true));
+    assert!(matches!(pair.b.phase(), LinkPhase::Lost { dead: true, .. }));
+    assert!(!pair.b.is_suspect());
+}
+
+/// Guards against promises to a peer that has been given up, of which only one side knows.
+#[test]
+fn the_other_side_learns_of_a_loss() {
+    let mut pair = Pair::new();
+    pair.a.push(message(1));
+    assert!(
+        pair.a
+            .judge(START + LinkSettings::default().lost_after, false)
+    );
+    pair.now = START + ms(1000);
+    let news = pair.deliver();
+    assert!(news.dropped);
+    assert!(news.messages.is_empty(), "the message was dropped");
+    pair.a.push(message(2));
+    let news = pair.deliver();
+    assert!(!news.dropped);
+    assert_eq!(news.messages, [message(2)]);
+}
+
+/// Guards against messages of a former process that arrive after those of the new one.
+#[test]
+fn a_new_process_replaces_the_former_one() {
+    let mut pair = Pair::new();
+    pair.a.push(message(1));
+    let late = pair.envelope();
+    pair.a = PeerLink::new(LinkSettings::default(), identity("vm-b", 2), START);
+    pair.a_process = 11;
+    pair.a.push(message(5));
+    let news = pair.deliver();
+    assert!(news.dropped);
+    assert_eq!(news.messages, [message(5)]);
+    assert!(pair.b.is_former(late.from.incarnation));
+    // The store may still list the former process.
+    assert!(!pair.b.note_identity(&identity("vm-a", 1), pair.now));
+}
+
+/// Guards against an envelope that was held up for a second and shows its sender as alive.
+#[test]
+fn an_old_envelope_does_not_show_that_its_sender_lives() {
+    let mut pair = Pair::new();
+    let held_up = pair.envelope();
+    pair.now = START + ms(1000);
+    assert!(pair.b.judge(pair.now, false));
+    let news = pair.take(held_up);
+    assert!(!news.appeared);
+    assert!(!pair.b.is_live());
+    assert!(pair.b.last_heard() <= START + ms(1));
+}
+
+/// Guards against room that is requested twice before the holder reports again.
+#[test]
+fn requested_room_is_not_free() {
+    let mut pair = Pair::new();
+    let holding = pair.a.holdings()[0];
+    assert_eq!(pair.a.free_room(&holding).cpu, MilliCores(8000));
+    pair.a.push(message(1));
+    pair.a
+        .note_request(holding.target, RoomSize::from((6000, 10, 0)));
+    assert_eq!(pair.a.free_room(&holding).cpu, MilliCores(2000));
+    pair.deliver();
+    assert_eq!(pair.a.free_room(&holding).cpu, MilliCores(2000));
+    pair.answer();
+    let holding = pair.a.holdings()[0];
+    assert_eq!(
+        pair.a.free_room(&holding).cpu,
+        MilliCores(8000),
+        "the report includes it"
+    );
+}
+
+/// Guards against a takeover from a VM that lives but cannot be heard.
+#[test]
+fn marks_in_the_store_show_that_a_silent_vm_lives() {
+    let mut pair = Pair::new();
+    let lost_at = START + LinkSettings::default().lost_after;
+    pair.b.note_mark(4, START);
+    pair.b.judge(lost_at, false);
+    assert!(
+        !pair.b.is_alive_elsewhere(lost_at),
+        "a first mark may be old"
+    );
+    pair.b.note_mark(5, lost_at);
+    assert!(pair.b.is_alive_elsewhere(lost_at + ms(100)));
+    pair.b.note_mark(5, lost_at + ms(1700));
+    assert!(!pair.b.is_alive_elsewhere(lost_at + ms(1900)));
+}
+
+fn in_time(priority: u8) -> Option<(TaskHope, u8)> {
+    Some((TaskHope::InTime, priority))
+}
+
+/// Guards against waiting tasks that holders learn of with the next beat only.
+#[test]
+fn waiting_tasks_are_reported_promptly() {
+    let mut pair = Pair::new();
+    let settings = LinkSettings::default();
+    assert!(!pair.a.wants_envelope(START + ms(20), None, 1));
+    assert!(!pair.a.wants_envelope(START + ms(5), in_time(0), 1));
+    assert!(pair.a.wants_envelope(START + ms(7), in_time(0), 1));
+    let mut urgent = template(identity("vm-a", 1), START);
+    urgent.demand.tasks = 1;
+    pair.a.fill(START, urgent);
+    pair.a.failed();
+    assert!(
+        !pair.a.wants_envelope(START + ms(7), in_time(0), 1),
+        "that was told"
+    );
+    assert!(
+        pair.a
+            .wants_envelope(START + settings.demand_interval, in_time(0), 1)
+    );
+    assert!(
+        pair.a
+            .wants_envelope(START + settings.beat_interval, None, 1)
+    );
+}
+
+/// Guards against reports whose number grows with the square of the number of VMs.
+#[test]
+fn a_large_fleet_reports_waiting_tasks_less_often() {
+    let mut pair = Pair::new();
+    pair.a.fill(START, template(identity("vm-a", 1), START));
+    pair.a.failed();
+    let spacing = LinkSettings::default().demand_spacing;
+    let peers = 30_u32;
+    let due = START + spacing * peers / 4;
+    assert!(
+        !pair
+            .a
+            .wants_envelope(due - ms(1), in_time(0), peers as usize)
+    );
+    assert!(pair.a.wants_envelope(due, in_time(0), peers as usize));
+}
