--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -4,10 +4,16 @@
 
 use std::time::Duration;
 
-use support::{ALLOWANCE_MS, LoadResult, STRETCH, SimFleet, SimOptions, run_load};
+use filbertpitch_fleet::engine::FleetSettings;
+use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::prelude::*;
+use support::{
+    ALLOWANCE_MS, ClientJob, JobShape, KindResult, LoadResult, STRETCH, SimFleet, SimOptions,
+    run_load,
+};
 
 /// A fleet of seven VMs in three zones with 48 targets of two sizes and three speeds.
-fn desk_fleet(seed: u64) -> SimFleet {
+fn desk_fleet(seed: u64, settings: &FleetSettings) -> SimFleet {
     let queue = (STRETCH, Duration::from_secs_f64(ALLOWANCE_MS / 1000.0));
     let mut fleet = SimFleet::new(SimOptions {
         seed,
@@ -15,11 +21,12 @@
         targets: vec![16, 16, 16],
         cores: 32,
         queues: vec![queue; 3],
+        settings: settings.clone(),
         ..SimOptions::default()
     });
     for (index, target) in fleet.targets.iter_mut().enumerate() {
         if index % 3 == 2 {
-            target.capacity = filbertpitch_types::prelude::RoomSize::from((48_000, 131_072, 0));
+            target.capacity = RoomSize::from((48_000, 131_072, 0));
         }
         target.speed_percent = [80, 100, 125][index / 3 % 3];
     }
@@ -33,62 +40,233 @@
 /// The clients of the seven VMs send different amounts.
 const WEIGHTS: [f64; 7] = [6.0, 10.0, 4.0, 12.0, 8.0, 9.0, 5.0];
 
-fn show(name: &str, result: &LoadResult) {
-    println!(
-        "{name}: earned {:.3} served {:.3} used {:.3}",
+/// Mean figures of several runs.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanFigures {
+    earned: f64,
+    served: f64,
+}
+
+/// Runs a load on fleets of several seeds, after a calm phase in which they learn run times.
+fn mean_figures<F>(settings: &FleetSettings, load: F) -> MeanFigures
+where
+    F: Fn(&mut SimFleet) -> LoadResult,
+{
+    const SEEDS: u64 = 3;
+    let mut mean = MeanFigures::default();
+    for seed in 0..SEEDS {
+        let mut fleet = desk_fleet(seed, settings);
+        calm(&mut fleet);
+        let result = load(&mut fleet);
+        mean.earned += result.earned() / SEEDS as f64;
+        mean.served += result.served() / SEEDS as f64;
+    }
+    mean
+}
+
+/// About half of what the targets can do.
+fn calm(fleet: &mut SimFleet) -> LoadResult {
+    run_load(fleet, 10.0, CORES, &WEIGHTS, |_| 100.0)
+}
+
+/// A peak of almost three times the calm rate.
+fn peak(fleet: &mut SimFleet) -> LoadResult {
+    run_load(fleet, 8.0, CORES, &WEIGHTS, |time| {
+        100.0 + 170.0 * (std::f64::consts::PI * time / 8.0).sin()
+    })
+}
+
+/// Three times the calm rate.
+fn flood(fleet: &mut SimFleet) -> LoadResult {
+    run_load(fleet, 6.0, CORES, &WEIGHTS, |_| 300.0)
+}
+
+/// Settings with which every job is accepted, as a baseline.
+fn accept_all() -> FleetSettings {
+    FleetSettings {
+        calm_backlog: Duration::from_secs(3600),
+        ..FleetSettings::default()
+    }
+}
+
+/// Calm load. Guards against refusals and late answers while targets stand free.
+#[test]
+fn calm_load_is_served_in_time() {
+    let mut fleet = desk_fleet(0, &FleetSettings::default());
+    let result = calm(&mut fleet);
+    for kind in result.kinds {
+        assert_eq!((kind.rejected, kind.failed), (0, 0), "{kind:?}");
+        let in_time = f64::from(kind.in_time) / f64::from(kind.asked);
+        assert!(in_time >= 0.97, "{kind:?}");
+    }
+}
+
+/// Flood. Guards against an overload in which accepting everything makes everything late.
+#[test]
+fn a_flood_earns_more_than_without_refusals() {
+    let refusing = mean_figures(&FleetSettings::default(), flood);
+    let accepting = mean_figures(&accept_all(), flood);
+    assert!(
+        refusing.earned > accepting.earned,
+        "{refusing:?} {accepting:?}"
+    );
+}
+
+/// Short peak. Guards against an overload that is answered with more refusals than needed.
+#[test]
+fn a_peak_earns_more_than_without_refusals() {
+    let refusing = mean_figures(&FleetSettings::default(), peak);
+    let accepting = mean_figures(&accept_all(), peak);
+    assert!(
+        refusing.earned > accepting.earned,
+        "{refusing:?} {accepting:?}"
+    );
+}
+
+/// Flood with priorities. Guards against important jobs that wait behind, or are refused for, less
+/// important ones.
+#[test]
+fn a_flood_spares_the_most_important_queue() {
+    let mut fleet = desk_fleet(1, &FleetSettings::default());
+    calm(&mut fleet);
+    let result = flood(&mut fleet);
+    let share = |kind: &KindResult| f64::from(kind.in_time + kind.late) / f64::from(kind.asked);
+    let important = share(&result.kinds[0]);
+    assert!(result.kinds.iter().all(|kind| important >= share(kind)));
+    // The important queue alone asks for less than the targets can do.
+    assert!(important >= 0.9, "{:?}", result.kinds);
+}
+
+/// Flood. Guards against refusals that come only when the client has waited in vain.
+#[test]
+fn a_flood_is_refused_promptly() {
+    let mut fleet = desk_fleet(2, &FleetSettings::default());
+    calm(&mut fleet);
+    let before = fleet.jobs.len();
+    flood(&mut fleet);
+    let refused = fleet.jobs.values().skip(before).filter(|job| {
+        let refused = matches!(job.reply, Some(JobReply::Rejected { .. }));
+        refused && job.sends == 1
+    });
+    let mut waits = refused.map(ClientJob::waited).collect::<Vec<_>>();
+    waits.sort_unstable();
+    let prompt = waits
+        .iter()
+        .filter(|wait| **wait < Duration::from_millis(50));
+    let share = prompt.count() as f64 / waits.len() as f64;
+    assert!(
+        waits.len() > 100 && share >= 0.8,
+        "{share} of {}",
+        waits.len()
+    );
+    let patience = fleet.jobs.values().map(|job| job.shape.patience).max();
+    assert!(waits.last() < patience.as_ref());
+}
+
+/// Uneven load. Guards against a VM whose clients wait while other VMs hold free targets.
+#[test]
+fn one_busy_home_uses_all_targets() {
+    let mut weights = [0.0; 7];
+    weights[3] = 1.0;
+    let mut fleet = desk_fleet(3, &FleetSettings::default());
+    let result = run_load(&mut fleet, 8.0, CORES, &weights, |_| 100.0);
+    let spread = run_load(&mut fleet, 8.0, CORES, &WEIGHTS, |_| 100.0);
+    assert!(
+        result.earned() >= spread.earned() - 0.02,
+        "{} {}",
         result.earned(),
-        result.served(),
-        result.used
+        spread.earned()
     );
-    for kind in &result.kinds {
-        println!("  {kind:?}");
-    }
 }
 
+/// Wide urgent jobs. Guards against a job whose last tasks start only after its first ones end
+/// although targets stand free.
 #[test]
-#[ignore = "prints figures"]
-fn overload_figures() {
-    let mut sums = [0.0; 3];
-    let mut counts = [0.0; 3];
-    for seed in 0..6 {
-        let mut fleet = desk_fleet(seed);
-        let calm = run_load(&mut fleet, 10.0, CORES, &WEIGHTS, |_| 100.0);
-        let peak = run_load(&mut fleet, 8.0, CORES, &WEIGHTS, |time| {
-            100.0 + 170.0 * (std::f64::consts::PI * time / 8.0).sin()
-        });
-        let flood = run_load(&mut fleet, 6.0, CORES, &WEIGHTS, |_| 300.0);
-        if seed == 0 {
-            show("calm", &calm);
-            show("peak", &peak);
-            show("flood", &flood);
-        }
-        for ((sum, count), result) in sums.iter_mut().zip(&mut counts).zip([calm, peak, flood]) {
-            *sum += result.earned() / 6.0;
-            *count += result.served() / 6.0;
+fn a_wide_job_starts_at_once_on_free_targets() {
+    let mut fleet = desk_fleet(4, &FleetSettings::default());
+    let shape = JobShape {
+        tasks: 60,
+        cores: CORES as u32,
+        work: Duration::from_millis(100),
+        declared: Duration::from_millis(100),
+        ..JobShape::default()
+    };
+    let id = fleet.submit(2, shape);
+    fleet.run_for(Duration::from_secs(2));
+    let job = &fleet.jobs[&id];
+    assert_eq!(job.reply, Some(JobReply::Completed));
+    let objective = Duration::from_secs_f64(STRETCH * 0.1 + ALLOWANCE_MS / 1000.0);
+    assert!(job.waited() <= objective, "{:?}", job.waited());
+}
+
+/// Jobs of several waves. Guards against work that is thrown away: jobs that have begun are
+/// finished before others begin.
+#[test]
+fn jobs_that_have_begun_are_finished() {
+    let mut fleet = desk_fleet(5, &FleetSettings::default());
+    calm(&mut fleet);
+    let before = fleet.jobs.len();
+    flood(&mut fleet);
+    let begun = fleet.jobs.values().skip(before).filter(|job| job.started);
+    let (mut finished, mut lost) = (0, 0);
+    for job in begun {
+        match job.reply {
+            Some(JobReply::Completed) => finished += 1,
+            _ => lost += 1,
         }
     }
-    println!("mean earned {sums:.3?} served {counts:.3?} for calm, peak and flood");
+    assert!(lost * 20 <= finished, "{lost} lost, {finished} finished");
 }
 
+/// Clients who leave. Guards against targets that stay busy with work that nobody waits for.
 #[test]
-#[ignore = "prints figures"]
-fn urgent_losses() {
-    let mut fleet = desk_fleet(0);
-    run_load(&mut fleet, 10.0, CORES, &WEIGHTS, |_| 100.0);
-    run_load(&mut fleet, 6.0, CORES, &WEIGHTS, |_| 300.0);
-    let mut shown = 0;
-    for (id, job) in &fleet.jobs {
-        let objective = STRETCH * job.shape.work.as_secs_f64() * 1000.0 + ALLOWANCE_MS;
-        let waited = job.waited().as_secs_f64() * 1000.0;
-        let completed = job.reply == Some(filbertpitch_types::fleet::JobReply::Completed);
-        if job.shape.queue != 0 || !completed || waited <= objective || shown > 12 {
-            continue;
-        }
-        shown += 1;
-        println!(
-            "job {id} at {} vm {} tasks {} cores {} work {:?} objective {objective:.0} waited {waited:.0}",
-            job.sent_at, job.vm, job.shape.tasks, job.shape.cores, job.shape.work
-        );
-        fleet.print_job(*id);
+fn work_of_clients_who_left_is_stopped() {
+    let mut fleet = desk_fleet(6, &FleetSettings::default());
+    let shape = JobShape {
+        tasks: 4,
+        cores: CORES as u32,
+        work: Duration::from_secs(4),
+        declared: Duration::from_millis(200),
+        patience: Duration::from_secs(20),
+        ..JobShape::default()
+    };
+    let ids = (0..30).map(|job| fleet.submit(job % 7, shape));
+    let ids = ids.collect::<Vec<_>>();
+    fleet.run_for(Duration::from_millis(400));
+    assert!(fleet.targets.iter().any(|target| !target.runs.is_empty()));
+    for id in ids {
+        fleet.leave(id);
+    }
+    fleet.run_for(Duration::from_millis(600));
+    let running = fleet.targets.iter().map(|target| target.runs.len());
+    assert_eq!(running.sum::<usize>(), 0);
+    assert!(calm(&mut fleet).earned() >= 0.97);
+}
+
+/// All VMs restart at once. Guards against a fleet that waits for leases of its former life, or
+/// refuses work, after all of its state is gone.
+#[test]
+fn a_cold_start_serves_within_two_seconds() {
+    let mut fleet = desk_fleet(7, &FleetSettings::default());
+    calm(&mut fleet);
+    for vm in 0..fleet.vm_count() {
+        fleet.kill_vm(vm, Duration::from_millis(500), true);
     }
+    fleet.run_for(Duration::from_millis(2500));
+    let result = run_load(&mut fleet, 4.0, CORES, &WEIGHTS, |_| 100.0);
+    assert!(result.earned() >= 0.95, "{result:?}");
+}
+
+/// A cut between zones. Guards against a zone that serves nothing because its VMs cannot reach the
+/// others.
+#[test]
+fn both_sides_of_a_cut_serve_their_clients() {
+    let mut fleet = desk_fleet(8, &FleetSettings::default());
+    calm(&mut fleet);
+    let zone = fleet.zone_of(6).clone();
+    fleet.cut_zone(&zone);
+    fleet.run_for(Duration::from_secs(2));
+    let weights = [0.0, 0.0, 0.0, 1.0, 1.0, 1.0, 1.0];
+    let result = run_load(&mut fleet, 4.0, CORES, &weights, |_| 30.0);
+    assert!(result.earned() >= 0.95, "{result:?}");
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -11,6 +11,6 @@
 mod world;
 
 pub use client::{ClientJob, JobShape};
-pub use load::{ALLOWANCE_MS, JOB_KINDS, LoadResult, STRETCH, run_load};
+pub use load::{ALLOWANCE_MS, JOB_KINDS, KindResult, LoadResult, STRETCH, run_load};
 pub use target::{SimTarget, TargetFault};
 pub use world::{NetFault, SimFleet, SimOptions};
