--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -23,9 +23,9 @@
     pub beat_interval: Duration,
     /// The longest time without an envelope to a peer of a small fleet while tasks wait.
     pub demand_interval: Duration,
-    /// The least time between two envelopes that only tell of waiting tasks, to whichever peers:
+    /// The least time between two envelopes that only tell of waiting tasks, for each pair of VMs:
     /// bounds the processor time for them in a large fleet.
-    pub demand_spacing: Duration,
+    pub pair_spacing: Duration,
     /// The time between envelopes to a peer that was given up long ago.
     pub lost_interval: Duration,
     /// The time without an envelope from a peer after which it gets no work.
@@ -36,15 +36,13 @@
     pub stale_after: Duration,
 }
 
-/// A more urgent task is told of after this part of the interval.
-const URGENT_PART: u32 = 4;
-
 impl LinkSettings {
-    /// The time between two envelopes that tell one of `peers` of waiting tasks.
-    fn demand_pause(&self, peers: usize) -> Duration {
+    /// The least time between two envelopes that tell one of `peers` of waiting tasks. It grows
+    /// faster than the number of peers, because their own reports take processor time as well.
+    fn demand_spacing(&self, peers: usize) -> Duration {
         let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let spaced = self.demand_spacing.saturating_mul(peers);
-        self.demand_interval.max(spaced)
+        let square = peers.saturating_mul(peers);
+        self.pair_spacing.saturating_mul(square)
     }
 }
 
@@ -53,7 +51,7 @@
         Self {
             beat_interval: Duration::from_millis(150),
             demand_interval: Duration::from_millis(25),
-            demand_spacing: Duration::from_millis(4),
+            pair_spacing: Duration::from_micros(150),
             lost_interval: Duration::from_millis(1000),
             silent_after: Duration::from_millis(450),
             lost_after: Duration::from_millis(900),
@@ -422,10 +420,10 @@
         let new_demand = self.is_live()
             && most_urgent.is_some_and(|class| {
                 let more_urgent = self.sent_class.is_none_or(|sent| class < sent);
-                let pause = self.settings.demand_pause(peers);
+                let spaced = self.settings.demand_spacing(peers);
                 due(match more_urgent {
-                    true => pause / URGENT_PART,
-                    false => pause,
+                    true => spaced,
+                    false => spaced.max(self.settings.demand_interval),
                 })
             });
         !self.outbox.is_empty() || self.hurried || new_demand || due(self.interval())
--- a/crates/standins/tests/process/support/ports.rs
+++ b/crates/standins/src/children/ports.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
-use filbertpitch_standins::declare::control_address;
+use crate::declare::control_address;
 
 /// Blocks lie below the ports that Linux gives to outgoing connections, so that no connection
 /// takes the port of a process that is being restarted. The same holds for control ports.
@@ -46,7 +46,8 @@
         addresses.all(|address| TcpListener::bind(address).is_ok())
     }
 
-    fn at(&self, offset: u16) -> SocketAddr {
+    /// The address at a place of the block, from 1 on.
+    pub fn at(&self, offset: u16) -> SocketAddr {
         loopback(self.base + offset)
     }
 
--- a/crates/standins/tests/process/support/process.rs
+++ b/crates/standins/src/children/process.rs
@@ -10,8 +10,16 @@
 
 use super::wait::wait_for;
 
-/// The crates that the binary of the entry VM is built from.
-const PRODUCT_CRATES: [&str; 5] = ["types", "config", "dispatch", "wire", "filbertpitch"];
+/// The directories of the crates that the binary of the entry VM is built from.
+const PRODUCT_CRATES: [&str; 7] = [
+    "crates/types",
+    "crates/config",
+    "crates/dispatch",
+    "crates/fleet",
+    "crates/wire",
+    "crates/filbertpitch",
+    "platform",
+];
 
 /// The binary `name` of the build that this test belongs to.
 ///
@@ -32,8 +40,8 @@
 
 fn assert_current() {
     let built = modified(&binary_path("filbertpitch"));
-    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    let sources = PRODUCT_CRATES.map(|name| newest(&crates.join(name).join("src")));
+    let workspace = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let sources = PRODUCT_CRATES.map(|path| newest(&workspace.join(path).join("src")));
     let current = built.is_some() && built >= sources.into_iter().max().flatten();
     assert!(
         current,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! crate is not shipped.
 
 pub mod audit;
+pub mod children;
 pub mod declare;
 pub mod http;
 pub mod ledger;
--- a/crates/standins/tests/process/bad_input.rs
+++ b/crates/standins/tests/process/bad_input.rs
@@ -6,10 +6,10 @@
 use serde_json::{Value, json};
 
 use crate::support::load::assert_complete;
-use crate::support::process::TestProcess;
 use crate::support::{
     EntryClient, JobDraft, LoadPlan, LoadRun, Reply, SystemPlan, TaskDraft, TestSystem, run_test,
 };
+use filbertpitch_standins::children::process::TestProcess;
 
 /// A job body and what the error must name.
 struct BadJob {
--- a/crates/standins/tests/process/support/load.rs
+++ b/crates/standins/tests/process/support/load.rs
@@ -11,7 +11,7 @@
 
 use super::client::{EntryClient, Reply};
 use super::jobs::JobDraft;
-use super::wait::sleep;
+use filbertpitch_standins::children::wait::sleep;
 
 /// How often the balancer checks readiness; less than the notice that a stopping VM gives.
 const BALANCER_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/standins/tests/process/support/mod.rs
+++ b/crates/standins/tests/process/support/mod.rs
@@ -4,14 +4,11 @@
 pub mod evidence;
 pub mod jobs;
 pub mod load;
-pub mod ports;
-pub mod process;
 pub mod system;
-pub mod wait;
 
 pub use client::{EntryClient, Reply};
 pub use evidence::Evidence;
+pub use filbertpitch_standins::children::wait::{sleep, wait_for};
 pub use jobs::{JobDraft, TaskDraft};
 pub use load::{LoadPlan, LoadRun};
 pub use system::{SystemPlan, TestSystem, run_test};
-pub use wait::{sleep, wait_for};
--- a/crates/standins/tests/process/support/system.rs
+++ b/crates/standins/tests/process/support/system.rs
@@ -5,6 +5,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use filbertpitch_standins::children::ports::PortBlock;
+use filbertpitch_standins::children::process::{TestProcess, read_text};
+use filbertpitch_standins::children::wait::wait_for;
 use filbertpitch_standins::declare::control_address;
 use filbertpitch_standins::http::log_host::LogControl;
 use filbertpitch_standins::http::target_control::TargetControl;
@@ -17,9 +20,6 @@
 
 use super::client::{EntryClient, control};
 use super::evidence::Evidence;
-use super::ports::PortBlock;
-use super::process::{TestProcess, read_text};
-use super::wait::wait_for;
 
 /// No test of this file set may run longer, so that a fault cannot block the set.
 const TEST_LIMIT: Duration = Duration::from_secs(120);
