--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -58,11 +58,9 @@
         let mut fleet = desk_fleet(seed, settings);
         calm(&mut fleet);
         let result = load(&mut fleet);
-        println!("{:?}", result.kinds);
         mean.earned += result.earned() / SEEDS as f64;
         mean.served += result.served() / SEEDS as f64;
     }
-    println!("{mean:?}");
     mean
 }
 
