Refuse jobs that a stopping VM cannot finish

Change: a stopping VM refuses a job at once whose expected end lies beyond the end of the grace period. Test: load_patterns, a_stopping_vm_refuses_what_it_cannot_finish.

--- a/crates/filbertpitch/src/fleet/life.rs
+++ b/crates/filbertpitch/src/fleet/life.rs
@@ -149,9 +149,12 @@
         stop.await;
         let started = self.node.driver().now().time;
         self.node.log().record(LogEvent::ProcessDraining, b!());
-        self.node.driver().feed(FleetEvent::DrainStarted);
         self.callers.retire.retire();
         let limit = self.settings.stop_grace.saturating_sub(GRACE_MARGIN);
+        let ends_at = started + limit;
+        self.node
+            .driver()
+            .feed(FleetEvent::DrainStarted { ends_at });
         monoio::time::sleep(NOTICE_TIME.min(limit)).await;
         // Idle connections are closed now: a request that came later could not be finished.
         self.callers.stop.stop();
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -80,6 +80,10 @@
             return Err(Rejection::now(RejectReason::NoCapableTarget));
         }
         let plan = self.make_plan(queue, spec, order, patience);
+        let ends_at = self.now() + careful(plan.expected.iter().sum());
+        if self.drain_ends_at.is_some_and(|limit| ends_at > limit) {
+            return Err(Rejection::now(RejectReason::Stopping));
+        }
         match self.judge_load(order, &plan) {
             Ok(()) => Ok(plan),
             Err(wait) => Err(Rejection {
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -98,7 +98,10 @@
         reached: bool,
     },
     /// The process is to stop.
-    DrainStarted,
+    DrainStarted {
+        /// When it will not wait any longer for its jobs.
+        ends_at: TimePoint,
+    },
     /// The process cannot wait any longer for its jobs.
     DrainExpired,
     /// A timer is due.
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -67,6 +67,8 @@
     /// When this VM became ready or a peer was lost.
     unsettled_at: TimePoint,
     state: PeerState,
+    /// When a stopping process gives its jobs up.
+    drain_ends_at: Option<TimePoint>,
     catalog: QueueCatalog,
     registry: TargetRegistry,
     targets_listed: bool,
@@ -118,6 +120,7 @@
             started_at: clock.time,
             unsettled_at: clock.time,
             state: PeerState::Starting,
+            drain_ends_at: None,
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
             targets_listed: false,
@@ -190,7 +193,10 @@
                 answer,
             } => self.receive_look(target, token, number, answer),
             FleetEvent::ProbeAnswered { target, reached } => self.receive_probe(target, reached),
-            FleetEvent::DrainStarted => self.start_draining(),
+            FleetEvent::DrainStarted { ends_at } => {
+                self.drain_ends_at = Some(ends_at);
+                self.start_draining();
+            }
             FleetEvent::DrainExpired => self.give_up_all(),
             FleetEvent::TimeAdvanced => {}
         }
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use filbertpitch_fleet::engine::FleetSettings;
-use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::fleet::{JobReply, RejectReason};
 use filbertpitch_types::prelude::*;
 use support::{
     ALLOWANCE_MS, ClientJob, JobShape, KindResult, LoadResult, STRETCH, SimFleet, SimOptions,
@@ -270,3 +270,32 @@
     let result = run_load(&mut fleet, 4.0, CORES, &weights, |_| 30.0);
     assert!(result.earned() >= 0.95, "{result:?}");
 }
+
+/// A planned stop. Guards against a job that is accepted although the VM ends before it can.
+#[test]
+fn a_stopping_vm_refuses_what_it_cannot_finish() {
+    let mut fleet = desk_fleet(9, &FleetSettings::default());
+    calm(&mut fleet);
+    fleet.drain_vm(0, Duration::from_secs(5));
+    let job = |work| JobShape {
+        queue: 2,
+        cores: CORES as u32,
+        work: Duration::from_millis(work),
+        declared: Duration::from_millis(work),
+        patience: Duration::from_millis(1500 + work * 5),
+        ..JobShape::default()
+    };
+    let short = fleet.submit(0, job(170));
+    let long = fleet.submit(0, job(8000));
+    fleet.run_for(Duration::from_millis(500));
+    assert_eq!(fleet.jobs[&short].reply, Some(JobReply::Completed));
+    let reply = fleet.jobs[&long].reply;
+    let stopping = matches!(
+        reply,
+        Some(JobReply::Rejected {
+            reason: RejectReason::Stopping,
+            ..
+        })
+    );
+    assert!(stopping, "{reply:?}");
+}
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -387,10 +387,11 @@
         self.schedule(until, Happening::Thaw(vm));
     }
 
-    /// Tells a VM to stop.
-    pub fn drain_vm(&mut self, vm: usize) {
+    /// Tells a VM to stop and to wait for its jobs as long as `grace`.
+    pub fn drain_vm(&mut self, vm: usize, grace: Duration) {
         if self.is_up(vm) {
-            self.feed(vm, FleetEvent::DrainStarted);
+            let ends_at = self.clock().time + grace;
+            self.feed(vm, FleetEvent::DrainStarted { ends_at });
         }
     }
 
