Number messages to a VM without a break

Change: the numbers of a link go on for the life of the process, and the count of losses rises with each replacement.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -281,14 +281,17 @@
         self.holdings.clear();
         self.next_expected = 0;
         self.their_losses = 0;
-        self.reset_outbox();
+        self.drop_messages();
         self.confirmed_holdings = None;
     }
 
-    fn reset_outbox(&mut self) {
+    /// Drops what was to be sent. The numbers go on, because the process at the other end may be
+    /// one that has seen the earlier ones.
+    fn drop_messages(&mut self) {
+        self.own_losses += 1;
+        self.first_message += self.outbox.len() as u64;
         self.outbox.clear();
         self.open_requests.clear();
-        self.first_message = 0;
     }
 
     /// Takes over the peer's record in the platform's store; `mark` rises with each renewal.
@@ -551,10 +554,7 @@
 
     fn give_up(&mut self, now: TimePoint, dead: bool) {
         self.phase = LinkPhase::Lost { since: now, dead };
-        self.own_losses += 1;
-        self.first_message += self.outbox.len() as u64;
-        self.outbox.clear();
-        self.open_requests.clear();
+        self.drop_messages();
         self.holdings.clear();
         self.holdings_version = 0;
         self.confirmed_holdings = None;
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -13,11 +13,13 @@
 const SEEDS: std::ops::Range<u64> = 0..24;
 
 /// Seeds that have failed once.
-const REGRESSION_SEEDS: [u64; 10] = [
+const REGRESSION_SEEDS: [u64; 11] = [
     // Two holders after a takeover: the former one still served, or its lease went on.
     10_039, 10_053, 10_071, 10_090, 10_109, 10_173, 10_278, 10_305, 544_072,
     // An old record in the store replaced a process that was heard, and the link never returned.
     10_265,
+    // Message numbers that began anew for a process that had seen the earlier ones.
+    10_070,
 ];
 
 fn shape(fleet: &mut SimFleet) -> JobShape {
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -257,6 +257,25 @@
     assert!(pair.deliver().appeared);
 }
 
+/// Guards against messages that count as repeated because their numbers began anew (fault run,
+/// seed 10070).
+#[test]
+fn messages_to_a_process_that_is_known_again_arrive() {
+    let mut pair = Pair::new();
+    for number in 0..3 {
+        pair.a.push(message(number));
+        pair.deliver();
+    }
+    // A late envelope of a former process at the other end.
+    let late = template(identity("vm-b", 77), START);
+    pair.a.receive(pair.now, late, |_| TargetIndex::from(4));
+    pair.now = START + ms(10);
+    assert!(pair.deliver().messages.is_empty());
+    assert_eq!(pair.a.identity().incarnation, IncarnationId(2));
+    pair.a.push(message(9));
+    assert_eq!(pair.deliver().messages, [message(9)]);
+}
+
 /// Guards against a restarted VM whose link falls back to its former process.
 #[test]
 fn a_receipt_of_an_earlier_envelope_does_not_bring_a_process_back() {
