Repeat no message of a process that is known again; spread choices of room

Cause (read in the diff): when a link returned to a process that had been taken for replaced, its messages were expected from the first number on, so that a request whose receipt was lost could be carried out twice. Change: the number of its next message is kept with a former process. The test link_exchange, a_process_that_is_known_again_repeats_nothing, fails without it. With it, a trial: choices among targets of other holders are spread by up to 0.25 ms per peer, because all homes see the same reports.

--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -6,11 +6,12 @@
 
 use std::time::Duration;
 
-use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
+use filbertpitch_dispatch::entity::{JobKey, TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{
-    DemandReport, FleetMessage, OfferNumber, PlaceRequest, TaskOrder, TaskRank,
+    DemandReport, FleetMessage, OfferNumber, PeerState, PlaceRequest, TaskOrder, TaskRank,
 };
 use filbertpitch_types::prelude::*;
+use rand::Rng;
 
 use super::holding::millis;
 use super::{FleetEngine, FleetNotice};
@@ -32,6 +33,10 @@
 /// How much a start on an idle target is avoided, so that large tasks find whole targets.
 const IDLE_TARGET_MS: f64 = 2.0;
 
+/// The choices among targets of other holders are spread by up to this time for each peer: all homes
+/// see the same reports, and would otherwise ask for the same room at the same time.
+const SPREAD_MS: f64 = 0.25;
+
 /// A target that may run waiting tasks.
 #[derive(Clone, Debug)]
 pub(super) struct PlaceCandidate {
@@ -97,13 +102,15 @@
         let mut candidates = Vec::new();
         let rivals = self.rival_demands();
         let own_zone = &self.identity.zone;
+        let peers = self.links.iter().flatten().filter(|link| link.is_live());
+        let spread_ms = SPREAD_MS * peers.count() as f64;
         for (target, held) in &mut self.held {
             let Some(entry) = self.registry.entry(*target) else {
                 continue;
             };
             let free = held.open_room(now);
             let usable = self.registry.is_ready(*target) && !self.offers.holds(*target);
-            let leaving = self.state == filbertpitch_types::fleet::PeerState::Leaving;
+            let leaving = self.state == PeerState::Leaving;
             if usable && !leaving && free.cpu.0 > 0 {
                 candidates.push(PlaceCandidate {
                     target: *target,
@@ -137,7 +144,7 @@
                         free,
                         capacity: entry.capacity,
                         slowdown: f64::from(holding.report.slowdown_percent) / 100.0,
-                        hop_ms: hop(local, false),
+                        hop_ms: hop(local, false) + spread_ms * self.rng.random::<f64>(),
                         rival: None,
                     });
                 }
@@ -224,12 +231,7 @@
     /// Asks the holders to run the chosen tasks, one request per job and holder.
     fn request_places(&mut self, choices: Vec<TaskChoice>, offer: Option<OfferNumber>) {
         let now = self.now();
-        let mut requests = Vec::<(
-            VmIndex,
-            filbertpitch_dispatch::entity::JobKey,
-            u16,
-            PlaceRequest,
-        )>::new();
+        let mut requests = Vec::<(VmIndex, JobKey, u16, PlaceRequest)>::new();
         for choice in choices {
             let TaskChoice {
                 task,
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -111,6 +111,14 @@
     pub changed: bool,
 }
 
+/// A process that was heard on a VM before another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct FormerProcess {
+    incarnation: IncarnationId,
+    /// The number of its next message, in case that it turns out to run.
+    next_expected: u64,
+}
+
 /// The exchange with one peer.
 #[derive(Clone, Debug)]
 pub struct PeerLink {
@@ -121,7 +129,7 @@
     /// Since when it counts as the process on the VM.
     adopted_at: TimePoint,
     /// Processes that were heard on the VM before.
-    former: VecDeque<IncarnationId>,
+    former: VecDeque<FormerProcess>,
     phase: LinkPhase,
     last_heard: TimePoint,
     delays: DelayMeter,
@@ -268,9 +276,13 @@
             if self.former.len() == FORMER_LIMIT {
                 self.former.pop_front();
             }
-            self.former.push_back(self.identity.incarnation);
+            self.former.push_back(FormerProcess {
+                incarnation: self.identity.incarnation,
+                next_expected: self.next_expected,
+            });
         }
-        self.former.retain(|former| *former != identity.incarnation);
+        let known = self.find_former(identity.incarnation);
+        let known = known.and_then(|position| self.former.remove(position));
         self.heard = false;
         self.adopted_at = now;
         self.identity = identity.clone();
@@ -279,7 +291,8 @@
         self.demand = DemandReport::default();
         self.holdings_version = 0;
         self.holdings.clear();
-        self.next_expected = 0;
+        // Messages that it repeats must have no further effect.
+        self.next_expected = known.map_or(0, |former| former.next_expected);
         self.their_losses = 0;
         self.drop_messages();
         self.confirmed_holdings = None;
@@ -303,7 +316,7 @@
         }
         self.mark = Some(mark);
         let known = identity.incarnation == self.identity.incarnation;
-        let gone = self.former.contains(&identity.incarnation);
+        let gone = self.find_former(identity.incarnation).is_some();
         // A record that was not renewed may be older than what the peer has said itself.
         let old = self.heard && !renewed;
         if known || gone || old || self.is_live() {
@@ -333,7 +346,12 @@
 
     /// Whether a process has been replaced by one that was heard itself.
     pub fn is_former(&self, incarnation: IncarnationId) -> bool {
-        self.heard && self.former.contains(&incarnation)
+        self.heard && self.find_former(incarnation).is_some()
+    }
+
+    fn find_former(&self, incarnation: IncarnationId) -> Option<usize> {
+        let mut former = self.former.iter();
+        former.position(|process| process.incarnation == incarnation)
     }
 
     /// Takes over an envelope. `resolve` finds the index of a target.
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -276,6 +276,26 @@
     assert_eq!(pair.deliver().messages, [message(9)]);
 }
 
+/// Guards against a request that is carried out twice because its receipt was lost and the link
+/// returned to its sender.
+#[test]
+fn a_process_that_is_known_again_repeats_nothing() {
+    let mut pair = Pair::new();
+    pair.a.push(message(1));
+    let envelope = pair.envelope();
+    assert_eq!(pair.take(envelope).messages, [message(1)]);
+    pair.a.failed();
+    pair.take(template(identity("vm-a", 77), START));
+    let receipt = pair.a.receipt(IncarnationId(1));
+    pair.now = START + ms(10);
+    pair.b
+        .fill(pair.now, template(identity("vm-b", 2), pair.now));
+    assert!(pair.b.confirmed(&receipt));
+    assert!(pair.deliver().messages.is_empty());
+    pair.a.push(message(2));
+    assert_eq!(pair.deliver().messages, [message(2)]);
+}
+
 /// Guards against a restarted VM whose link falls back to its former process.
 #[test]
 fn a_receipt_of_an_earlier_envelope_does_not_bring_a_process_back() {
