--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -11,7 +11,6 @@
     DemandReport, FleetMessage, OfferNumber, PeerState, PlaceRequest, TaskOrder, TaskRank,
 };
 use filbertpitch_types::prelude::*;
-use rand::Rng;
 
 use super::holding::millis;
 use super::{FleetEngine, FleetNotice};
@@ -33,10 +32,6 @@
 /// How much a start on an idle target is avoided, so that large tasks find whole targets.
 const IDLE_TARGET_MS: f64 = 2.0;
 
-/// The choices among targets of other holders are spread by up to this time for each peer: all homes
-/// see the same reports, and would otherwise ask for the same room at the same time.
-const SPREAD_MS: f64 = 0.25;
-
 /// A target that may run waiting tasks.
 #[derive(Clone, Debug)]
 pub(super) struct PlaceCandidate {
@@ -102,8 +97,6 @@
         let mut candidates = Vec::new();
         let rivals = self.rival_demands();
         let own_zone = &self.identity.zone;
-        let peers = self.links.iter().flatten().filter(|link| link.is_live());
-        let spread_ms = SPREAD_MS * peers.count() as f64;
         for (target, held) in &mut self.held {
             let Some(entry) = self.registry.entry(*target) else {
                 continue;
@@ -144,7 +137,7 @@
                         free,
                         capacity: entry.capacity,
                         slowdown: f64::from(holding.report.slowdown_percent) / 100.0,
-                        hop_ms: hop(local, false) + spread_ms * self.rng.random::<f64>(),
+                        hop_ms: hop(local, false),
                         rival: None,
                     });
                 }
