One timer for both engines, one place for the drift of a target's clock

The drift of a target's clock and the longest lease that follows from it stood in two modules. Behaviour is unchanged. Left as they are: the clocks of the two drivers, one of which goes on while the VM is suspended.

--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -12,14 +12,15 @@
 use filbertpitch_types::fleet::{JobReply, PeerEnvelope, PeerReceipt};
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
-use futures_channel::{mpsc, oneshot};
-use futures_util::StreamExt;
+use futures_channel::oneshot;
+use monoio::time::Instant;
 
 use super::clock::FleetClock;
 use super::metrics::FleetMetrics;
 use super::notices::record_notice;
 use super::peers::PeerPools;
 use super::targets::TargetPools;
+use crate::engine_timer::{EngineTimer, TimerEvents};
 use crate::events::EventLog;
 
 /// Runs the engine of this process.
@@ -30,8 +31,7 @@
     peers: PeerPools,
     replies: RefCell<HashMap<CallerToken, oneshot::Sender<JobReply>>>,
     next_caller: Cell<u64>,
-    timer_due: Cell<Option<TimePoint>>,
-    timer_signal: mpsc::UnboundedSender<()>,
+    timer: EngineTimer,
     log: EventLog,
     metrics: Rc<FleetMetrics>,
 }
@@ -59,8 +59,8 @@
         engine: FleetEngine,
         log: EventLog,
         metrics: Rc<FleetMetrics>,
-    ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
-        let (timer_signal, timer_events) = mpsc::unbounded();
+    ) -> (Rc<Self>, TimerEvents) {
+        let (timer, timer_events) = EngineTimer::new();
         let driver = Self {
             clock,
             engine: RefCell::new(engine),
@@ -68,8 +68,7 @@
             peers: PeerPools::default(),
             replies: RefCell::default(),
             next_caller: Cell::new(0),
-            timer_due: Cell::new(None),
-            timer_signal,
+            timer,
             log,
             metrics,
         };
@@ -132,7 +131,7 @@
         for action in actions {
             self.perform(action);
         }
-        self.arm_timer(due);
+        self.timer.arm(due);
     }
 
     fn perform(self: &Rc<Self>, action: FleetAction) {
@@ -160,37 +159,11 @@
         }
     }
 
-    fn arm_timer(&self, due: Option<TimePoint>) {
-        let armed = self.timer_due.get();
-        let earlier = match (due, armed) {
-            (Some(due), Some(armed)) => due < armed,
-            (Some(_), None) => true,
-            (None, _) => false,
-        };
-        if earlier {
-            self.timer_due.set(due);
-            // The receiver lives as long as the timer task.
-            let _ = self.timer_signal.unbounded_send(());
-        }
-    }
-
     /// Feeds [`FleetEvent::TimeAdvanced`] when the engine's timers are due. Runs forever.
-    pub(super) async fn run_timer(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<()>) {
-        loop {
-            let Some(due) = self.timer_due.get() else {
-                if events.next().await.is_none() {
-                    return;
-                }
-                continue;
-            };
-            let delay = due.since(self.clock.read().time);
-            monoio::select! {
-                () = monoio::time::sleep(delay) => {
-                    self.timer_due.set(None);
-                    self.feed(FleetEvent::TimeAdvanced);
-                }
-                _ = events.next() => {}
-            }
+    pub(super) async fn run_timer(self: Rc<Self>, mut events: TimerEvents) {
+        let instant = |due: TimePoint| Instant::now() + due.since(self.clock.read().time);
+        while self.timer.expired(&mut events, instant).await {
+            self.feed(FleetEvent::TimeAdvanced);
         }
     }
 }
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -4,6 +4,7 @@
 //! They are a library so that the tests reach them.
 
 pub mod cli;
+pub mod engine_timer;
 pub mod events;
 pub mod fleet;
 pub mod log_client;
--- a/crates/filbertpitch/src/serve/driver.rs
+++ b/crates/filbertpitch/src/serve/driver.rs
@@ -12,13 +12,13 @@
 };
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::prelude::*;
-use futures_channel::{mpsc, oneshot};
-use futures_util::StreamExt;
+use futures_channel::oneshot;
 use monoio::time::Instant;
 
 use super::clock::SystemClock;
 use super::observe::NodeObserver;
 use super::targets::TargetClient;
+use crate::engine_timer::{EngineTimer, TimerEvents};
 
 /// Runs the engine of this process.
 pub struct EngineDriver {
@@ -27,8 +27,7 @@
     targets: TargetClient,
     replies: RefCell<HashMap<CallerToken, oneshot::Sender<CallerReply>>>,
     next_caller: Cell<u64>,
-    timer_due: Cell<Option<TimePoint>>,
-    timer_signal: mpsc::UnboundedSender<()>,
+    timer: EngineTimer,
     observer: Rc<NodeObserver>,
 }
 
@@ -39,16 +38,15 @@
         engine: DispatchEngine,
         targets: TargetClient,
         observer: Rc<NodeObserver>,
-    ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
-        let (timer_signal, timer_events) = mpsc::unbounded();
+    ) -> (Rc<Self>, TimerEvents) {
+        let (timer, timer_events) = EngineTimer::new();
         let driver = Self {
             clock,
             engine: RefCell::new(engine),
             targets,
             replies: RefCell::default(),
             next_caller: Cell::new(0),
-            timer_due: Cell::new(None),
-            timer_signal,
+            timer,
             observer,
         };
         (Rc::new(driver), timer_events)
@@ -83,7 +81,7 @@
         for action in actions {
             self.perform(action);
         }
-        self.arm_timer(due);
+        self.timer.arm(due);
     }
 
     /// Looks at the engine between events.
@@ -129,37 +127,11 @@
         }
     }
 
-    fn arm_timer(&self, due: Option<TimePoint>) {
-        let armed = self.timer_due.get();
-        let earlier = match (due, armed) {
-            (Some(due), Some(armed)) => due < armed,
-            (Some(_), None) => true,
-            (None, _) => false,
-        };
-        if earlier {
-            self.timer_due.set(due);
-            // The receiver lives as long as the timer task.
-            let _ = self.timer_signal.unbounded_send(());
-        }
-    }
-
     /// Feeds [`EngineEvent::TimeAdvanced`] when the engine's timers are due. Runs forever.
-    pub async fn run_timer(self: Rc<Self>, mut events: mpsc::UnboundedReceiver<()>) {
-        loop {
-            let Some(due) = self.timer_due.get() else {
-                if events.next().await.is_none() {
-                    return;
-                }
-                continue;
-            };
-            let deadline = Instant::from_std(self.clock.instant(due));
-            monoio::select! {
-                () = monoio::time::sleep_until(deadline) => {
-                    self.timer_due.set(None);
-                    self.feed(EngineEvent::TimeAdvanced);
-                }
-                _ = events.next() => {}
-            }
+    pub async fn run_timer(self: Rc<Self>, mut events: TimerEvents) {
+        let instant = |due: TimePoint| Instant::from_std(self.clock.instant(due));
+        while self.timer.expired(&mut events, instant).await {
+            self.feed(EngineEvent::TimeAdvanced);
         }
     }
 }
--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -12,6 +12,14 @@
 /// 2%, which is 40 ms in this time.
 const SAMPLE_LIFE: Duration = Duration::from_secs(2);
 
+/// How much slower than real time the clock of a target may run, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+
+/// How long a lease lasts at most on a target whose clock is slow.
+pub fn longest_lease(lease: Duration) -> Duration {
+    lease + lease * CLOCK_DRIFT_PERCENT / 100
+}
+
 /// Follows the clock of a target from the time in its answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RemoteClock {
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -10,11 +10,9 @@
 use filbertpitch_types::prelude::*;
 
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
+use crate::clock::longest_lease;
 use crate::home::{HomeJob, JobPlan, TaskPhase, TaskRef};
 
-/// How much longer than its lease a run may last on a target whose clock is slow, in percent.
-const CLOCK_DRIFT_PERCENT: u32 = 2;
-
 /// What the holder of a lease and the target may disagree about its end, and the time of a message
 /// between them.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
@@ -378,7 +376,7 @@
     /// When a run has certainly lapsed whose lease was not renewed after `renewed`.
     fn lapse_after(&self, renewed: TimePoint) -> TimePoint {
         let lease = self.settings.held.lease;
-        renewed + lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN
+        renewed + longest_lease(lease) + LEASE_MARGIN
     }
 
     fn orphan_task(
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -8,13 +8,10 @@
 };
 use filbertpitch_types::prelude::*;
 
-use crate::clock::RemoteClock;
+use crate::clock::{RemoteClock, longest_lease};
 use crate::ledger::{RoomLedger, RunPhase, TargetRun};
 use crate::verdict::{TargetVerdict, VerdictSettings};
 
-/// How much longer a lease lasts on a target whose clock is slow, in percent.
-const CLOCK_DRIFT_PERCENT: u32 = 2;
-
 /// What estimates of a target's clock may be off by: a drift of 2% in two seconds, and a round trip.
 const CLOCK_ERROR: Duration = Duration::from_millis(60);
 
@@ -361,8 +358,8 @@
     /// A lease that begins now, on the target's clock.
     fn lease_end(&mut self, now: TimePoint, lease: Duration) -> Option<TargetTime> {
         let time = self.clock.at(now)?;
-        let drift = lease * CLOCK_DRIFT_PERCENT / 100;
-        self.lapsed_at = self.lapsed_at.max(now + lease + drift + CLOCK_ERROR);
+        let lapsed_at = now + longest_lease(lease) + CLOCK_ERROR;
+        self.lapsed_at = self.lapsed_at.max(lapsed_at);
         let millis = u64::try_from(lease.as_millis()).unwrap_or(u64::MAX);
         Some(TargetTime(time.0.saturating_add(millis)))
     }
