--- a/crates/filbertpitch/src/fleet/peers.rs
+++ b/crates/filbertpitch/src/fleet/peers.rs
@@ -17,8 +17,11 @@
 
 use super::driver::FleetDriver;
 
-/// Where envelopes are sent.
-const ENVELOPE_PATH: &str = "/peer/envelope";
+/// Where envelopes are sent. The number changes with the layout of envelopes.
+const ENVELOPE_PATH: &str = "/peer/envelope/2";
+
+/// How envelopes and receipts are encoded.
+const ENVELOPE_FORMAT: BodyFormat = BodyFormat::PackedMessagePack;
 
 /// The time for an envelope and its receipt. Later, it is repeated on a new connection.
 const ENVELOPE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -76,8 +79,7 @@
     envelope: &PeerEnvelope,
 ) -> Result<PeerReceipt, Option<ClientErrorKind>> {
     let target = Uri::from_static(ENVELOPE_PATH);
-    let request =
-        ClientRequest::post(target, BodyFormat::MessagePack, envelope).map_err(|_| None)?;
+    let request = ClientRequest::post(target, ENVELOPE_FORMAT, envelope).map_err(|_| None)?;
     let options = RequestOptions {
         timeout: ENVELOPE_TIMEOUT,
         ..RequestOptions::default()
@@ -87,7 +89,7 @@
     if response.status != StatusCode::OK {
         return Err(None);
     }
-    response.decode(BodyFormat::MessagePack).map_err(|_| None)
+    response.decode(ENVELOPE_FORMAT).map_err(|_| None)
 }
 
 /// Answers other entry VMs.
@@ -110,10 +112,10 @@
                 "there is no resource with this method and path",
             );
         }
-        match request.decode::<PeerEnvelope>(BodyFormat::MessagePack) {
+        match request.decode::<PeerEnvelope>(ENVELOPE_FORMAT) {
             Ok(envelope) => {
                 let receipt = self.driver.receive(envelope);
-                ServerResponse::encoded(StatusCode::OK, BodyFormat::MessagePack, &receipt)
+                ServerResponse::encoded(StatusCode::OK, ENVELOPE_FORMAT, &receipt)
             }
             Err(error) => {
                 ServerResponse::error(StatusCode::BAD_REQUEST, "bad_request", &error.to_string())
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -5,7 +5,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    EndNotice, FleetMessage, JobOrder, JobReply, PlaceRefusal, RejectReason, RunNotice,
+    EndNotice, FleetMessage, JobOrder, JobReply, PlaceRefusal, RejectReason,
 };
 use filbertpitch_types::prelude::*;
 
@@ -17,9 +17,9 @@
 /// between them.
 const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
-/// The time by which the two sides of a link notice its loss differently: one beat, one envelope and
-/// one review.
-const NOTICE_MARGIN: Duration = Duration::from_millis(250);
+/// The time by which the two sides of a link notice its loss differently, beyond one beat: one
+/// envelope and one review.
+const NOTICE_MARGIN: Duration = Duration::from_millis(100);
 
 impl FleetEngine {
     pub(super) fn submit_job(
@@ -208,24 +208,6 @@
         }
     }
 
-    pub(super) fn receive_started(&mut self, from: VmIndex, notice: &RunNotice) {
-        let Some(task) = self.jobs.find_task(&notice.run.task) else {
-            return;
-        };
-        let target = self.registry.intern(&notice.target);
-        let place = self.place_of(task, notice.run.run);
-        if place.is_some_and(|(holder, _)| holder == from) {
-            let phase = TaskPhase::Placed {
-                holder: from,
-                target,
-                asked_at: self.now(),
-                started: true,
-            };
-            let now = self.now();
-            self.jobs.set_phase(now, task, phase);
-        }
-    }
-
     /// A holder has certainly not started a task.
     pub(super) fn receive_refusal(&mut self, from: VmIndex, run: RunName, refusal: PlaceRefusal) {
         let Some(task) = self.jobs.find_task(&run.task) else {
@@ -361,8 +343,12 @@
     /// renews their leases until it notices that it does not hear this VM. It may be paused then and
     /// not stop them, so that only the lapse of the last lease is certain.
     pub(super) fn orphan_holder(&mut self, holder: VmIndex, heard: TimePoint) {
-        let noticed = heard + self.settings.links.lost_after + NOTICE_MARGIN;
-        let over_at = self.lapse_after(noticed.min(self.now() + NOTICE_MARGIN));
+        let Some(link) = &self.links[holder] else {
+            return;
+        };
+        let margin = link.pace().own_beat() + NOTICE_MARGIN;
+        let noticed = heard + link.pace().missed_after() + margin;
+        let over_at = self.lapse_after(noticed.min(self.now() + margin));
         let placed = self.jobs.placed();
         let lost = placed
             .filter(|(_, vm, _)| *vm == holder)
@@ -429,7 +415,6 @@
             holder,
             target,
             asked_at: now,
-            started: true,
         };
         self.jobs.set_phase(now, task, phase);
         true
--- a/crates/fleet/src/engine/orders.rs
+++ b/crates/fleet/src/engine/orders.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
-use filbertpitch_types::fleet::{
-    FleetMessage, PeerState, PlaceRefusal, PlaceRequest, RunNotice, TaskOrder,
-};
+use filbertpitch_types::fleet::{FleetMessage, PeerState, PlaceRefusal, PlaceRequest, TaskOrder};
 use filbertpitch_types::lease::{StartAnswer, StartRefusal, StopAnswer};
 use filbertpitch_types::prelude::*;
 
@@ -187,12 +185,7 @@
         };
         let home = held.ledger().get(&name.task).and_then(|run| run.home);
         match held.start_answered(now, name, answer) {
-            StartOutcome::Started => {
-                if let Some(home) = home {
-                    let target = self.registry.name(target).clone();
-                    self.send(home, FleetMessage::Started(RunNotice { run: name, target }));
-                }
-            }
+            StartOutcome::Started => {}
             StartOutcome::NotStarted(refusal) => {
                 self.counters.starts_refused += 1;
                 self.note_start_refusal(target, name, home, refusal);
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -12,6 +12,7 @@
 
 use super::{FleetAction, FleetEngine, FleetNotice};
 use crate::link::PeerLink;
+use crate::pace::{PeerCounts, PeerDistance};
 
 impl FleetEngine {
     /// Takes over an envelope of a peer and returns the receipt.
@@ -66,7 +67,11 @@
         let peer = self.vms.intern(&identity.vm);
         if usize::from(peer) == self.links.len() {
             let settings = self.settings.links.clone();
-            let link = PeerLink::new(settings, identity.clone(), self.clock.time);
+            let distance = match identity.zone == self.identity.zone {
+                true => PeerDistance::Near,
+                false => PeerDistance::Far,
+            };
+            let link = PeerLink::new(settings, identity.clone(), distance, self.clock.time);
             self.links.push(Some(link));
         }
         peer
@@ -134,6 +139,10 @@
         for peer in lost {
             self.lose_peer(peer, false);
         }
+        let counts = self.peer_counts();
+        for link in self.links.iter_mut().flatten() {
+            link.adapt(counts);
+        }
     }
 
     fn lose_peer(&mut self, peer: VmIndex, refused: bool) {
@@ -198,7 +207,6 @@
                 room,
             } => self.receive_offer(from, offer, &target, room),
             FleetMessage::Decline(offer) => self.receive_decline(from, offer),
-            FleetMessage::Started(notice) => self.receive_started(from, &notice),
             FleetMessage::Refused { run, refusal } => self.receive_refusal(from, run, refusal),
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
@@ -215,11 +223,10 @@
             let (hope, priority, _) = self.rank_of(task);
             (hope, priority)
         });
-        let live = self.links.iter().flatten().filter(|link| link.is_live());
-        let peers = live.count();
+        let counts = self.peer_counts();
         let due = self.links.iter_enumerated().filter(|(_, link)| {
             link.as_ref()
-                .is_some_and(|link| link.wants_envelope(now, most_urgent, peers))
+                .is_some_and(|link| link.wants_envelope(now, most_urgent, counts))
         });
         let due = due.map(|(peer, _)| peer).collect::<Vec<_>>();
         let greeted = self.due_seeds();
@@ -250,6 +257,15 @@
         }
     }
 
+    /// How many peers are heard.
+    pub(super) fn peer_counts(&self) -> PeerCounts {
+        let mut counts = PeerCounts::default();
+        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
+            counts.add(link.pace().distance());
+        }
+        counts
+    }
+
     /// The seeds to contact: those at whose address no peer is known.
     fn due_seeds(&mut self) -> Vec<SocketAddr> {
         let now = self.now();
@@ -257,7 +273,7 @@
         let known = links
             .map(|link| link.identity().address)
             .collect::<Vec<_>>();
-        let interval = self.settings.links.beat_interval;
+        let interval = self.settings.links.pace.beat_interval;
         let due = self.seeds.iter_mut().filter(|(seed, last)| {
             let waiting = last.0 > 0 && now.since(**last) < interval;
             !waiting && !known.contains(seed)
@@ -288,12 +304,12 @@
             target: self.registry.name(*target).clone(),
             token: held.token(),
         });
-        let heard = self.links.iter().flatten().filter(|link| link.is_live());
         PeerEnvelope {
             from: self.identity.clone(),
             to: None,
             losses: 0,
             sent_at: now,
+            beat_ms: 0,
             state: self.state,
             config_version: self.catalog.version(),
             first_message: 0,
@@ -303,7 +319,6 @@
             holdings_version: self.holdings_version,
             holdings: Some(holdings.collect()),
             rooms,
-            heard: heard.map(|link| link.identity().incarnation).collect(),
         }
     }
 }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -239,7 +239,6 @@
                 holder,
                 target,
                 asked_at: now,
-                started: false,
             };
             self.jobs.set_phase(now, task, phase);
             let order = self.describe_task(task, target);
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -62,8 +62,6 @@
         target: TargetIndex,
         /// When the holder was asked.
         asked_at: TimePoint,
-        /// Whether the holder has confirmed the start.
-        started: bool,
     },
     /// Its holder was lost. It may still be running.
     Orphaned {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod home;
 pub mod ledger;
 pub mod link;
+pub mod pace;
 pub mod patience;
 pub mod reach;
 pub mod registry;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -15,46 +15,24 @@
 use filbertpitch_types::prelude::*;
 
 use crate::clock::DelayMeter;
+use crate::pace::{LinkPace, PaceSettings, PeerCounts, PeerDistance};
 
 /// When peers are contacted and given up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LinkSettings {
-    /// The longest time without an envelope to a peer.
-    pub beat_interval: Duration,
-    /// The longest time without an envelope to a peer of a small fleet while tasks wait.
-    pub demand_interval: Duration,
-    /// The least time between two envelopes that only tell of waiting tasks, for each pair of VMs:
-    /// bounds the processor time for them in a large fleet.
-    pub pair_spacing: Duration,
+    /// Intervals between envelopes.
+    pub pace: PaceSettings,
     /// The time between envelopes to a peer that was given up long ago.
     pub lost_interval: Duration,
-    /// The time without an envelope from a peer after which it gets no work.
-    pub silent_after: Duration,
-    /// The time without an envelope from a peer after which it is given up.
-    pub lost_after: Duration,
     /// The age at which a request of a peer is refused.
     pub stale_after: Duration,
 }
 
-impl LinkSettings {
-    /// The least time between two envelopes that tell one of `peers` of waiting tasks. It grows
-    /// faster than the number of peers, because their own reports take processor time as well.
-    fn demand_spacing(&self, peers: usize) -> Duration {
-        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
-        let square = peers.saturating_mul(peers);
-        self.pair_spacing.saturating_mul(square)
-    }
-}
-
 impl Default for LinkSettings {
     fn default() -> Self {
         Self {
-            beat_interval: Duration::from_millis(150),
-            demand_interval: Duration::from_millis(25),
-            pair_spacing: Duration::from_micros(150),
+            pace: PaceSettings::default(),
             lost_interval: Duration::from_millis(1000),
-            silent_after: Duration::from_millis(450),
-            lost_after: Duration::from_millis(900),
             stale_after: Duration::from_millis(250),
         }
     }
@@ -123,6 +101,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerLink {
     settings: LinkSettings,
+    pace: LinkPace,
     identity: PeerIdentity,
     /// Whether the process was heard itself; otherwise only the platform's store tells of it.
     heard: bool,
@@ -167,8 +146,14 @@
 
 impl PeerLink {
     /// A link to a VM that was not heard yet.
-    pub fn new(settings: LinkSettings, identity: PeerIdentity, now: TimePoint) -> Self {
+    pub fn new(
+        settings: LinkSettings,
+        identity: PeerIdentity,
+        distance: PeerDistance,
+        now: TimePoint,
+    ) -> Self {
         Self {
+            pace: LinkPace::new(settings.pace.clone(), distance),
             settings,
             identity,
             heard: false,
@@ -202,6 +187,16 @@
         &self.identity
     }
 
+    /// How often envelopes are exchanged.
+    pub fn pace(&self) -> &LinkPace {
+        &self.pace
+    }
+
+    /// Adapts the time between envelopes to the size of the fleet.
+    pub fn adapt(&mut self, counts: PeerCounts) {
+        self.hurried |= self.pace.adapt(counts);
+    }
+
     /// Whether it is there.
     pub fn phase(&self) -> LinkPhase {
         self.phase
@@ -286,6 +281,7 @@
         self.heard = false;
         self.adopted_at = now;
         self.identity = identity.clone();
+        self.pace.forget_peer();
         self.delays = DelayMeter::default();
         self.state = PeerState::Starting;
         self.demand = DemandReport::default();
@@ -366,6 +362,8 @@
             self.phase = LinkPhase::Unheard { since: now };
         }
         self.heard = true;
+        self.pace
+            .learn(Duration::from_millis(envelope.beat_ms.into()));
         // An envelope that was held up on its way says little about now.
         let age = self.delays.age(envelope.sent_at, now);
         self.delays.observe(envelope.sent_at, now);
@@ -375,7 +373,7 @@
             self.open_requests.clear();
         }
         let heard = now - age;
-        if age < self.settings.silent_after {
+        if age < self.pace.silent_after() {
             news.appeared = !self.is_live();
             self.phase = LinkPhase::Live;
         }
@@ -438,12 +436,12 @@
         }
     }
 
-    /// Whether an envelope is to be sent now; `peers` is the number of live peers.
+    /// Whether an envelope is to be sent now; `counts` are the live peers.
     pub fn wants_envelope(
         &self,
         now: TimePoint,
         most_urgent: Option<DemandClass>,
-        peers: usize,
+        counts: PeerCounts,
     ) -> bool {
         if self.in_flight {
             return false;
@@ -453,11 +451,7 @@
         let new_demand = self.is_live()
             && most_urgent.is_some_and(|class| {
                 let more_urgent = self.sent_class.is_none_or(|sent| class < sent);
-                let spaced = self.settings.demand_spacing(peers);
-                due(match more_urgent {
-                    true => spaced,
-                    false => spaced.max(self.settings.demand_interval),
-                })
+                due(self.pace.demand_spacing(counts, more_urgent))
             });
         !self.outbox.is_empty() || self.hurried || new_demand || due(self.interval())
     }
@@ -481,16 +475,16 @@
             LinkPhase::Lost { since, .. } if self.last_sent > Some(since + RECENT_LOSS) => {
                 self.settings.lost_interval
             }
-            _ => self.settings.beat_interval,
+            _ => self.pace.own_beat(),
         }
     }
 
     /// When [`Self::judge`] may change something.
     pub fn judge_due(&self) -> Option<TimePoint> {
         match self.phase {
-            LinkPhase::Live => Some(self.last_heard + self.settings.silent_after),
-            LinkPhase::Silent => Some(self.last_heard + self.settings.lost_after),
-            LinkPhase::Unheard { since } => Some(since + self.settings.lost_after),
+            LinkPhase::Live => Some(self.last_heard + self.pace.silent_after()),
+            LinkPhase::Silent => Some(self.last_heard + self.pace.lost_after()),
+            LinkPhase::Unheard { since } => Some(since + self.pace.lost_after()),
             LinkPhase::Lost { .. } => None,
         }
     }
@@ -504,6 +498,7 @@
         let unknown = matches!(self.phase, LinkPhase::Unheard { .. });
         envelope.to = (!unknown).then_some(self.identity.incarnation);
         envelope.losses = self.own_losses;
+        envelope.beat_ms = u32::try_from(self.pace.own_beat().as_millis()).unwrap_or(u32::MAX);
         envelope.first_message = self.first_message;
         envelope.messages = self.outbox.iter().cloned().collect();
         envelope.next_expected = self.next_expected;
@@ -560,11 +555,11 @@
             LinkPhase::Unheard { since } => now.since(*since),
             LinkPhase::Live | LinkPhase::Silent => now.since(self.last_heard),
         };
-        if refused || quiet >= self.settings.lost_after {
+        if refused || quiet >= self.pace.lost_after() {
             self.give_up(now, refused);
             return true;
         }
-        if self.is_live() && quiet >= self.settings.silent_after {
+        if self.is_live() && quiet >= self.pace.silent_after() {
             self.phase = LinkPhase::Silent;
         }
         false
--- /dev/null
+++ b/crates/fleet/src/pace.rs
@@ -0,0 +1,180 @@
+//! How often a VM sends envelopes to another one, and when the other one is missed.
+//!
+//! Answers fleets of many VMs. With the same interval for all pairs, envelopes would take the
+//! processor time of every VM as soon as there are some dozens of them. The intervals grow with the
+//! number of peers, so that a VM sends a bounded number of envelopes per second. VMs of the same
+//! availability zone work for each other most of the time, and hear from each other more often.
+//!
+//! Each envelope tells the longest time to the next one. The receiver judges silence by that, so that
+//! both sides of a link miss each other after the same time.
+
+use std::time::Duration;
+
+/// Intervals between envelopes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceSettings {
+    /// The longest time without an envelope to a peer of a small fleet.
+    pub beat_interval: Duration,
+    /// What each peer of the same availability zone adds to the interval: bounds the envelopes to
+    /// them to 100 per second.
+    pub near_share: Duration,
+    /// What each peer of another availability zone adds to the interval: bounds the envelopes to
+    /// them to 83 per second.
+    pub far_share: Duration,
+    /// The longest time without an envelope to a peer of a small fleet while tasks wait.
+    pub demand_interval: Duration,
+    /// The least time between two envelopes that only tell of waiting tasks, for each pair of VMs of
+    /// one availability zone: bounds the processor time for them.
+    pub near_spacing: Duration,
+    /// The same for each pair of VMs of the fleet, between VMs of different availability zones.
+    pub far_spacing: Duration,
+    /// How much longer than one interval a peer may be silent before it gets no work: a delay of two
+    /// short intervals.
+    pub silent_slack: Duration,
+    /// How much longer than two intervals a peer may be silent before it is given up.
+    pub lost_slack: Duration,
+}
+
+impl Default for PaceSettings {
+    fn default() -> Self {
+        Self {
+            beat_interval: Duration::from_millis(150),
+            near_share: Duration::from_millis(10),
+            far_share: Duration::from_millis(12),
+            demand_interval: Duration::from_millis(25),
+            near_spacing: Duration::from_micros(400),
+            far_spacing: Duration::from_micros(150),
+            silent_slack: Duration::from_millis(300),
+            lost_slack: Duration::from_millis(600),
+        }
+    }
+}
+
+impl PaceSettings {
+    /// The time without an envelope after which a peer that sends one every `beat` gets no work.
+    pub fn silent_after(&self, beat: Duration) -> Duration {
+        beat + self.silent_slack
+    }
+
+    /// The time without an envelope after which a peer that sends one every `beat` is given up.
+    pub fn lost_after(&self, beat: Duration) -> Duration {
+        beat * 2 + self.lost_slack
+    }
+}
+
+/// Whether two VMs are in the same availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerDistance {
+    /// In the same one.
+    Near,
+    /// In different ones.
+    Far,
+}
+
+/// How many other VMs are heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerCounts {
+    /// In the same availability zone.
+    pub near: u32,
+    /// In other availability zones.
+    pub far: u32,
+}
+
+impl PeerCounts {
+    /// Counts a peer.
+    pub fn add(&mut self, distance: PeerDistance) {
+        match distance {
+            PeerDistance::Near => self.near += 1,
+            PeerDistance::Far => self.far += 1,
+        }
+    }
+}
+
+/// The intervals of one link.
+#[derive(Clone, Debug)]
+pub struct LinkPace {
+    settings: PaceSettings,
+    distance: PeerDistance,
+    /// What the peer was told.
+    own_beat: Duration,
+    /// What the peer has told.
+    peer_beat: Duration,
+}
+
+impl LinkPace {
+    /// The pace of a small fleet.
+    pub fn new(settings: PaceSettings, distance: PeerDistance) -> Self {
+        let beat = settings.beat_interval;
+        Self {
+            settings,
+            distance,
+            own_beat: beat,
+            peer_beat: beat,
+        }
+    }
+
+    /// Where the peer is.
+    pub fn distance(&self) -> PeerDistance {
+        self.distance
+    }
+
+    /// Adapts the interval to the size of the fleet. It doubles and never shrinks, so that the peer
+    /// has to be told rarely. Returns whether the peer has to be told.
+    pub fn adapt(&mut self, counts: PeerCounts) -> bool {
+        let wanted = match self.distance {
+            PeerDistance::Near => self.settings.near_share * counts.near,
+            PeerDistance::Far => self.settings.far_share * counts.far,
+        };
+        let before = self.own_beat;
+        while self.own_beat < wanted {
+            self.own_beat *= 2;
+        }
+        self.own_beat > before
+    }
+
+    /// The longest time between two envelopes to the peer.
+    pub fn own_beat(&self) -> Duration {
+        self.own_beat
+    }
+
+    /// Takes over the interval that the peer has told.
+    pub fn learn(&mut self, peer_beat: Duration) {
+        self.peer_beat = peer_beat.max(self.settings.beat_interval);
+    }
+
+    /// Another process runs at the other end.
+    pub fn forget_peer(&mut self) {
+        self.peer_beat = self.settings.beat_interval;
+    }
+
+    /// The time between two envelopes that only tell of waiting tasks; `urgent` if a task is more
+    /// urgent than those that the peer knows of.
+    pub fn demand_spacing(&self, counts: PeerCounts, urgent: bool) -> Duration {
+        let spacing = match self.distance {
+            PeerDistance::Near => self.settings.near_spacing * counts.near.saturating_pow(2),
+            PeerDistance::Far => {
+                let all = counts.near + counts.far;
+                self.settings.far_spacing * all.saturating_pow(2)
+            }
+        };
+        match urgent {
+            true => spacing,
+            false => spacing.max(self.settings.demand_interval),
+        }
+    }
+
+    /// The time without an envelope after which the peer gets no work.
+    pub fn silent_after(&self) -> Duration {
+        self.settings.silent_after(self.peer_beat)
+    }
+
+    /// The time without an envelope after which the peer is given up.
+    pub fn lost_after(&self) -> Duration {
+        self.settings.lost_after(self.peer_beat)
+    }
+
+    /// The time without an envelope after which the peer gives this VM up.
+    pub fn missed_after(&self) -> Duration {
+        self.settings.lost_after(self.own_beat)
+    }
+}
--- a/crates/fleet/tests/home_queue.rs
+++ b/crates/fleet/tests/home_queue.rs
@@ -58,7 +58,6 @@
         holder: VmIndex::from(0),
         target: TargetIndex::from(0),
         asked_at: START,
-        started: true,
     };
     jobs.set_phase(START, task, phase);
     jobs.get_mut(task.job).unwrap().possible_starts += 1;
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -4,6 +4,7 @@
 
 use filbertpitch_dispatch::entity::TargetIndex;
 use filbertpitch_fleet::link::{LinkNews, LinkPhase, LinkSettings, PeerLink};
+use filbertpitch_fleet::pace::{PaceSettings, PeerCounts, PeerDistance};
 use filbertpitch_types::fleet::{
     DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity, PeerState, RoomReport,
     TaskHope,
@@ -12,6 +13,11 @@
 
 const START: TimePoint = TimePoint(9_000_000);
 
+/// The time without an envelope after which a peer of a small fleet is given up.
+const LOST_AFTER: Duration = Duration::from_millis(900);
+
+const ONE_PEER: PeerCounts = PeerCounts { near: 0, far: 1 };
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -25,12 +31,17 @@
     }
 }
 
+fn link_to(peer: PeerIdentity) -> PeerLink {
+    PeerLink::new(LinkSettings::default(), peer, PeerDistance::Far, START)
+}
+
 fn template(from: PeerIdentity, now: TimePoint) -> PeerEnvelope {
     PeerEnvelope {
         from,
         to: None,
         losses: 0,
         sent_at: now,
+        beat_ms: 150,
         state: PeerState::Ready,
         config_version: None,
         first_message: 0,
@@ -46,7 +57,6 @@
             free: RoomSize::from((8000, 64, 0)),
             slowdown_percent: 100,
         }],
-        heard: Vec::new(),
     }
 }
 
@@ -64,8 +74,7 @@
 
 impl Pair {
     fn new() -> Self {
-        let link =
-            |vm, process| PeerLink::new(LinkSettings::default(), identity(vm, process), START);
+        let link = |vm, process| link_to(identity(vm, process));
         let mut pair = Self {
             a: link("vm-b", 2),
             b: link("vm-a", 1),
@@ -127,9 +136,9 @@
     pair.a.push(message(1));
     pair.envelope();
     pair.a.failed();
-    assert!(pair.a.wants_envelope(pair.now, None, 1));
+    assert!(pair.a.wants_envelope(pair.now, None, ONE_PEER));
     assert_eq!(pair.deliver().messages, [message(1)]);
-    assert!(!pair.a.wants_envelope(pair.now, None, 1));
+    assert!(!pair.a.wants_envelope(pair.now, None, ONE_PEER));
 }
 
 /// Guards against a peer that is given work although it is silent, and against one that is given up
@@ -137,12 +146,13 @@
 #[test]
 fn a_silent_peer_is_given_up_later() {
     let mut pair = Pair::new();
-    let settings = LinkSettings::default();
-    assert!(!pair.b.judge(START + settings.silent_after - ms(1), false));
+    let silent_after = pair.b.pace().silent_after();
+    assert_eq!(silent_after, ms(450));
+    assert!(!pair.b.judge(START + silent_after - ms(1), false));
     assert!(pair.b.is_live());
-    assert!(!pair.b.judge(START + settings.silent_after, false));
+    assert!(!pair.b.judge(START + silent_after, false));
     assert_eq!(pair.b.phase(), LinkPhase::Silent);
-    let lost_at = START + settings.lost_after;
+    let lost_at = START + LOST_AFTER;
     assert_eq!(pair.b.judge_due(), Some(lost_at));
     assert!(pair.b.judge(lost_at, false));
     assert!(!pair.b.judge(lost_at, false), "it is given up once");
@@ -171,10 +181,7 @@
 fn the_other_side_learns_of_a_loss() {
     let mut pair = Pair::new();
     pair.a.push(message(1));
-    assert!(
-        pair.a
-            .judge(START + LinkSettings::default().lost_after, false)
-    );
+    assert!(pair.a.judge(START + LOST_AFTER, false));
     pair.now = START + ms(1000);
     let news = pair.deliver();
     assert!(news.dropped);
@@ -191,7 +198,7 @@
     let mut pair = Pair::new();
     pair.a.push(message(1));
     let late = pair.envelope();
-    pair.a = PeerLink::new(LinkSettings::default(), identity("vm-b", 2), START);
+    pair.a = link_to(identity("vm-b", 2));
     pair.a_process = 11;
     pair.a.push(message(5));
     let news = pair.deliver();
@@ -203,7 +210,7 @@
 }
 
 fn silence(link: &mut PeerLink) -> TimePoint {
-    let lost_at = START + LinkSettings::default().lost_after;
+    let lost_at = START + LOST_AFTER;
     assert!(link.judge(lost_at, false));
     lost_at
 }
@@ -347,7 +354,7 @@
 #[test]
 fn marks_in_the_store_show_that_a_silent_vm_lives() {
     let mut pair = Pair::new();
-    let lost_at = START + LinkSettings::default().lost_after;
+    let lost_at = START + LOST_AFTER;
     let own = identity("vm-a", 1);
     pair.b.note_record(&own, 4, START);
     pair.b.judge(lost_at, false);
@@ -369,8 +376,8 @@
 #[test]
 fn waiting_tasks_are_reported_promptly() {
     let mut pair = Pair::new();
-    const PEERS: usize = 6;
-    let settings = LinkSettings::default();
+    const PEERS: PeerCounts = PeerCounts { near: 0, far: 6 };
+    let settings = PaceSettings::default();
     assert!(!pair.a.wants_envelope(START + ms(20), None, PEERS));
     assert!(!pair.a.wants_envelope(START + ms(5), in_time(0), PEERS));
     assert!(pair.a.wants_envelope(START + ms(6), in_time(0), PEERS));
@@ -398,13 +405,46 @@
     let mut pair = Pair::new();
     pair.a.fill(START, template(identity("vm-a", 1), START));
     pair.a.failed();
-    let spacing = LinkSettings::default().pair_spacing;
-    let peers = 30_u32;
-    let due = START + spacing * peers * peers;
+    let spacing = PaceSettings::default().far_spacing;
+    let counts = PeerCounts { near: 9, far: 21 };
+    let due = START + spacing * 30 * 30;
+    assert!(!pair.a.wants_envelope(due - ms(1), in_time(0), counts));
+    assert!(pair.a.wants_envelope(due, in_time(0), counts));
+}
+
+/// Guards against a peer of a large fleet that is given up because it sends envelopes as rarely as it
+/// has told.
+#[test]
+fn a_peer_that_has_told_a_longer_beat_is_missed_later() {
+    let mut pair = Pair::new();
+    let counts = PeerCounts { near: 10, far: 33 };
+    pair.a.adapt(counts);
+    let beat = pair.a.pace().own_beat();
+    assert_eq!(beat, ms(600));
     assert!(
-        !pair
-            .a
-            .wants_envelope(due - ms(1), in_time(0), peers as usize)
+        pair.a.wants_envelope(pair.now, None, counts),
+        "the peer is told at once"
     );
-    assert!(pair.a.wants_envelope(due, in_time(0), peers as usize));
+    pair.deliver();
+    let told_at = pair.now;
+    assert!(!pair.a.wants_envelope(told_at + ms(599), None, counts));
+    assert!(pair.a.wants_envelope(told_at + beat, None, counts));
+    assert!(!pair.b.judge(told_at + beat + ms(299), false));
+    assert!(pair.b.is_live());
+    assert!(!pair.b.judge(told_at + beat * 2 + ms(599), false));
+    assert!(pair.b.judge(told_at + beat * 2 + ms(600), false));
+    assert_eq!(pair.a.pace().missed_after(), pair.b.pace().lost_after());
+}
+
+/// Guards against a new process that is judged by the beat of the former one.
+#[test]
+fn a_new_process_has_the_beat_of_a_small_fleet() {
+    let mut pair = Pair::new();
+    pair.a.adapt(PeerCounts { near: 0, far: 100 });
+    pair.deliver();
+    assert!(pair.b.pace().lost_after() > LOST_AFTER);
+    pair.a = link_to(identity("vm-b", 2));
+    pair.a_process = 11;
+    pair.deliver();
+    assert_eq!(pair.b.pace().lost_after(), LOST_AFTER);
 }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -490,15 +490,6 @@
     NeverStarted,
 }
 
-/// Tells a home that a task is running.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RunNotice {
-    /// The run.
-    pub run: RunName,
-    /// Where it runs.
-    pub target: TargetName,
-}
-
 /// Tells a home how a run has ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndNotice {
@@ -542,16 +533,14 @@
     },
     /// From a home to a holder: the offer is not needed.
     Decline(OfferNumber),
-    /// From a holder to a home.
-    Started(RunNotice),
-    /// From a holder to a home.
+    /// From a holder to a home: a task was not started.
     Refused {
         /// The run that was not started.
         run: RunName,
         /// Why.
         refusal: PlaceRefusal,
     },
-    /// From a holder to a home.
+    /// From a holder to a home: how a run has ended.
     Ended(EndNotice),
     /// From a new holder to all VMs: how a run has ended that it did not order.
     FoundEnd(EndNotice),
@@ -593,6 +582,8 @@
     pub losses: u32,
     /// When it was sent, on the sender's clock.
     pub sent_at: TimePoint,
+    /// The longest time to the sender's next envelope to the receiver, in milliseconds.
+    pub beat_ms: u32,
     /// Where the sender is in its life.
     pub state: PeerState,
     /// The version of its configuration.
@@ -611,8 +602,6 @@
     pub holdings: Option<Vec<HoldingReport>>,
     /// The state of each held target, in the order of the holdings.
     pub rooms: Vec<RoomReport>,
-    /// The processes that the sender has heard of lately.
-    pub heard: Vec<IncarnationId>,
 }
 
 /// Confirms an envelope.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -20,6 +20,8 @@
     Json,
     /// MessagePack with named fields, because messages use flattened and omitted fields.
     MessagePack,
+    /// MessagePack with fields by position, for frequent messages that have all of their fields.
+    PackedMessagePack,
 }
 
 impl BodyFormat {
@@ -27,7 +29,7 @@
     pub fn media_type(self) -> &'static str {
         match self {
             Self::Json => "application/json",
-            Self::MessagePack => "application/msgpack",
+            Self::MessagePack | Self::PackedMessagePack => "application/msgpack",
         }
     }
 
@@ -49,6 +51,9 @@
             Self::MessagePack => {
                 rmp_serde::to_vec_named(message).map_err(|error| error.to_string())
             }
+            Self::PackedMessagePack => {
+                rmp_serde::to_vec(message).map_err(|error| error.to_string())
+            }
         };
         bytes.map(Bytes::from).map_err(|message| CodecError {
             format: self,
@@ -67,11 +72,13 @@
     {
         match self {
             Self::Json => serde_json::from_slice(body).map_err(|_| json_error::<T>(body)),
-            Self::MessagePack => decode_message_pack(body).map_err(|message| CodecError {
-                format: self,
-                field: "".into(),
-                message,
-            }),
+            Self::MessagePack | Self::PackedMessagePack => {
+                decode_message_pack(body).map_err(|message| CodecError {
+                    format: self,
+                    field: "".into(),
+                    message,
+                })
+            }
         }
     }
 }
