--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -21,10 +21,10 @@
 const SEARCH_LIMIT: usize = 24;
 
 /// The time that a task loses when its holder is another VM of the zone.
-const ZONE_HOP_MS: f64 = 1.0;
+const ZONE_HOP_MS: f64 = 4.0;
 
 /// The time that a task loses when its holder or its target is in another zone.
-const REMOTE_HOP_MS: f64 = 3.0;
+const REMOTE_HOP_MS: f64 = 25.0;
 
 /// The weight of room that no further task can use, against run time: a whole target's worth.
 const WASTE_MS: f64 = 20.0;
