--- a/crates/fleet/src/engine/offers.rs
+++ b/crates/fleet/src/engine/offers.rs
@@ -5,6 +5,7 @@
 use filbertpitch_types::prelude::*;
 
 use super::FleetEngine;
+use super::placement::distant_rank;
 
 impl FleetEngine {
     /// Offers free room to the homes with the most urgent waiting tasks.
@@ -39,7 +40,7 @@
             let link = link.as_ref().filter(|link| link.is_live())?;
             let demand = link.demand();
             let fits = demand.tasks > 0 && demand.least.fits(room);
-            fits.then_some((demand.rank(), vm))
+            fits.then_some((distant_rank(link), vm))
         });
         homes.min().map(|(_, vm)| vm)
     }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -16,15 +16,25 @@
 use super::{FleetEngine, FleetNotice};
 use crate::home::{TaskPhase, TaskRef};
 use crate::link::PeerLink;
+use crate::pace::PeerDistance;
 
 /// How many waiting tasks that fit nowhere are looked at before the search ends.
 const SEARCH_LIMIT: usize = 24;
 
-/// The time that a task loses when its holder is another VM of the zone.
-const ZONE_HOP_MS: f64 = 4.0;
+/// The time that a task loses when its holder is another VM of the zone: two envelopes, each of which
+/// waits for a turn of a busy VM.
+const ZONE_HOP_MS: f64 = 12.0;
 
-/// The time that a task loses when its holder or its target is in another zone.
-const REMOTE_HOP_MS: f64 = 25.0;
+/// The time that a task loses when its holder or its target is in another zone, and what the traffic
+/// between zones costs.
+const REMOTE_HOP_MS: f64 = 40.0;
+
+/// By how much a task of another home must be more urgent than the own ones of its class to get the
+/// room of a target: the target stands idle while the other home is asked.
+const YIELD_MS: i32 = 40;
+
+/// The same for a home in another zone.
+const FAR_YIELD_MS: i32 = 80;
 
 /// The weight of room that no further task can use, against run time: a whole target's worth.
 const WASTE_MS: f64 = 20.0;
@@ -146,13 +156,13 @@
         candidates
     }
 
-    /// The most urgent waiting task of each other home, and the least room that one there takes.
+    /// The rank of the most urgent waiting task of each other home as seen from here, and the least
+    /// room that one there takes.
     fn rival_demands(&self) -> Vec<(TaskRank, RoomSize)> {
         let links = self.links.iter().flatten().filter(|link| link.is_live());
-        let demands = links.map(PeerLink::demand);
-        let demands = demands.filter(|demand| demand.tasks > 0);
-        demands
-            .map(|demand| (demand.rank(), demand.least))
+        let waiting = links.filter(|link| link.demand().tasks > 0);
+        waiting
+            .map(|link| (distant_rank(link), link.demand().least))
             .collect()
     }
 
@@ -410,6 +420,18 @@
     }
 }
 
+/// The rank of the most urgent task that waits at a peer. It counts as less urgent than it is by the
+/// time that the exchange takes, so that targets serve the tasks of their holder while those of others
+/// are about as urgent.
+pub(super) fn distant_rank(link: &PeerLink) -> TaskRank {
+    let (hope, priority, slack_ms) = link.demand().rank();
+    let yield_ms = match link.pace().distance() {
+        PeerDistance::Near => YIELD_MS,
+        PeerDistance::Far => FAR_YIELD_MS,
+    };
+    (hope, priority, slack_ms.saturating_add(yield_ms))
+}
+
 /// The time until `start_by`, in milliseconds; negative when it has passed.
 fn slack_ms(now: TimePoint, start_by: TimePoint) -> i32 {
     let signed = |millis: u32| i32::try_from(millis).unwrap_or(i32::MAX);
--- a/crates/fleet/tests/large_fleet.rs
+++ b/crates/fleet/tests/large_fleet.rs
@@ -20,6 +20,12 @@
         cores: 64,
         queues: vec![queue; 3],
         settings: settings.clone(),
+        turn: Duration::from_micros(
+            std::env::var("TURN")
+                .ok()
+                .and_then(|it| it.parse().ok())
+                .unwrap_or(600),
+        ),
     });
     for (index, target) in fleet.targets.iter_mut().enumerate() {
         if index % 3 == 2 {
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -22,6 +22,7 @@
         cores: 32,
         queues: vec![queue; 3],
         settings: settings.clone(),
+        ..SimOptions::default()
     });
     for (index, target) in fleet.targets.iter_mut().enumerate() {
         if index % 3 == 2 {
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -49,6 +49,8 @@
     /// The queues: stretch and allowance.
     pub queues: Vec<(f64, Duration)>,
     pub settings: FleetSettings,
+    /// How long a VM takes for each event.
+    pub turn: Duration,
 }
 
 impl Default for SimOptions {
@@ -60,6 +62,7 @@
             cores: 64,
             queues: vec![(1.6, Duration::from_millis(60))],
             settings: FleetSettings::default(),
+            turn: Duration::ZERO,
         }
     }
 }
@@ -170,6 +173,8 @@
     life: u64,
     dark: bool,
     frozen_until: u64,
+    /// When it has handled the events so far.
+    busy_until: u64,
     armed: Option<u64>,
     callers: BTreeMap<CallerToken, (JobId, u64)>,
     known: Vec<bool>,
@@ -237,6 +242,7 @@
                     life: 0,
                     dark: false,
                     frozen_until: 0,
+                    busy_until: 0,
                     armed: None,
                     callers: BTreeMap::new(),
                     known: Vec::new(),
@@ -370,6 +376,7 @@
         }
         state.dark = dark;
         state.frozen_until = 0;
+        state.busy_until = 0;
         state.armed = None;
         state.known.clear();
         let broken = std::mem::take(&mut state.callers);
@@ -508,12 +515,13 @@
     }
 
     fn happen(&mut self, what: Happening) {
-        // A frozen process does nothing; what arrives waits in its sockets.
-        if let Some(vm) = acting_vm(&what)
-            && self.vms[vm].frozen_until > self.now
-        {
-            let until = self.vms[vm].frozen_until;
-            return self.schedule(until, what);
+        // A frozen or busy process does nothing; what arrives waits in its sockets.
+        if let Some(vm) = acting_vm(&what) {
+            let state = &self.vms[vm];
+            let until = state.frozen_until.max(state.busy_until);
+            if until > self.now {
+                return self.schedule(until, what);
+            }
         }
         match what {
             Happening::Wake(vm, life) => {
@@ -685,9 +693,16 @@
             return;
         };
         engine.handle(clock, event);
+        self.spend_turn(vm);
         self.perform_actions(vm);
     }
 
+    fn spend_turn(&mut self, vm: usize) {
+        let turn = self.options.turn.as_micros() as u64;
+        let state = &mut self.vms[vm];
+        state.busy_until = state.busy_until.max(self.now) + turn;
+    }
+
     fn perform_actions(&mut self, vm: usize) {
         let Some(engine) = &mut self.vms[vm].engine else {
             return;
@@ -890,6 +905,7 @@
         let clock = self.clock();
         let engine = self.vms[to].engine.as_mut().expect("the process runs");
         let receipt = engine.receive_envelope(clock, envelope);
+        self.spend_turn(to);
         self.perform_actions(to);
         if let Some(peer) = peer
             && !self.vm_cuts.contains(&(to, from))
