Serve the tasks of a target's holder first, and share offers among holders

A holder with 43 peers nearly always found a more urgent task elsewhere, kept the room for it, and most of the offers were in vain, because all holders saw the same report. Envelopes took the rest of the time of the VMs: 327 per second and VM without any work, 75% of them between zones.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -44,6 +44,10 @@
         }
         let news = link.receive(now, envelope, |name| registry.intern(name));
         let receipt = link.receipt(own);
+        let quota = self.draw_quota(peer);
+        if let Some(link) = &mut self.links[peer] {
+            link.allow_offers(quota);
+        }
         self.room_changed = true;
         if news.appeared {
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -23,11 +23,11 @@
 
 /// The time that a task loses when its holder is another VM of the zone: two envelopes, each of which
 /// waits for a turn of a busy VM.
-const ZONE_HOP_MS: f64 = 12.0;
+const ZONE_HOP_MS: f64 = 25.0;
 
 /// The time that a task loses when its holder or its target is in another zone, and what the traffic
 /// between zones costs.
-const REMOTE_HOP_MS: f64 = 40.0;
+const REMOTE_HOP_MS: f64 = 60.0;
 
 /// By how much a task of another home must be more urgent than the own ones of its class to get the
 /// room of a target: the target stands idle while the other home is asked.
@@ -83,11 +83,15 @@
                     let candidate = &mut candidates[position];
                     let job = self.jobs.get(task.job).expect("the job is live");
                     candidate.free = candidate.free - job.step_of(task.position).room;
+                    let holder = candidate.holder;
                     choices.push(TaskChoice {
                         task,
                         target: candidate.target,
-                        holder: candidate.holder,
+                        holder,
                     });
+                    // Further tasks go along in the same envelope.
+                    let same = candidates.iter_mut().filter(|it| it.holder == holder);
+                    same.for_each(|it| it.hop_ms = 0.0);
                 }
                 None => {
                     misses += 1;
@@ -159,8 +163,8 @@
     /// The rank of the most urgent waiting task of each other home as seen from here, and the least
     /// room that one there takes.
     fn rival_demands(&self) -> Vec<(TaskRank, RoomSize)> {
-        let links = self.links.iter().flatten().filter(|link| link.is_live());
-        let waiting = links.filter(|link| link.demand().tasks > 0);
+        let links = self.links.iter().flatten();
+        let waiting = links.filter(|link| link.may_be_offered());
         waiting
             .map(|link| (distant_rank(link), link.demand().least))
             .collect()
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -114,6 +114,8 @@
     delays: DelayMeter,
     state: PeerState,
     demand: DemandReport,
+    /// How many of the tasks that wait there this VM may still offer room for.
+    offer_quota: u32,
     holdings_version: u32,
     holdings: Vec<PeerHolding>,
     next_expected: u64,
@@ -164,6 +166,7 @@
             delays: DelayMeter::default(),
             state: PeerState::Starting,
             demand: DemandReport::default(),
+            offer_quota: 0,
             holdings_version: 0,
             holdings: Vec::new(),
             next_expected: 0,
@@ -217,14 +220,24 @@
         self.demand
     }
 
+    /// Sets how many of the tasks that were reported this VM may offer room for.
+    pub fn allow_offers(&mut self, quota: u32) {
+        self.offer_quota = quota.min(self.demand.tasks);
+    }
+
+    /// Whether this VM may offer room for a task that waits there.
+    pub fn may_be_offered(&self) -> bool {
+        self.is_live() && self.offer_quota > 0
+    }
+
     /// Counts a task that was offered room, so that it is not offered room again.
     pub fn serve_demand(&mut self) {
-        self.demand.tasks = self.demand.tasks.saturating_sub(1);
+        self.offer_quota = self.offer_quota.saturating_sub(1);
     }
 
     /// Records that nothing that waits there can use the offered room.
     pub fn clear_demand(&mut self) {
-        self.demand.tasks = 0;
+        self.offer_quota = 0;
     }
 
     /// The targets that it holds.
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -42,8 +42,8 @@
             near_share: Duration::from_millis(10),
             far_share: Duration::from_millis(12),
             demand_interval: Duration::from_millis(25),
-            near_spacing: Duration::from_micros(400),
-            far_spacing: Duration::from_micros(150),
+            near_spacing: Duration::from_micros(1000),
+            far_spacing: Duration::from_micros(300),
             silent_slack: Duration::from_millis(300),
             lost_slack: Duration::from_millis(600),
         }
--- a/crates/fleet/tests/large_fleet.rs
+++ b/crates/fleet/tests/large_fleet.rs
@@ -1,31 +1,29 @@
-//! Loads of a fleet of 44 VMs and 350 targets.
+//! Loads of a fleet of 44 VMs and 350 targets, whose VMs take time for each event.
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use filbertpitch_fleet::engine::FleetSettings;
 use filbertpitch_types::prelude::*;
-use support::{ALLOWANCE_MS, STRETCH, SimFleet, SimOptions, run_load};
+use support::{ALLOWANCE_MS, LoadResult, STRETCH, SimFleet, SimOptions, run_load};
 
-/// The cores of a task.
+/// The mean cores of a task.
 const CORES: f64 = 32.0;
 
-fn large_fleet(seed: u64, settings: &FleetSettings) -> SimFleet {
+/// What a VM with an eighth of a core takes for an event, rounded up.
+const TURN: Duration = Duration::from_micros(600);
+
+/// A fleet of 44 VMs in four zones with 350 targets of two sizes and three speeds.
+fn large_fleet(turn: Duration) -> SimFleet {
     let queue = (STRETCH, Duration::from_secs_f64(ALLOWANCE_MS / 1000.0));
     let mut fleet = SimFleet::new(SimOptions {
-        seed,
+        seed: 0,
         vms: vec![13, 11, 11, 9],
         targets: vec![88, 88, 87, 87],
         cores: 64,
         queues: vec![queue; 3],
-        settings: settings.clone(),
-        turn: Duration::from_micros(
-            std::env::var("TURN")
-                .ok()
-                .and_then(|it| it.parse().ok())
-                .unwrap_or(600),
-        ),
+        turn,
+        ..SimOptions::default()
     });
     for (index, target) in fleet.targets.iter_mut().enumerate() {
         if index % 3 == 2 {
@@ -37,29 +35,26 @@
     fleet
 }
 
+/// Jobs at a rate per second, after a calm phase in which the fleet learns run times.
+fn load(fleet: &mut SimFleet, rate: f64) -> LoadResult {
+    let weights = vec![1.0; fleet.vm_count()];
+    run_load(fleet, 1.0, CORES, &weights, |_| 600.0);
+    run_load(fleet, 3.0, CORES, &weights, |_| rate)
+}
+
+/// The usual load. Guards against VMs that are too busy with each other to serve it.
 #[test]
-#[ignore = "profile"]
-fn profile_peak() {
-    let rate = std::env::var("RATE")
-        .ok()
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(1300.0);
-    let mut fleet = large_fleet(0, &FleetSettings::default());
-    let weights = vec![1.0; 44];
-    run_load(&mut fleet, 2.0, CORES, &weights, |_| 600.0);
-    let started = Instant::now();
-    let result = run_load(&mut fleet, 4.0, CORES, &weights, |_| rate);
-    println!(
-        "{:?} earned {} served {} used {}",
-        started.elapsed(),
-        result.earned(),
-        result.served(),
-        result.used
-    );
-    println!("{:?}", result.kinds);
-    for vm in 0..44 {
-        if vm % 11 == 0 {
-            println!("{:?}", fleet.engine(vm).counters());
-        }
-    }
+fn the_usual_load_of_a_large_fleet_is_served_in_time() {
+    let result = load(&mut large_fleet(TURN), 800.0);
+    assert!(result.earned() >= 0.97, "{result:?}");
+}
+
+/// A peak. Guards against targets that stand idle while other VMs are asked whether they want the
+/// room, and against envelopes that take the time of the VMs.
+#[test]
+fn a_peak_is_served_although_events_take_time() {
+    let ideal = load(&mut large_fleet(Duration::ZERO), 1300.0);
+    let real = load(&mut large_fleet(TURN), 1300.0);
+    let (ideal, real) = (ideal.earned(), real.earned());
+    assert!(real >= 0.9 * ideal, "{real} of {ideal}");
 }
