Larger VMs hold more targets

Cause: a zone of the grown sites has two VMs with 0.5 of a core and 5 to 11 with 0.12, and each held the same number of targets: half of the processor time stood nearly idle in the peaks. Change: a new setting, processor_share, is part of a VM's identity, and targets are dealt by it.

--- a/crates/filbertpitch/src/fleet/node.rs
+++ b/crates/filbertpitch/src/fleet/node.rs
@@ -33,6 +33,7 @@
     ) -> (Rc<Self>, mpsc::UnboundedReceiver<()>) {
         let clock = FleetClock::start();
         let identity = PeerIdentity {
+            processor: settings.processor(),
             vm: settings.vm.clone(),
             incarnation,
             address: settings.listen.peers,
--- a/crates/filbertpitch/src/settings/fleet.rs
+++ b/crates/filbertpitch/src/settings/fleet.rs
@@ -20,6 +20,11 @@
 /// The least time for a planned stop: what the balancer needs to learn of it, and a job.
 const SHORTEST_GRACE: Duration = Duration::from_secs(3);
 
+/// The bounds of the processor time of a VM, in cores: what a thousandth of a core can count, and more
+/// than a machine has.
+const SMALLEST_SHARE: f64 = 0.001;
+const LARGEST_SHARE: f64 = 1024.0;
+
 /// Where an entry VM of a fleet listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetListen {
@@ -52,6 +57,8 @@
     pub stop_grace: Duration,
     /// How much longer tasks run away from their data.
     pub far_factor: f64,
+    /// The part of a core that the VM has; VMs with more hold more targets.
+    pub processor_share: f64,
     /// The least severe events that are logged.
     pub log_level: LogLevel,
 }
@@ -72,9 +79,17 @@
     #[serde_as(as = "DurationText")]
     stop_grace: Duration,
     far_factor: f64,
+    processor_share: f64,
     log_level: LogLevel,
 }
 
+impl FleetNodeSettings {
+    /// The processor time that the VM has.
+    pub fn processor(&self) -> MilliCores {
+        MilliCores((self.processor_share * 1000.0).round() as u32)
+    }
+}
+
 impl Default for FleetFile {
     fn default() -> Self {
         Self {
@@ -86,6 +101,7 @@
             lease: Duration::from_secs(1),
             stop_grace: Duration::from_secs(6),
             far_factor: 1.0,
+            processor_share: 1.0,
             log_level: LogLevel::default(),
         }
     }
@@ -134,6 +150,9 @@
     check.at_least(file.stop_grace, SHORTEST_GRACE, "stop_grace");
     let valid = file.far_factor.is_finite() && file.far_factor >= 1.0;
     check.require(valid, "far_factor", "it is less than 1");
+    let share = file.processor_share;
+    let valid = (SMALLEST_SHARE..=LARGEST_SHARE).contains(&share);
+    check.require(valid, "processor_share", "it is not between 0.001 and 1024");
 }
 
 fn complete(file: FleetFile, findings: &mut Vec<SettingsFinding>) -> Option<FleetNodeSettings> {
@@ -160,6 +179,7 @@
         lease: file.lease,
         stop_grace: file.stop_grace,
         far_factor: file.far_factor,
+        processor_share: file.processor_share,
         log_level: file.log_level,
     })
 }
--- a/crates/filbertpitch/tests/fleet_settings.rs
+++ b/crates/filbertpitch/tests/fleet_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use filbertpitch::settings::{LogLevel, SettingsFindings, parse_fleet_settings};
+use filbertpitch_types::prelude::*;
 use test_case::test_case;
 
 const MINIMAL: &str = "\
@@ -34,6 +35,7 @@
     assert_eq!(settings.lease, Duration::from_secs(1));
     assert_eq!(settings.stop_grace, Duration::from_secs(6));
     assert_eq!(settings.far_factor, 1.0);
+    assert_eq!(settings.processor(), MilliCores(1000));
     assert_eq!(settings.log_level, LogLevel::default());
 }
 
@@ -41,7 +43,7 @@
 fn all_settings_are_read() {
     let text = format!(
         "{}seed_peers: [127.0.0.1:7402, 127.0.0.1:7412]\nlease: 1500ms\nstop_grace: 8s\n\
-         far_factor: 1.5\nlog_level: warning\n",
+         far_factor: 1.5\nprocessor_share: 0.125\nlog_level: warning\n",
         MINIMAL.replace("store:", "  metrics: 127.0.0.1:7403\nstore:")
     );
     let settings = parse_fleet_settings("f", &text).unwrap();
@@ -50,6 +52,7 @@
     assert_eq!(settings.lease, Duration::from_millis(1500));
     assert_eq!(settings.stop_grace, Duration::from_secs(8));
     assert_eq!(settings.far_factor, 1.5);
+    assert_eq!(settings.processor(), MilliCores(125));
 }
 
 /// Guards against a process that starts with values that it cannot work with.
@@ -62,6 +65,7 @@
 #[test_case("store:", "stop_grace: 1s\nstore:", "stop_grace"; "short grace")]
 #[test_case("store:", "far_factor: 0.5\nstore:", "far_factor"; "far is nearer")]
 #[test_case("store:", "far_factor: .nan\nstore:", "far_factor"; "no number")]
+#[test_case("store:", "processor_share: 0\nstore:", "processor_share"; "no processor")]
 #[test_case("store:", "seeds: []\nstore:", "seeds"; "unknown field")]
 #[test_case("store:", "seed_peers: [nowhere]\nstore:", "seed_peers[0]"; "no address")]
 fn an_invalid_value_is_reported(from: &str, to: &str, field: &str) {
--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -4,7 +4,7 @@
 //! the VMs of that zone, because a cut between zones then separates no target from its holder; the
 //! targets of a zone without VMs go to all others. Each target prefers the VMs in an order of its
 //! own (rendezvous hashing), so that a VM that comes or goes moves few other targets, and a VM takes
-//! no more than its even share.
+//! no more than its share, which is as large as its part of the processor time.
 
 use std::hash::Hasher;
 
@@ -17,6 +17,8 @@
     pub vm: &'a str,
     /// Its availability zone.
     pub zone: &'a str,
+    /// The processor time that it has, in thousandths of a core.
+    pub processor: u32,
 }
 
 /// A target that needs a holder.
@@ -63,14 +65,14 @@
         .filter(|&target| targets[target].zone == zone)
         .collect::<Vec<_>>();
     members.sort_unstable_by_key(|&target| targets[target].target);
-    let share = members.len().div_ceil(candidates.len());
+    let shares = share_out(holders, candidates, members.len());
     let mut loads = vec![0; holders.len()];
     for target in members {
         let name = targets[target].target;
         let open = candidates
             .iter()
             .copied()
-            .filter(|&holder| loads[holder] < share);
+            .filter(|&holder| loads[holder] < shares[holder]);
         let choice = open.max_by_key(|&holder| (affinity(holders[holder].vm, name), holder));
         if let Some(holder) = choice {
             loads[holder] += 1;
@@ -79,6 +81,17 @@
     }
 }
 
+/// How many of `count` targets each VM takes at the most; nothing for VMs that are no candidates.
+fn share_out(holders: &[HolderSeat<'_>], candidates: &[usize], count: usize) -> Vec<usize> {
+    let weight = |holder: usize| f64::from(holders[holder].processor.max(1));
+    let total = candidates.iter().map(|&holder| weight(holder)).sum::<f64>();
+    let mut shares = vec![0; holders.len()];
+    for &holder in candidates {
+        shares[holder] = (count as f64 * weight(holder) / total).ceil() as usize;
+    }
+    shares
+}
+
 /// How much a target prefers a VM.
 fn affinity(vm: &str, target: &str) -> u64 {
     let mut hasher = FnvHasher::default();
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -132,23 +132,23 @@
                 None => (self.state == PeerState::Ready).then_some((
                     vm,
                     self.vms.name(vm).as_str(),
-                    self.identity.zone.as_str(),
+                    &self.identity,
                 )),
                 Some(link) => {
                     let present = matches!(link.phase(), LinkPhase::Live | LinkPhase::Silent);
                     let able = present && link.state() == PeerState::Ready;
-                    able.then_some((
-                        vm,
-                        self.vms.name(vm).as_str(),
-                        link.identity().zone.as_str(),
-                    ))
+                    able.then_some((vm, self.vms.name(vm).as_str(), link.identity()))
                 }
             })
             .collect::<Vec<_>>();
         members.sort_unstable_by_key(|(_, name, _)| *name);
         let holders = members
             .iter()
-            .map(|(_, vm, zone)| HolderSeat { vm, zone })
+            .map(|(_, vm, identity)| HolderSeat {
+                vm,
+                zone: identity.zone.as_str(),
+                processor: identity.processor.0,
+            })
             .collect::<Vec<_>>();
         let listed = self.registry.listed().collect::<Vec<_>>();
         let seats = listed.iter().map(|(_, entry)| TargetSeat {
--- a/crates/fleet/tests/assignment_rules.rs
+++ b/crates/fleet/tests/assignment_rules.rs
@@ -30,7 +30,11 @@
 
     fn assign(&self) -> Vec<Option<usize>> {
         let holders = self.vms.iter();
-        let holders = holders.map(|(vm, zone)| HolderSeat { vm, zone });
+        let holders = holders.map(|(vm, zone)| HolderSeat {
+            vm,
+            zone,
+            processor: 250,
+        });
         let targets = self.targets.iter();
         let targets = targets.map(|(target, zone)| TargetSeat { target, zone });
         assign_targets(&holders.collect::<Vec<_>>(), &targets.collect::<Vec<_>>())
@@ -58,6 +62,28 @@
     assert_eq!(fleet.assign(), vec![None; 3]);
 }
 
+/// Guards against small VMs that hold as many targets as large ones.
+#[test]
+fn larger_vms_hold_more_targets() {
+    let holders = [("vm-a", 500), ("vm-b", 120), ("vm-c", 120), ("vm-d", 260)];
+    let holders = holders.map(|(vm, processor)| HolderSeat {
+        vm,
+        zone: "north",
+        processor,
+    });
+    let names = (0..100).map(|index| format!("target-{index}"));
+    let names = names.collect::<Vec<_>>();
+    let targets = names.iter().map(|target| TargetSeat {
+        target,
+        zone: "north",
+    });
+    let mut loads = [0; 4];
+    for holder in assign_targets(&holders, &targets.collect::<Vec<_>>()) {
+        loads[holder.expect("there are VMs")] += 1;
+    }
+    assert_eq!(loads, [50, 12, 12, 26]);
+}
+
 /// Guards against targets without a holder while all VMs of their zone are gone.
 #[test]
 fn targets_of_a_zone_without_vms_are_spread_over_all_others() {
--- a/crates/fleet/tests/large_fleet.rs
+++ b/crates/fleet/tests/large_fleet.rs
@@ -10,12 +10,16 @@
 /// The mean cores of a task.
 const CORES: f64 = 32.0;
 
-/// What a VM with an eighth of a core takes for an event, rounded up.
-const TURN: Duration = Duration::from_micros(600);
+/// What an event takes on a whole core.
+const TURN: Duration = Duration::from_micros(72);
 
 /// A fleet of 44 VMs in four zones with 350 targets of two sizes and three speeds.
 fn large_fleet(turn: Duration) -> SimFleet {
     let queue = (STRETCH, Duration::from_secs_f64(ALLOWANCE_MS / 1000.0));
+    // Each zone has two large VMs and some small ones.
+    let processors = std::iter::repeat_n(MilliCores(500), 2);
+    let processors = processors.chain(std::iter::repeat_n(MilliCores(120), 11));
+    let processors = processors.collect::<Vec<_>>();
     let mut fleet = SimFleet::new(SimOptions {
         seed: 0,
         vms: vec![13, 11, 11, 9],
@@ -23,6 +27,7 @@
         cores: 64,
         queues: vec![queue; 3],
         turn,
+        processors,
         ..SimOptions::default()
     });
     for (index, target) in fleet.targets.iter_mut().enumerate() {
@@ -50,11 +55,12 @@
 }
 
 /// A peak. Guards against targets that stand idle while other VMs are asked whether they want the
-/// room, and against envelopes that take the time of the VMs.
+/// room, against envelopes that take the time of the VMs, and against small VMs that hold as many
+/// targets as large ones.
 #[test]
 fn a_peak_is_served_although_events_take_time() {
     let ideal = load(&mut large_fleet(Duration::ZERO), 1300.0);
     let real = load(&mut large_fleet(TURN), 1300.0);
     let (ideal, real) = (ideal.earned(), real.earned());
-    assert!(real >= 0.9 * ideal, "{real} of {ideal}");
+    assert!(real >= 0.95 * ideal, "{real} of {ideal}");
 }
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -28,6 +28,7 @@
         incarnation: IncarnationId(incarnation),
         address: "127.0.0.1:7000".parse().unwrap(),
         zone: "north".parse().unwrap(),
+        processor: MilliCores(250),
     }
 }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -49,8 +49,10 @@
     /// The queues: stretch and allowance.
     pub queues: Vec<(f64, Duration)>,
     pub settings: FleetSettings,
-    /// How long a VM takes for each event.
+    /// How long a VM with a whole core takes for each event.
     pub turn: Duration,
+    /// The processor time of the VMs of each zone; a whole core if there is none.
+    pub processors: Vec<MilliCores>,
 }
 
 impl Default for SimOptions {
@@ -63,6 +65,7 @@
             queues: vec![(1.6, Duration::from_millis(60))],
             settings: FleetSettings::default(),
             turn: Duration::ZERO,
+            processors: Vec::new(),
         }
     }
 }
@@ -168,6 +171,7 @@
 struct SimVm {
     name: VmName,
     zone: ZoneName,
+    processor: MilliCores,
     engine: Option<FleetEngine>,
     /// Counts the processes that ran on the VM.
     life: u64,
@@ -234,8 +238,10 @@
         }
         let mut vms = Vec::new();
         for (zone, count) in zones.iter().zip(&options.vms) {
-            for _ in 0..*count {
+            for place in 0..*count {
+                let processor = options.processors.get(place).copied();
                 vms.push(SimVm {
+                    processor: processor.unwrap_or(MilliCores(1000)),
                     name: format!("vm-{}", vms.len()).parse().unwrap(),
                     zone: zone.clone(),
                     engine: None,
@@ -698,8 +704,8 @@
     }
 
     fn spend_turn(&mut self, vm: usize) {
-        let turn = self.options.turn.as_micros() as u64;
         let state = &mut self.vms[vm];
+        let turn = self.options.turn.as_micros() as u64 * 1000 / u64::from(state.processor.0);
         state.busy_until = state.busy_until.max(self.now) + turn;
     }
 
@@ -1238,6 +1244,7 @@
         incarnation,
         address: SocketAddr::from(([10, 0, 0, 1], 1000 + vm as u16)),
         zone: state.zone.clone(),
+        processor: state.processor,
     }
 }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -251,6 +251,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The processor time that it has.
+    pub processor: MilliCores,
 }
 
 /// What an entry VM writes into the platform's store to make itself known.
