Tell the lives of a target apart by what was ordered when

Ruled out: the longer intervals, as fleets with the short ones failed. Change: a restart ends only runs that were known before the look was sent; an order without an answer from before a restart has lapsed and may have run.

--- a/crates/fleet/src/engine/orders.rs
+++ b/crates/fleet/src/engine/orders.rs
@@ -59,6 +59,7 @@
             queue: self.catalog.index(&request.queue),
             expected: Duration::from_millis(order.expected_ms.into()),
             since: now,
+            restarted: false,
             phase: RunPhase::Ordered { void_at: now },
         };
         let held = self.held.get_mut(&target).ok_or(PlaceRefusal::NoRoom)?;
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -505,6 +505,9 @@
             self.acked_through = 0;
             self.reported_at = TargetTime(0);
             self.clock.reset();
+            if outcome.reborn {
+                self.ledger.mark_restart();
+            }
         }
         if let Some(time) = report.time
             && now.since(look.sent_at) < self.settings.look_margin
@@ -517,7 +520,7 @@
         if report.time.is_none_or(|time| time >= self.reported_at) {
             self.reported_at = report.time.unwrap_or_default();
             self.apply_running(now, report, &mut outcome);
-            self.drop_missing(now, look.sent_at, report, &mut outcome);
+            self.drop_missing(look.sent_at, report, &mut outcome);
             outcome.absent_orders = self.absent_orders(look.sent_at, report);
         }
         // A target that does not wait although nothing has ended is not asked again at once.
@@ -570,6 +573,7 @@
                         queue: None,
                         expected: Duration::ZERO,
                         since: now,
+                        restarted: false,
                         phase: RunPhase::Running { confirmed_at: now },
                     };
                     self.ledger.insert(task, run);
@@ -582,7 +586,6 @@
     /// Removes runs that the target does not list although it would.
     fn drop_missing(
         &mut self,
-        now: TimePoint,
         asked_at: TimePoint,
         report: &LookReport,
         outcome: &mut LookOutcome,
@@ -598,12 +601,15 @@
             let known_by_then = match run.phase {
                 RunPhase::Ordered { .. } => false,
                 RunPhase::Uncertain { void_at, .. } => asked_at >= void_at,
-                RunPhase::Running { confirmed_at } => asked_at > confirmed_at,
+                // A younger run may be one of the new life.
+                RunPhase::Running { confirmed_at } => {
+                    asked_at > confirmed_at || (outcome.reborn && asked_at == confirmed_at)
+                }
                 RunPhase::Stopping { accepted_at, .. } => {
                     accepted_at.is_some_and(|accepted| asked_at >= accepted)
                 }
             };
-            (known_by_then || outcome.reborn) && !listed(task, run)
+            known_by_then && !listed(task, run)
         });
         let missing = missing.map(|(task, _)| *task).collect::<Vec<_>>();
         for task in missing {
@@ -611,10 +617,9 @@
                 continue;
             };
             match run.phase {
-                RunPhase::Uncertain { .. } => outcome.never_started.push((task, run)),
-                // The new life of the target may still get the order.
-                RunPhase::Ordered { void_at } if void_at > now => {
-                    self.ledger.insert(task, run);
+                // Before a restart, the order may have been carried out.
+                RunPhase::Uncertain { .. } if !run.restarted => {
+                    outcome.never_started.push((task, run));
                 }
                 _ => outcome.ended.push(EndedRun {
                     task,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -53,6 +53,8 @@
     pub expected: Duration,
     /// When it was ordered or found.
     pub since: TimePoint,
+    /// Whether the target has started anew since.
+    pub restarted: bool,
     /// What is known of it.
     pub phase: RunPhase,
 }
@@ -116,6 +118,13 @@
         self.runs.iter()
     }
 
+    /// Records that the target has started anew.
+    pub fn mark_restart(&mut self) {
+        for run in self.runs.values_mut() {
+            run.restarted = true;
+        }
+    }
+
     /// Removes all runs.
     pub fn take_runs(&mut self) -> BTreeMap<TaskName, TargetRun> {
         std::mem::take(&mut self.runs)
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -13,15 +13,21 @@
 const SEEDS: std::ops::Range<u64> = 0..24;
 
 /// Seeds that have failed once.
-const REGRESSION_SEEDS: [u64; 11] = [
+const REGRESSION_SEEDS: [u64; 14] = [
     // Two holders after a takeover: the former one still served, or its lease went on.
     10_039, 10_053, 10_071, 10_090, 10_109, 10_173, 10_278, 10_305, 544_072,
     // An old record in the store replaced a process that was heard, and the link never returned.
     10_265,
     // Message numbers that began anew for a process that had seen the earlier ones.
-    10_070,
+    10_070, // A job came again while its holder could not stop an earlier run.
+    10_163,
+    // Runs of the new life of a target counted as ended, and runs of the former one as never started.
+    10_211, 10_303,
 ];
 
+/// The same for fleets with long intervals: a holder missed a lost home only after its jobs had come again.
+const LARGE_REGRESSION_SEEDS: [u64; 1] = [10_197];
+
 fn shape(fleet: &mut SimFleet) -> JobShape {
     let rng = &mut fleet.rng;
     let work = Duration::from_millis(rng.random_range(20..400));
@@ -198,6 +204,9 @@
     for seed in REGRESSION_SEEDS {
         survive(seed, FleetKind::Small);
     }
+    for seed in LARGE_REGRESSION_SEEDS {
+        survive(seed, FleetKind::Large);
+    }
 }
 
 /// The long run, by hand: `cargo test --release -p filbertpitch-fleet -- --ignored long_run`.
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -106,6 +106,7 @@
             queue: None,
             expected: ms(100),
             since: self.now,
+            restarted: false,
             phase: RunPhase::Running {
                 confirmed_at: self.now,
             },
@@ -399,3 +400,58 @@
     holder.target.look_answered(later, regular.number, &report);
     assert!(holder.target.is_reachable());
 }
+
+fn reborn_report(holder: &Holder) -> LookReport {
+    LookReport {
+        boot: Some(TargetBoot(2)),
+        ..holder.report(vec![], vec![])
+    }
+}
+
+/// Guards against a run that counts as never started because the target has crashed since (fault run,
+/// seed 10303).
+#[test]
+fn an_order_without_an_answer_may_have_run_before_a_restart() {
+    let mut holder = Holder::confirmed();
+    let (name, outcome) = holder.start(0, StartAnswer::Lost);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+    holder.target.hasten_look(holder.now);
+    let plan = holder.plan();
+    holder.now = holder.now + ms(1);
+    let report = reborn_report(&holder);
+    let mut outcome = holder.answer(&plan, &report);
+    assert!(outcome.reborn && outcome.never_started.is_empty());
+    for _ in 0..4 {
+        if outcome.ended.is_empty() {
+            holder.pause();
+            let plan = holder.plan();
+            let report = reborn_report(&holder);
+            outcome = holder.answer(&plan, &report);
+            assert!(outcome.never_started.is_empty());
+        }
+    }
+    let ended = outcome.ended.first().expect("the order is void by now");
+    assert_eq!((ended.task, ended.end), (name.task, RunEnd::Lapsed));
+}
+
+/// Guards against a run of the new life of a target that counts as ended, because the report that
+/// shows the restart is older than the run (fault run, seed 10211).
+#[test]
+fn a_run_that_is_younger_than_the_report_of_a_restart_goes_on() {
+    let mut holder = Holder::confirmed();
+    holder.target.hasten_look(holder.now);
+    let plan = holder.plan();
+    holder.now = holder.now + ms(1);
+    let report = reborn_report(&holder);
+    let (name, outcome) = holder.start(0, StartAnswer::Accepted(None));
+    assert_eq!(outcome, StartOutcome::Started);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.reborn && outcome.ended.is_empty(), "{outcome:?}");
+    assert!(holder.target.ledger().get(&name.task).is_some());
+    holder.now = holder.now + ms(1);
+    holder.target.hasten_look(holder.now);
+    let plan = holder.plan();
+    let report = reborn_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(outcome.ended.len(), 1, "it is not there any more");
+}
