Pause before a task is offered again to a holder whose earlier run of it has not ended

Found by reading: the refusal led to the next request at once, so that a task whose earlier run could not be stopped would have gone back and forth until the end of its lease. Change: such a task waits for 60 ms, as it does while its holder is lost.

--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -21,6 +21,10 @@
 /// envelope and one review.
 const NOTICE_MARGIN: Duration = Duration::from_millis(100);
 
+/// How long a task waits that a holder refuses because an earlier run has not ended: a stop takes up to
+/// 50 ms, and its end must be seen.
+const STOP_PAUSE: Duration = Duration::from_millis(60);
+
 impl FleetEngine {
     pub(super) fn submit_job(
         &mut self,
@@ -233,7 +237,11 @@
                 state.next_run();
                 state.exclude(target);
             }
-            PlaceRefusal::NoRoom | PlaceRefusal::StillRunning | PlaceRefusal::Stale => {}
+            PlaceRefusal::StillRunning => {
+                let over_at = self.now() + STOP_PAUSE;
+                return self.orphan_task(task, from, target, over_at);
+            }
+            PlaceRefusal::NoRoom | PlaceRefusal::Stale => {}
         }
         self.wait_again(task);
     }
