--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -25,7 +25,8 @@
     10_211, 10_303,
 ];
 
-/// The same for fleets with long intervals: a holder missed a lost home only after its jobs had come again.
+/// The same for fleets with long intervals. It failed before homes kept the short interval to their holders;
+/// the cause was not traced.
 const LARGE_REGRESSION_SEEDS: [u64; 1] = [10_197];
 
 fn shape(fleet: &mut SimFleet) -> JobShape {
