Repeat unanswered starts, and wait with two looks while answers get lost

Cause: while a part x of the calls to targets gets no answer (`applied_late`), the fleet lost far more than x. A lost look hid the ends of all runs of its target for up to 650 ms, two lost ones gave the target up with all runs; a lost start was noticed after 80 ms, then looked for, stopped and placed anew under another number.

Change: a start without an answer is sent again under the same run number, up to six times, on a new connection; a target starts a run once. A refusal of a repeated start proves nothing. A silent look counts against a target only if nothing else was answered since it was sent, and only after 350 ms of silence. For two seconds after a lost answer each target with runs has two looks that wait 100 ms. A silent stop is repeated at once.

--- a/crates/filbertpitch/src/fleet/targets.rs
+++ b/crates/filbertpitch/src/fleet/targets.rs
@@ -12,10 +12,6 @@
 
 use super::driver::FleetDriver;
 
-/// The time for a start or stop order. They are answered within a few round trips unless the
-/// answer is lost.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// The time for a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -66,10 +62,11 @@
                 name,
                 address,
                 order,
+                terms,
             } => {
                 let pool = self.pool(address);
                 monoio::spawn(async move {
-                    let answer = orders::send_start(&pool, &name, &order, ORDER_TIMEOUT).await;
+                    let answer = orders::send_start(&pool, &name, &order, terms).await;
                     driver.feed(FleetEvent::StartAnswered {
                         target,
                         token: order.token,
@@ -83,10 +80,11 @@
                 name,
                 address,
                 order,
+                terms,
             } => {
                 let pool = self.pool(address);
                 monoio::spawn(async move {
-                    let answer = orders::send_stop(&pool, &name, &order, ORDER_TIMEOUT).await;
+                    let answer = orders::send_stop(&pool, &name, &order, terms).await;
                     driver.feed(FleetEvent::StopAnswered {
                         target,
                         token: order.token,
@@ -114,18 +112,11 @@
             } => {
                 let pool = self.pool(address);
                 monoio::spawn(async move {
-                    if plan.fresh_connection {
+                    if plan.terms.fresh_connection {
                         // A new connection replaces one that may be at fault.
                         pool.close_oldest_idle();
                     }
-                    let look = orders::send_look(
-                        &pool,
-                        &name,
-                        &plan.order,
-                        plan.timeout,
-                        plan.fresh_connection,
-                    );
-                    let answer = look.await;
+                    let answer = orders::send_look(&pool, &name, &plan.order, plan.terms).await;
                     driver.feed(FleetEvent::LookAnswered {
                         target,
                         token: plan.order.token,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -10,7 +10,9 @@
     FleetConfiguration, JobOrder, JobReply, PeerEnvelope, PeerReceipt, PeerSighting, RejectReason,
     TargetNotice,
 };
-use filbertpitch_types::lease::{LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder};
+use filbertpitch_types::lease::{
+    CallTerms, LookAnswer, StartAnswer, StartOrder, StopAnswer, StopOrder,
+};
 use filbertpitch_types::prelude::*;
 
 use crate::held::{LookNumber, LookPlan};
@@ -137,6 +139,8 @@
         address: SocketAddr,
         /// The order.
         order: StartOrder,
+        /// How it is sent.
+        terms: CallTerms,
     },
     /// Send a stop order.
     Stop {
@@ -148,6 +152,8 @@
         address: SocketAddr,
         /// The order.
         order: StopOrder,
+        /// How it is sent.
+        terms: CallTerms,
     },
     /// Send a look.
     Look {
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -298,12 +298,13 @@
     /// Sends the looks that are due.
     pub(super) fn send_looks(&mut self) {
         let now = self.now();
+        let hedged = self.answer_doubt.is_raised(now);
         self.renew_claims();
         for (target, held) in &mut self.held {
             let Some(address) = self.registry.address(*target) else {
                 continue;
             };
-            if let Some(plan) = held.plan_look(now) {
+            while let Some(plan) = held.plan_look(now, hedged) {
                 self.counters.looks_sent += 1;
                 self.actions.push(FleetAction::Look {
                     target: *target,
@@ -330,6 +331,9 @@
             LookAnswer::Report(report) => {
                 let claimed = held.phase() == HoldPhase::Claiming;
                 let outcome = held.look_answered(now, number, &report);
+                if held.take_lost_answer() {
+                    self.answer_doubt.miss(now);
+                }
                 if claimed {
                     self.note_claimed(target, &outcome);
                 }
@@ -337,9 +341,14 @@
                 self.room_changed = true;
             }
             LookAnswer::Fenced => self.lose_target(target),
-            LookAnswer::OtherLife | LookAnswer::Lost => {
+            LookAnswer::OtherLife | LookAnswer::Silent | LookAnswer::Lost => {
                 self.counters.looks_lost += 1;
-                if held.look_lost(now, number) {
+                let silent = answer == LookAnswer::Silent;
+                let unreachable = held.look_lost(now, number, silent);
+                if held.take_lost_answer() {
+                    self.answer_doubt.miss(now);
+                }
+                if unreachable {
                     let runs = held.ledger().len();
                     let name = self.registry.name(target).clone();
                     self.notice(FleetNotice::TargetUnreachable { target: name, runs });
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -27,6 +27,7 @@
 use rand_chacha::ChaCha8Rng;
 use typed_index_collections::TiVec;
 
+use crate::answers::AnswerDoubt;
 use crate::catalog::QueueCatalog;
 use crate::demand::{OfferTable, OfferedRates};
 use crate::held::HeldTarget;
@@ -93,6 +94,8 @@
     offered: OfferedRates,
     room_changed: bool,
     offers: OfferTable,
+    /// Whether answers of targets get lost at the moment.
+    answer_doubt: AnswerDoubt,
     timers: TimerService<TimerTopic>,
     inbox: VecDeque<(VmIndex, FleetMessage)>,
     counters: FleetCounters,
@@ -140,6 +143,7 @@
             offered: OfferedRates::default(),
             room_changed: false,
             offers: OfferTable::default(),
+            answer_doubt: AnswerDoubt::default(),
             timers,
             inbox: VecDeque::new(),
             counters: FleetCounters::default(),
--- a/crates/fleet/src/engine/orders.rs
+++ b/crates/fleet/src/engine/orders.rs
@@ -1,14 +1,15 @@
 //! What homes ask of this VM as a holder, and the orders to targets that follow.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{FleetMessage, PeerState, PlaceRefusal, PlaceRequest, TaskOrder};
-use filbertpitch_types::lease::{StartAnswer, StartRefusal, StopAnswer};
+use filbertpitch_types::lease::{CallTerms, StartAnswer, StartRefusal, StopAnswer, StopOrder};
 use filbertpitch_types::prelude::*;
 
 use super::{FleetAction, FleetEngine, FleetNotice};
-use crate::held::{HeldTarget, StartOutcome};
+use crate::held::{HeldTarget, StartOutcome, StartPlan};
 use crate::ledger::{RunPhase, TargetRun};
 
 impl FleetEngine {
@@ -71,13 +72,18 @@
             return Err(PlaceRefusal::NoRoom);
         };
         self.counters.starts_sent += 1;
+        self.send_start(target, address, start);
+        Ok(())
+    }
+
+    fn send_start(&mut self, target: TargetIndex, address: SocketAddr, plan: StartPlan) {
         self.actions.push(FleetAction::Start {
             target,
             name: self.registry.name(target).clone(),
             address,
-            order: start,
+            order: plan.order,
+            terms: plan.terms,
         });
-        Ok(())
     }
 
     /// The held target for a task: the one that its home suggests, or else the one that it fits
@@ -163,9 +169,13 @@
         let Some(held) = self.held.get_mut(&target) else {
             return;
         };
-        let Some(order) = held.stop_run(now, task) else {
-            return;
-        };
+        if let Some(order) = held.stop_run(now, task) {
+            let terms = held.order_terms(false);
+            self.send_stop(target, order, terms);
+        }
+    }
+
+    fn send_stop(&mut self, target: TargetIndex, order: StopOrder, terms: CallTerms) {
         let Some(address) = self.registry.address(target) else {
             return;
         };
@@ -174,6 +184,7 @@
             name: self.registry.name(target).clone(),
             address,
             order,
+            terms,
         });
     }
 
@@ -189,8 +200,18 @@
             return;
         };
         let home = held.ledger().get(&name.task).and_then(|run| run.home);
-        match held.start_answered(now, name, answer) {
+        let outcome = held.start_answered(now, name, answer);
+        if held.take_lost_answer() {
+            self.answer_doubt.miss(now);
+        }
+        match outcome {
             StartOutcome::Started => {}
+            StartOutcome::Repeated(plan) => {
+                self.counters.starts_lost += 1;
+                if let Some(address) = self.registry.address(target) {
+                    self.send_start(target, address, plan);
+                }
+            }
             StartOutcome::NotStarted(refusal) => {
                 self.counters.starts_refused += 1;
                 self.note_start_refusal(target, name, home, refusal);
@@ -265,6 +286,19 @@
                     self.stop_run(target, &name.task);
                 }
             }
+            StopAnswer::Silent => {
+                let open = held
+                    .ledger()
+                    .get(&name.task)
+                    .is_some_and(|run| run.run == name.run);
+                if open
+                    && held.is_reachable()
+                    && let Some(order) = held.repeat_stop(now, &name.task)
+                {
+                    let terms = held.order_terms(true);
+                    self.send_stop(target, order, terms);
+                }
+            }
         }
     }
 }
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -1,13 +1,15 @@
 //! A target that this VM holds: its runs, its lease, and when to look at it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::VmIndex;
 use filbertpitch_types::lease::{
-    LookOrder, LookReport, StartAnswer, StartOrder, StartRefusal, StopOrder,
+    CallTerms, LookOrder, LookReport, StartAnswer, StartOrder, StartRefusal, StopOrder,
 };
 use filbertpitch_types::prelude::*;
 
+use crate::answers::{AnswerMeter, AnswerSettings};
 use crate::clock::{RemoteClock, longest_lease};
 use crate::ledger::{RoomLedger, RunPhase, TargetRun};
 use crate::verdict::{TargetVerdict, VerdictSettings};
@@ -15,9 +17,17 @@
 /// What estimates of a target's clock may be off by: a drift of 2% in two seconds, and a round trip.
 const CLOCK_ERROR: Duration = Duration::from_millis(60);
 
-/// The looks without an answer, in a row, after which a target counts as unreachable.
+/// The looks without an answer, in a row, after which a target may count as unreachable.
 const LOST_LOOKS: u32 = 2;
 
+/// How long a target that does not answer still counts as reachable: several looks follow each other in
+/// this time while answers get lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(350);
+
+/// How often a start order is sent until it is answered. Further ones would come too late for most
+/// jobs.
+const START_SENDS: u32 = 6;
+
 /// How targets are held.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HeldSettings {
@@ -35,6 +45,10 @@
     pub order_window: Duration,
     /// The time between stop orders for the same run.
     pub stop_interval: Duration,
+    /// How long a target may wait for an end while answers get lost.
+    pub hedged_wait: Duration,
+    /// How long answers may take.
+    pub answers: AnswerSettings,
     /// Trust in targets.
     pub verdicts: VerdictSettings,
 }
@@ -48,6 +62,8 @@
             lost_interval: Duration::from_millis(150),
             order_window: Duration::from_millis(250),
             stop_interval: Duration::from_millis(100),
+            hedged_wait: Duration::from_millis(100),
+            answers: AnswerSettings::default(),
             verdicts: VerdictSettings::default(),
         }
     }
@@ -73,10 +89,25 @@
     pub number: LookNumber,
     /// The order.
     pub order: LookOrder,
-    /// The time for the answer.
-    pub timeout: Duration,
-    /// Whether established connections may be at fault.
-    pub fresh_connection: bool,
+    /// How it is sent.
+    pub terms: CallTerms,
+}
+
+/// A start order that is to be sent, and how.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartPlan {
+    /// The order.
+    pub order: StartOrder,
+    /// How it is sent.
+    pub terms: CallTerms,
+}
+
+/// A start order without an answer.
+#[derive(Clone, Debug)]
+struct OpenStart {
+    order: StartOrder,
+    sends: u32,
+    sent_at: TimePoint,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -117,12 +148,14 @@
 }
 
 /// What the answer to a start order changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum StartOutcome {
     /// The run is there.
     Started,
     /// The run is not there, and the room is free again.
     NotStarted(StartRefusal),
+    /// The order must be sent again. A target starts a run once, however often it is told.
+    Repeated(StartPlan),
     /// The order did not leave this VM.
     NotSent,
     /// It is not known yet.
@@ -146,6 +179,8 @@
     verdict: TargetVerdict,
     /// The regular look.
     open_look: Option<OpenLook>,
+    /// A second one that waits as well, while answers get lost.
+    twin_look: Option<OpenLook>,
     /// A look that does not wait, beside a regular one that does.
     quick_look: Option<OpenLook>,
     quick_wanted: bool,
@@ -154,6 +189,20 @@
     next_number: LookNumber,
     look_due: TimePoint,
     lost_looks: u32,
+    /// When the last of them was noticed.
+    lost_look_at: TimePoint,
+    reachable: bool,
+    /// The calls that are answered at once.
+    answers: AnswerMeter,
+    /// Whether a call got no answer since the last answer.
+    missed: bool,
+    /// Whether an answer was missed although the target is there.
+    answer_lost: bool,
+    /// When the twin look may be sent.
+    twin_due: TimePoint,
+    /// When the target has answered last.
+    answered_at: TimePoint,
+    open_starts: BTreeMap<TaskName, OpenStart>,
     /// When everything on the target has certainly lapsed, on the local clock.
     lapsed_at: TimePoint,
     /// When runs of unknown homes are stopped.
@@ -181,12 +230,21 @@
             acked_through: 0,
             ledger,
             open_look: None,
+            twin_look: None,
             quick_look: None,
             quick_wanted: false,
             reported_at: TargetTime(0),
             next_number: LookNumber(0),
             look_due: now,
             lost_looks: 0,
+            lost_look_at: now,
+            reachable: true,
+            answers: AnswerMeter::default(),
+            missed: false,
+            answer_lost: false,
+            twin_due: now,
+            answered_at: now,
+            open_starts: BTreeMap::new(),
             lapsed_at: now,
             audit_due: None,
         }
@@ -224,7 +282,22 @@
 
     /// Whether it answers.
     pub fn is_reachable(&self) -> bool {
-        self.lost_looks < LOST_LOOKS
+        self.reachable
+    }
+
+    /// Whether an answer was missed since the last call although the target is there.
+    pub fn take_lost_answer(&mut self) -> bool {
+        std::mem::take(&mut self.answer_lost)
+    }
+
+    fn note_answer(&mut self, now: TimePoint) {
+        self.answered_at = now;
+        self.answer_lost |= std::mem::take(&mut self.missed);
+    }
+
+    fn note_silence(&mut self) {
+        self.answers.miss();
+        self.missed = true;
     }
 
     /// The room for further runs; nothing while it takes no orders. After a lost look the target may
@@ -250,9 +323,11 @@
         self.phase = HoldPhase::Claiming;
         self.claimed_at = now;
         self.open_look = None;
+        self.twin_look = None;
         self.quick_look = None;
         self.quick_wanted = false;
         self.look_due = now;
+        self.open_starts.clear();
     }
 
     /// Whether the target has not confirmed the claim for so long that another VM may have held it
@@ -300,25 +375,33 @@
         look.min(lapse).min(audit)
     }
 
-    /// The next look, if one is due. It must be sent.
-    pub fn plan_look(&mut self, now: TimePoint) -> Option<LookPlan> {
+    /// The next look, if one is due. It must be sent. `hedged` says that answers get lost: the end of a
+    /// run is waited for by two looks then, each for a shorter time.
+    pub fn plan_look(&mut self, now: TimePoint, hedged: bool) -> Option<LookPlan> {
         if self.quick_wanted && self.quick_look.is_none() && self.open_look.is_some() {
             self.quick_wanted = false;
             let look = self.open_look(now, Duration::ZERO);
             self.quick_look = Some(look);
-            return Some(self.describe_look(now, look));
-        }
-        if self.open_look.is_some() || self.look_due > now {
-            return None;
+            return Some(self.describe_look(now, look, hedged));
         }
         let steady = self.phase == HoldPhase::Confirmed && self.lost_looks == 0;
-        let wait = match steady {
-            true => self.settings.look_wait,
-            false => Duration::ZERO,
+        let wait = match (steady, hedged) {
+            (true, false) => self.settings.look_wait,
+            (true, true) => self.settings.hedged_wait,
+            (false, _) => Duration::ZERO,
         };
-        let look = self.open_look(now, wait);
-        self.open_look = Some(look);
-        Some(self.describe_look(now, look))
+        if self.open_look.is_none() && self.look_due <= now {
+            let look = self.open_look(now, wait);
+            self.open_look = Some(look);
+            return Some(self.describe_look(now, look, hedged));
+        }
+        let twin = hedged && steady && self.open_look.is_some() && !self.ledger.is_empty();
+        if twin && self.twin_look.is_none() && self.twin_due <= now {
+            let look = self.open_look(now, wait);
+            self.twin_look = Some(look);
+            return Some(self.describe_look(now, look, hedged));
+        }
+        None
     }
 
     fn open_look(&mut self, now: TimePoint, wait: Duration) -> OpenLook {
@@ -331,12 +414,20 @@
         }
     }
 
-    fn describe_look(&mut self, now: TimePoint, look: OpenLook) -> LookPlan {
+    fn describe_look(&mut self, now: TimePoint, look: OpenLook, hedged: bool) -> LookPlan {
         // An unreachable target gets no longer lease, so that what runs there ends in bounded time.
         // Nor do runs whose home has not said that it wants them: it may count on their lapse.
         let known = self.ledger.runs().all(|(_, run)| run.home.is_some());
         let lease_end =
             (self.is_reachable() && known).then(|| self.lease_end(now, self.settings.lease));
+        let fresh_connection = self.lost_looks > 0 || self.phase == HoldPhase::Claiming;
+        let answer = self.answers.timeout(&self.settings.answers);
+        let margin = match (hedged, fresh_connection) {
+            (false, _) => self.settings.look_margin,
+            (true, false) => answer,
+            // The connection takes a round trip as well.
+            (true, true) => answer * 2,
+        };
         LookPlan {
             number: look.number,
             order: LookOrder {
@@ -345,14 +436,26 @@
                 lease_end: lease_end.flatten(),
                 wait: look.wait,
             },
-            timeout: look.wait + self.settings.look_margin,
-            fresh_connection: self.lost_looks > 0 || self.phase == HoldPhase::Claiming,
+            terms: CallTerms {
+                timeout: look.wait + margin,
+                fresh_connection,
+            },
+        }
+    }
+
+    /// How a start or stop order is sent.
+    pub fn order_terms(&self, fresh_connection: bool) -> CallTerms {
+        CallTerms {
+            timeout: self.answers.timeout(&self.settings.answers),
+            fresh_connection,
         }
     }
 
     fn take_look(&mut self, number: LookNumber) -> Option<OpenLook> {
         let regular = self.open_look.take_if(|look| look.number == number);
-        regular.or_else(|| self.quick_look.take_if(|look| look.number == number))
+        regular
+            .or_else(|| self.twin_look.take_if(|look| look.number == number))
+            .or_else(|| self.quick_look.take_if(|look| look.number == number))
     }
 
     /// A lease that begins now, on the target's clock.
@@ -371,7 +474,7 @@
         task: TaskName,
         mut run: TargetRun,
         payload: std::rc::Rc<str>,
-    ) -> Option<StartOrder> {
+    ) -> Option<StartPlan> {
         let window = self.settings.order_window;
         let lease_end = self.lease_end(now, window)?;
         run.since = now;
@@ -379,14 +482,44 @@
             void_at: now + window + CLOCK_ERROR,
         };
         self.ledger.insert(task, run);
-        Some(StartOrder {
+        let order = StartOrder {
             run: RunName { task, run: run.run },
             payload,
             lease_end,
             token: self.token,
+        };
+        let open = OpenStart {
+            order: order.clone(),
+            sends: 1,
+            sent_at: now,
+        };
+        self.open_starts.insert(task, open);
+        Some(StartPlan {
+            order,
+            terms: self.order_terms(false),
         })
     }
 
+    /// Sends a start order again that got no answer, as long as the target is there.
+    fn repeat_start(&mut self, now: TimePoint, name: RunName) -> Option<StartPlan> {
+        let takes_orders = self.phase == HoldPhase::Confirmed && self.lost_looks == 0;
+        let open = self.open_starts.get(&name.task)?;
+        if !takes_orders || open.sends >= START_SENDS || open.order.run != name {
+            return None;
+        }
+        let window = self.settings.order_window;
+        let lease_end = self.lease_end(now, window)?;
+        let void_at = now + window + CLOCK_ERROR;
+        self.ledger.get_mut(&name.task)?.phase = RunPhase::Ordered { void_at };
+        let terms = self.order_terms(true);
+        let open = self.open_starts.get_mut(&name.task)?;
+        open.sends += 1;
+        open.sent_at = now;
+        open.order.lease_end = lease_end;
+        let order = open.order.clone();
+        Some(StartPlan { order, terms })
+    }
+
     /// Takes over the answer to a start order.
     pub fn start_answered(
         &mut self,
@@ -394,38 +527,61 @@
         name: RunName,
         answer: StartAnswer,
     ) -> StartOutcome {
-        let Some(run) = self.ledger.get_mut(&name.task) else {
-            return StartOutcome::Ignored;
-        };
-        let RunPhase::Ordered { void_at } = run.phase else {
-            // A look has told already.
+        let open = self.open_starts.get(&name.task);
+        let open = open.filter(|open| open.order.run == name);
+        let sent_at = open.map(|open| open.sent_at);
+        let repeated = open.is_some_and(|open| open.sends > 1);
+        let ordered = self.ledger.get(&name.task).filter(|run| {
+            // A look may have told already.
+            run.run == name.run && matches!(run.phase, RunPhase::Ordered { .. })
+        });
+        let Some(sent_at) = ordered.map(|run| sent_at.unwrap_or(run.since)) else {
+            if open.is_some() {
+                self.open_starts.remove(&name.task);
+            }
             return StartOutcome::Ignored;
         };
-        if run.run != name.run {
-            return StartOutcome::Ignored;
+        if let StartAnswer::Accepted(time) | StartAnswer::Refused(_, time) = answer {
+            self.note_answer(now);
+            self.answers.observe(now.since(sent_at));
+            if let Some(time) = time {
+                self.clock.observe(sent_at, now, time);
+            }
         }
-        let ordered_at = run.since;
-        if let StartAnswer::Accepted(Some(time)) | StartAnswer::Refused(_, Some(time)) = answer {
-            self.clock.observe(ordered_at, now, time);
+        if answer == StartAnswer::Silent {
+            self.note_silence();
+            if let Some(plan) = self.repeat_start(now, name) {
+                return StartOutcome::Repeated(plan);
+            }
         }
+        self.open_starts.remove(&name.task);
+        let Some(run) = self.ledger.get_mut(&name.task) else {
+            return StartOutcome::Ignored;
+        };
         match answer {
             StartAnswer::Accepted(_) => {
                 run.phase = RunPhase::Running { confirmed_at: now };
                 StartOutcome::Started
             }
-            StartAnswer::Refused(refusal, _) => {
+            StartAnswer::Refused(refusal, _) if !repeated => {
                 self.ledger.remove(&name.task);
                 StartOutcome::NotStarted(refusal)
             }
-            StartAnswer::NotSent => {
+            StartAnswer::NotSent if !repeated => {
                 self.ledger.remove(&name.task);
                 StartOutcome::NotSent
             }
-            StartAnswer::Lost => {
-                run.phase = RunPhase::Uncertain {
-                    void_at,
-                    lost_at: now,
-                };
+            // An earlier send of the order may have been carried out.
+            StartAnswer::Refused(..)
+            | StartAnswer::NotSent
+            | StartAnswer::Silent
+            | StartAnswer::Lost => {
+                if let RunPhase::Ordered { void_at } = run.phase {
+                    run.phase = RunPhase::Uncertain {
+                        void_at,
+                        lost_at: now,
+                    };
+                }
                 StartOutcome::Uncertain
             }
         }
@@ -434,16 +590,23 @@
     /// Marks a run as to be stopped and returns the order, unless one was sent just before.
     pub fn stop_run(&mut self, now: TimePoint, task: &TaskName) -> Option<StopOrder> {
         let interval = self.settings.stop_interval;
-        let run = self.ledger.get_mut(task)?;
+        let run = self.ledger.get(task)?;
         if let RunPhase::Stopping { asked_at, .. } = run.phase
             && now.since(asked_at) < interval
         {
             return None;
         }
+        self.repeat_stop(now, task)
+    }
+
+    /// The same, also if an order was sent just before, because it got no answer.
+    pub fn repeat_stop(&mut self, now: TimePoint, task: &TaskName) -> Option<StopOrder> {
+        let run = self.ledger.get_mut(task)?;
         run.phase = RunPhase::Stopping {
             asked_at: now,
             accepted_at: None,
         };
+        self.open_starts.remove(task);
         Some(StopOrder {
             run: RunName {
                 task: *task,
@@ -493,11 +656,17 @@
         report: &LookReport,
     ) -> LookOutcome {
         let mut outcome = LookOutcome::default();
+        let twin = self.twin_look.is_some_and(|look| look.number == number);
         let Some(look) = self.take_look(number) else {
             return outcome;
         };
         outcome.regained = !self.is_reachable();
         self.lost_looks = 0;
+        self.reachable = true;
+        self.note_answer(now);
+        if look.wait.is_zero() {
+            self.answers.observe(now.since(look.sent_at));
+        }
         self.phase = HoldPhase::Confirmed;
         if report.boot != self.boot {
             outcome.reborn = self.boot.is_some();
@@ -525,10 +694,14 @@
         }
         // A target that does not wait although nothing has ended is not asked again at once.
         let early = report.ended.is_empty() && now.since(look.sent_at) < look.wait / 2;
-        self.look_due = match early {
+        let due = match early {
             true => look.sent_at + look.wait,
             false => now,
         };
+        match twin {
+            true => self.twin_due = due,
+            false => self.look_due = due,
+        }
         outcome
     }
 
@@ -630,18 +803,38 @@
         }
     }
 
-    /// Records that a look got no answer. Returns whether the target counts as unreachable from
-    /// now on.
-    pub fn look_lost(&mut self, now: TimePoint, number: LookNumber) -> bool {
-        if self.take_look(number).is_none() {
+    /// Records that a look got no answer; `silent` if its connection has not failed. Returns whether the
+    /// target counts as unreachable from now on.
+    pub fn look_lost(&mut self, now: TimePoint, number: LookNumber, silent: bool) -> bool {
+        let Some(look) = self.take_look(number) else {
+            return false;
+        };
+        if silent && self.answered_at > look.sent_at {
+            // The target is there, and only this answer was lost.
+            self.note_silence();
+            self.answer_lost = true;
+            self.look_due = now;
+            return false;
+        }
+        if silent {
+            self.note_silence();
+        }
+        if self.lost_looks > 0 && look.sent_at < self.lost_look_at {
+            // It was lost together with one that was counted.
             return false;
         }
         self.lost_looks += 1;
-        self.look_due = match self.lost_looks < LOST_LOOKS {
+        self.lost_look_at = now;
+        let was_reachable = self.reachable;
+        let quiet = now.since(self.answered_at);
+        if self.lost_looks >= LOST_LOOKS && (!silent || quiet >= SILENCE_LIMIT) {
+            self.reachable = false;
+        }
+        self.look_due = match self.reachable {
             true => now,
             false => now + self.settings.lost_interval,
         };
-        self.lost_looks == LOST_LOOKS
+        was_reachable && !self.reachable
     }
 
     /// Removes the runs that have lapsed because the target could not be reached.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! waiting tasks and asks holders to run them. Like the `dispatch` crate, this one does no I/O:
 //! events and the time go in, actions come out.
 
+pub mod answers;
 pub mod assignment;
 pub mod catalog;
 pub mod clock;
--- /dev/null
+++ b/crates/fleet/tests/answer_times.rs
@@ -0,0 +1,64 @@
+//! How long the answer of a target is waited for, and when answers are expected to get lost.
+
+use std::time::Duration;
+
+use filbertpitch_fleet::answers::{AnswerDoubt, AnswerMeter, AnswerSettings};
+use filbertpitch_types::prelude::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn learned(round_trip: Duration) -> AnswerMeter {
+    let mut meter = AnswerMeter::default();
+    for _ in 0..40 {
+        meter.observe(round_trip);
+    }
+    meter
+}
+
+#[test]
+fn an_unknown_target_gets_the_most_time() {
+    let settings = AnswerSettings::default();
+    assert_eq!(AnswerMeter::default().timeout(&settings), settings.most);
+}
+
+#[test]
+fn a_fast_target_gets_the_least_time() {
+    let settings = AnswerSettings::default();
+    assert_eq!(learned(ms(2)).timeout(&settings), settings.least);
+}
+
+/// Guards against answers of a slow target, or of a busy VM, that count as lost.
+#[test]
+fn a_slow_target_gets_more_time() {
+    let settings = AnswerSettings::default();
+    let timeout = learned(ms(50)).timeout(&settings);
+    assert!(timeout > ms(50) && timeout <= settings.most, "{timeout:?}");
+}
+
+#[test]
+fn many_misses_in_a_row_give_more_time_until_the_next_answer() {
+    let settings = AnswerSettings::default();
+    let mut meter = learned(ms(2));
+    for _ in 0..4 {
+        meter.miss();
+    }
+    assert_eq!(meter.timeout(&settings), settings.least);
+    for _ in 0..100 {
+        meter.miss();
+    }
+    assert_eq!(meter.timeout(&settings), settings.most);
+    meter.observe(ms(2));
+    assert!(meter.timeout(&settings) < settings.most);
+}
+
+#[test]
+fn doubt_ends_after_a_while() {
+    let mut doubt = AnswerDoubt::default();
+    let now = TimePoint(1_000_000);
+    assert!(!doubt.is_raised(now));
+    doubt.miss(now);
+    assert!(doubt.is_raised(now + ms(1999)));
+    assert!(!doubt.is_raised(now + ms(2000)));
+}
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -12,6 +12,7 @@
     EndedRow, LookReport, RunningRow, StartAnswer, StartOrder, StartRefusal,
 };
 use filbertpitch_types::prelude::*;
+use test_case::test_case;
 
 const START: TimePoint = TimePoint(50_000_000);
 const BOOT: TargetBoot = TargetBoot(1);
@@ -58,7 +59,9 @@
     }
 
     fn plan(&mut self) -> LookPlan {
-        self.target.plan_look(self.now).expect("a look is due")
+        self.target
+            .plan_look(self.now, false)
+            .expect("a look is due")
     }
 
     /// The target's clock is 40 s behind.
@@ -94,8 +97,8 @@
 
     fn lose_look(&mut self) -> bool {
         let plan = self.plan();
-        self.now = self.now + plan.timeout;
-        self.target.look_lost(self.now, plan.number)
+        self.now = self.now + plan.terms.timeout;
+        self.target.look_lost(self.now, plan.number, true)
     }
 
     fn order(&mut self, index: u16) -> StartOrder {
@@ -114,7 +117,7 @@
         let order = self
             .target
             .order_run(self.now, task(index), run, Rc::from("work"));
-        order.expect("the target's clock is known")
+        order.expect("the target's clock is known").order
     }
 
     fn start(&mut self, index: u16, answer: StartAnswer) -> (RunName, StartOutcome) {
@@ -293,7 +296,7 @@
         plan.order.lease_end, None,
         "an unreachable target gets no longer lease"
     );
-    holder.target.look_lost(holder.now, plan.number);
+    holder.target.look_lost(holder.now, plan.number, true);
     let due = holder.target.next_due();
     holder.now = holder.now + ms(3000);
     let lapsed = holder.target.advance(holder.now);
@@ -378,10 +381,10 @@
     let mut holder = Holder::confirmed();
     let asked_at = holder.now;
     holder.exchange(vec![], vec![]);
-    assert_eq!(holder.target.plan_look(holder.now), None);
+    assert_eq!(holder.target.plan_look(holder.now, false), None);
     assert!(holder.target.next_due() > asked_at + ms(300));
     holder.target.hasten_look(holder.now);
-    assert!(holder.target.plan_look(holder.now).is_some());
+    assert!(holder.target.plan_look(holder.now, false).is_some());
 }
 
 /// Guards against an end that is noticed late because a look waits at the target.
@@ -390,13 +393,13 @@
     let mut holder = Holder::confirmed();
     let regular = holder.plan();
     assert!(regular.order.wait > Duration::ZERO);
-    assert_eq!(holder.target.plan_look(holder.now), None);
+    assert_eq!(holder.target.plan_look(holder.now, false), None);
     holder.target.hasten_look(holder.now);
     let quick = holder.plan();
     assert_eq!(quick.order.wait, Duration::ZERO);
     let report = holder.report(vec![], vec![]);
     let later = holder.now + ms(20);
-    assert!(!holder.target.look_lost(later, quick.number));
+    assert!(!holder.target.look_lost(later, quick.number, true));
     holder.target.look_answered(later, regular.number, &report);
     assert!(holder.target.is_reachable());
 }
@@ -455,3 +458,104 @@
     let outcome = holder.answer(&plan, &report);
     assert_eq!(outcome.ended.len(), 1, "it is not there any more");
 }
+
+/// Guards against the loss of a start whose answer was lost, and against a second run: the target
+/// starts a run once, however often it is told.
+#[test]
+fn a_silent_start_is_sent_again_under_the_same_number() {
+    let mut holder = Holder::confirmed();
+    let first = holder.order(0);
+    holder.now = holder.now + ms(30);
+    let silent = StartAnswer::Silent;
+    let outcome = holder.target.start_answered(holder.now, first.run, silent);
+    let StartOutcome::Repeated(plan) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(plan.order.run, first.run);
+    assert_eq!(plan.order.token, first.token);
+    assert!(plan.order.lease_end > first.lease_end);
+    assert!(plan.terms.fresh_connection);
+    assert!(!holder.target.take_lost_answer());
+    let accepted = StartAnswer::Accepted(None);
+    let outcome = holder
+        .target
+        .start_answered(holder.now, first.run, accepted);
+    assert_eq!(outcome, StartOutcome::Started);
+    assert!(holder.target.take_lost_answer());
+}
+
+/// Guards against a task that is given to another target although its first order was carried out.
+#[test_case(StartAnswer::Refused(StartRefusal::OldRun, None))]
+#[test_case(StartAnswer::Refused(StartRefusal::Late, None))]
+#[test_case(StartAnswer::Refused(StartRefusal::Unhealthy, None))]
+#[test_case(StartAnswer::NotSent)]
+fn a_refusal_of_a_repeated_start_proves_nothing(answer: StartAnswer) {
+    let mut holder = Holder::confirmed();
+    let run = holder.order(0).run;
+    let silent = StartAnswer::Silent;
+    holder.target.start_answered(holder.now, run, silent);
+    let outcome = holder.target.start_answered(holder.now, run, answer);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+    assert!(holder.target.ledger().get(&run.task).is_some());
+}
+
+/// A process that was paused may have lost its target meanwhile: it must not order anything before the
+/// target has confirmed it again.
+#[test]
+fn a_paused_holder_does_not_repeat_a_start() {
+    let mut holder = Holder::confirmed();
+    let run = holder.order(0).run;
+    holder.now = holder.now + ms(4000);
+    holder.target.reconfirm(holder.now);
+    let silent = StartAnswer::Silent;
+    let outcome = holder.target.start_answered(holder.now, run, silent);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+}
+
+/// Guards against a start that is repeated after its home has withdrawn it.
+#[test]
+fn a_stopped_start_is_not_repeated() {
+    let mut holder = Holder::confirmed();
+    let run = holder.order(0).run;
+    assert!(holder.target.stop_run(holder.now, &run.task).is_some());
+    let silent = StartAnswer::Silent;
+    let outcome = holder.target.start_answered(holder.now, run, silent);
+    assert_eq!(outcome, StartOutcome::Ignored);
+}
+
+/// Guards against a target that is given up, with all its runs, because a few of its answers were lost.
+#[test]
+fn a_lost_look_says_nothing_about_a_target_that_has_answered_since() {
+    let mut holder = Holder::confirmed();
+    holder.pause();
+    let look = holder.plan();
+    holder.now = holder.now + ms(5);
+    holder.start(0, StartAnswer::Accepted(None));
+    holder.now = holder.now + look.terms.timeout;
+    assert!(!holder.target.look_lost(holder.now, look.number, true));
+    assert!(holder.target.take_lost_answer());
+    assert_ne!(holder.target.open_room(holder.now), RoomSize::default());
+}
+
+/// Guards against an end that is seen late while answers get lost.
+#[test]
+fn two_looks_wait_for_an_end_while_answers_get_lost() {
+    let mut holder = Holder::confirmed();
+    holder.pause();
+    let regular = holder.plan();
+    assert_eq!(
+        holder.target.plan_look(holder.now, true),
+        None,
+        "nothing runs"
+    );
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    let twin = holder.target.plan_look(holder.now, true).expect("a twin");
+    assert_eq!(holder.target.plan_look(holder.now, true), None);
+    let end = vec![ended(1, run, RunEnd::Done)];
+    let report = holder.report(vec![], end);
+    assert_eq!(
+        ends(&holder.answer(&twin, &report)),
+        [(task(0), RunEnd::Done)]
+    );
+    assert_eq!(ends(&holder.answer(&regular, &report)), []);
+}
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -11,6 +11,7 @@
     ALLOWANCE_MS, ClientJob, JobShape, KindResult, LoadResult, STRETCH, SimFleet, SimOptions,
     run_load,
 };
+use test_case::test_case;
 
 /// A fleet of seven VMs in three zones with 48 targets of two sizes and three speeds.
 fn desk_fleet(seed: u64, settings: &FleetSettings) -> SimFleet {
@@ -300,3 +301,21 @@
     );
     assert!(stopping, "{reply:?}");
 }
+
+/// Calls to targets that get no answer and are carried out seconds later, for a while. Guards against
+/// a lost answer that costs more than its own job: a start that is given up, an end that is seen late,
+/// a target that counts as unreachable.
+#[test_case(0.06, 0.9; "few")]
+#[test_case(0.2, 0.7; "many")]
+#[test_case(0.5, 0.3; "half of them")]
+fn lost_answers_cost_little(share: f64, least: f64) {
+    let mut fleet = desk_fleet(0, &FleetSettings::default());
+    calm(&mut fleet);
+    fleet.net.orders_late = share;
+    let result = run_load(&mut fleet, 6.0, CORES, &WEIGHTS, |_| 100.0);
+    assert!(result.earned() >= least, "{} {result:?}", result.earned());
+    fleet.net.orders_late = 0.0;
+    let result = run_load(&mut fleet, 4.0, CORES, &WEIGHTS, |_| 100.0);
+    assert!(result.earned() >= 0.95, "{} {result:?}", result.earned());
+    fleet.check_rejections();
+}
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -25,8 +25,6 @@
 use super::client::{ClientJob, JobShape};
 use super::target::SimTarget;
 
-/// The time after which an order counts as lost, as in the process.
-const ORDER_TIMEOUT: u64 = 80_000;
 /// The time after which an envelope counts as lost, as in the process.
 const ENVELOPE_TIMEOUT: u64 = 250_000;
 /// The time between reads of the list of targets.
@@ -75,7 +73,7 @@
 pub struct NetFault {
     /// The part of the answers of targets that are lost.
     pub answers_lost: f64,
-    /// The part of the orders that get no answer and are carried out seconds later.
+    /// The part of the calls to targets that get no answer and are carried out seconds later.
     pub orders_late: f64,
 }
 
@@ -124,6 +122,7 @@
         index: TargetIndex,
         target: usize,
         order: StopOrder,
+        late: Option<u64>,
     },
     LookArrives {
         call: u64,
@@ -131,6 +130,7 @@
         index: TargetIndex,
         target: usize,
         plan: LookPlan,
+        late: Option<u64>,
     },
     Answer {
         call: u64,
@@ -581,14 +581,31 @@
                 index,
                 target,
                 order,
-            } => self.carry_out_stop(call, vm, index, target, order),
+                late,
+            } => match late {
+                None => self.carry_out_stop(call, vm, index, target, order),
+                Some(life) if life == self.targets[target].life && self.reaches(vm, target) => {
+                    let answer = self.targets[target].stop(self.now, &order);
+                    self.remember(target, format!("late stop {}: {answer:?}", order.run));
+                    self.settle_target(target);
+                }
+                Some(_) => {}
+            },
             Happening::LookArrives {
                 call,
                 vm,
                 index,
                 target,
                 plan,
-            } => self.carry_out_look(call, vm, index, target, plan),
+                late,
+            } => match late {
+                None => self.carry_out_look(call, vm, index, target, plan),
+                Some(life) if life == self.targets[target].life && self.reaches(vm, target) => {
+                    self.targets[target].hold(self.now, &plan.order);
+                    self.settle_target(target);
+                }
+                Some(_) => {}
+            },
             Happening::Answer { call, vm, event } => {
                 if self.caller_of(call, vm) {
                     self.open_calls.remove(&call);
@@ -765,23 +782,20 @@
                 target: index,
                 name,
                 order,
+                terms,
                 ..
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let mut at = self.now + self.target_delay(vm, target);
-                let late = self.rng.random_bool(self.net.orders_late);
-                let late = late.then_some(self.targets[target].life);
-                if late.is_some() {
-                    at += self.rng.random_range(2_000_000..12_000_000);
-                }
+                let (at, late) = self.plan_arrival(vm, target);
                 let lost = FleetEvent::StartAnswered {
                     target: index,
                     token: order.token,
                     run: order.run,
-                    answer: StartAnswer::Lost,
+                    answer: StartAnswer::Silent,
                 };
-                self.schedule_answer(self.now + ORDER_TIMEOUT, call, vm, lost);
+                let timeout = terms.timeout.as_micros() as u64;
+                self.schedule_answer(self.now + timeout, call, vm, lost);
                 self.schedule(
                     at,
                     Happening::StartArrives(StartArrival {
@@ -798,18 +812,20 @@
                 target: index,
                 name,
                 order,
+                terms,
                 ..
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let at = self.now + self.target_delay(vm, target);
+                let (at, late) = self.plan_arrival(vm, target);
                 let lost = FleetEvent::StopAnswered {
                     target: index,
                     token: order.token,
                     run: order.run,
-                    answer: StopAnswer::Lost,
+                    answer: StopAnswer::Silent,
                 };
-                self.schedule_answer(self.now + ORDER_TIMEOUT, call, vm, lost);
+                let timeout = terms.timeout.as_micros() as u64;
+                self.schedule_answer(self.now + timeout, call, vm, lost);
                 self.schedule(
                     at,
                     Happening::StopArrives {
@@ -818,6 +834,7 @@
                         index,
                         target,
                         order,
+                        late,
                     },
                 );
             }
@@ -829,14 +846,14 @@
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let at = self.now + self.target_delay(vm, target);
+                let (at, late) = self.plan_arrival(vm, target);
                 let lost = FleetEvent::LookAnswered {
                     target: index,
                     token: plan.order.token,
                     number: plan.number,
-                    answer: LookAnswer::Lost,
+                    answer: LookAnswer::Silent,
                 };
-                let timeout = plan.timeout.as_micros() as u64;
+                let timeout = plan.terms.timeout.as_micros() as u64;
                 self.schedule_answer(self.now + timeout, call, vm, lost);
                 self.schedule(
                     at,
@@ -846,6 +863,7 @@
                         index,
                         target,
                         plan,
+                        late,
                     },
                 );
             }
@@ -872,6 +890,16 @@
         }
     }
 
+    /// When a call arrives, and the life of the target that carries it out late, if it does.
+    fn plan_arrival(&mut self, vm: usize, target: usize) -> (u64, Option<u64>) {
+        let at = self.now + self.target_delay(vm, target);
+        if !self.rng.random_bool(self.net.orders_late) {
+            return (at, None);
+        }
+        let late = at + self.rng.random_range(2_000_000..12_000_000);
+        (late, Some(self.targets[target].life))
+    }
+
     fn schedule_answer(&mut self, at: u64, call: u64, vm: usize, event: FleetEvent) {
         let event = Box::new(event);
         self.schedule(at, Happening::Answer { call, vm, event });
--- a/crates/types/src/lease.rs
+++ b/crates/types/src/lease.rs
@@ -8,6 +8,15 @@
 
 use crate::prelude::*;
 
+/// How a call to a target is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallTerms {
+    /// The time for the answer.
+    pub timeout: Duration,
+    /// Whether established connections may be at fault.
+    pub fresh_connection: bool,
+}
+
 /// Tells a target to start a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StartOrder {
@@ -67,7 +76,10 @@
     Refused(StartRefusal, Option<TargetTime>),
     /// The order was certainly not received.
     NotSent,
-    /// There was no answer; the order may be carried out until it becomes void.
+    /// There was no answer in time; the order may be carried out until it becomes void.
+    Silent,
+    /// The connection has failed, or the answer does not tell; the order may be carried out until it
+    /// becomes void.
     Lost,
 }
 
@@ -89,7 +101,9 @@
     Fenced,
     /// Another life of the target has answered; it does not run what the former one ran.
     OtherLife,
-    /// There was no answer, or none that tells.
+    /// There was no answer in time.
+    Silent,
+    /// The connection has failed, or the answer does not tell.
     Lost,
 }
 
@@ -148,6 +162,8 @@
     Fenced,
     /// Another life of the target, or another target, has answered.
     OtherLife,
-    /// There was no answer, or none that tells anything.
+    /// There was no answer in time.
+    Silent,
+    /// The connection has failed, or the answer tells nothing.
     Lost,
 }
