Follow the list of targets through a feed of its changes

Ruled out: reading the whole list (it is read by changes already); reading a sample of the renewals (a removal is said once only, and a target that is taken away at short notice would be noticed too late); messages between VMs (needs a second path for VMs that are cut off).

Change: one VM reads the list every 500 ms and publishes what has changed in `keyed.listing`, under the condition that the feed ends where it has read it to; the others wait for that. A VM that misses the feed for 0.8 to 1.1 s reads the list itself from where its knowledge ends and tries to go on with the feed. A gap, or a record that cannot be read, leads to the list as well.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -3,18 +3,18 @@
 //! Each follower reads the newest state once and then the changes. When changes were removed before
 //! they were read, or the store was away, it reads the newest state again.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
+use filbertpitch_fleet::listing::{FeedGap, ListEntry, ListFollower};
 use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
 use filbertpitch_platform::listing::read_target;
 use filbertpitch_platform::store::{
-    KeyedRecord, OPERATOR_TOPIC, ReadAnswer, StoreError, TARGET_TOPIC, VM_TOPIC, decode_value,
-    encode_value,
+    FEED_TOPIC, KeyedRecord, OPERATOR_TOPIC, ReadAnswer, StoreError, TARGET_TOPIC, VM_TOPIC,
+    decode_value, encode_value,
 };
-use filbertpitch_types::fleet::{PeerRecord, PeerSighting, TargetNotice};
+use filbertpitch_types::fleet::{ListRecord, PeerRecord, PeerSighting, TargetNotice};
 use filbertpitch_types::prelude::*;
 use slog::b;
 
@@ -29,6 +29,16 @@
 /// read that waits for a change would return at once nearly always.
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The key of the feed of changes in the list of targets.
+const FEED_KEY: &str = "changes";
+
+/// How long the feed is waited for before a VM reads the list itself: one read of the list and an answer
+/// of a slow store. A target that drains must get no work two seconds later.
+const FEED_WAIT: Duration = Duration::from_millis(800);
+
+/// A random part of that time, so that VMs do not all turn to the list at once.
+const FEED_SPREAD: Duration = Duration::from_millis(300);
+
 /// The time between reads of the list of entry VMs. New VMs make themselves known directly.
 const VM_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -41,6 +51,12 @@
 /// The time before a failed call is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Whether the feed of changes has brought what there is to know.
+enum FeedState {
+    Moved,
+    Still,
+}
+
 /// What a follower keeps: the topic, and whether the store answers.
 struct TopicState {
     topic: &'static str,
@@ -138,13 +154,21 @@
     /// Keeps the list of targets up to date. Runs forever.
     pub(super) async fn follow_targets(self: Rc<Self>) {
         let mut state = TopicState::new(TARGET_TOPIC);
-        let mut known = BTreeSet::new();
+        let mut list = ListFollower::default();
         loop {
-            match self.store().newest(TARGET_TOPIC).await {
-                Ok(newest) => {
+            // The feed is looked up first, so that it does not end after the list that is read.
+            let read = async {
+                let feed = self.store().newest(FEED_TOPIC).await?;
+                let list = self.store().newest(TARGET_TOPIC).await?;
+                Ok((feed.next, list))
+            };
+            match read.await {
+                Ok((feed, newest)) => {
                     state.note(&self, None);
-                    self.replace_targets(&mut known, &newest.records);
-                    self.read_targets(&mut state, &mut known, newest.next).await;
+                    let entries = newest.records.iter().map(read_entry).collect();
+                    self.change_targets(list.take_list(entries, newest.next));
+                    self.driver().feed(FleetEvent::TargetsListed);
+                    self.follow_feed(&mut state, &mut list, feed).await;
                 }
                 Err(error) => {
                     state.note(&self, Some(&error));
@@ -154,42 +178,123 @@
         }
     }
 
-    /// Takes over the whole list; targets that are not in it any more are removed.
-    fn replace_targets(&self, known: &mut BTreeSet<TargetName>, records: &[KeyedRecord]) {
-        let mut notices = read_notices(records);
-        let listed = notices.iter().map(|notice| target_of(notice).clone());
-        let listed = listed.collect::<BTreeSet<_>>();
-        let gone = known.difference(&listed).cloned();
-        notices.extend(gone.map(TargetNotice::Removed));
-        *known = listed;
-        self.driver().feed(FleetEvent::TargetsChanged(notices));
-        self.driver().feed(FleetEvent::TargetsListed);
+    fn change_targets(&self, notices: Vec<TargetNotice>) {
+        if !notices.is_empty() {
+            self.driver().feed(FleetEvent::TargetsChanged(notices));
+        }
     }
 
-    /// Reads changes until some were missed.
-    async fn read_targets(
-        &self,
-        state: &mut TopicState,
-        known: &mut BTreeSet<TargetName>,
-        mut next: LogOffset,
-    ) {
+    /// Follows the feed of changes, from `next` on, until some changes were missed. When the feed stands
+    /// still, this VM reads the list itself and tries to go on with the feed.
+    async fn follow_feed(&self, state: &mut TopicState, list: &mut ListFollower, next: LogOffset) {
+        let mut next = next;
+        let mut publishing = false;
         loop {
-            monoio::time::sleep(LISTING_INTERVAL).await;
-            match self.store().read(TARGET_TOPIC, next, Duration::ZERO).await {
-                Ok(ReadAnswer::Records { records, next: end }) => {
-                    state.note(self, None);
-                    next = end;
-                    if records.is_empty() {
+            if publishing {
+                monoio::time::sleep(LISTING_INTERVAL).await;
+            } else {
+                let spread = FEED_SPREAD.mul_f64(rand::random::<f64>());
+                match self.read_feed(list, &mut next, FEED_WAIT + spread).await {
+                    Ok(FeedState::Moved) => {
+                        state.note(self, None);
                         continue;
                     }
-                    let notices = read_notices(&records);
-                    known.extend(notices.iter().map(|notice| target_of(notice).clone()));
-                    self.driver().feed(FleetEvent::TargetsChanged(notices));
+                    Ok(FeedState::Still) => {}
+                    Err(error) => {
+                        state.note(self, Some(&error));
+                        monoio::time::sleep(RETRY_INTERVAL).await;
+                    }
+                }
+            }
+            match self.read_list(list).await {
+                Ok(true) => state.note(self, None),
+                Ok(false) => return,
+                Err(error) => {
+                    state.note(self, Some(&error));
+                    continue;
                 }
-                Ok(ReadAnswer::Expired) => return,
-                Err(error) => state.note(self, Some(&error)),
+            }
+            match self.publish_feed(list, next).await {
+                Ok(Some(end)) => {
+                    next = end;
+                    publishing = true;
+                }
+                // Another VM goes on with the feed.
+                Ok(None) => publishing = false,
+                Err(error) => {
+                    state.note(self, Some(&error));
+                    publishing = false;
+                }
+            }
+        }
+    }
+
+    /// Waits for records of the feed and takes them over.
+    async fn read_feed(
+        &self,
+        list: &mut ListFollower,
+        next: &mut LogOffset,
+        wait: Duration,
+    ) -> Result<FeedState, StoreError> {
+        let records = match self.store().read(FEED_TOPIC, *next, wait).await? {
+            ReadAnswer::Records { records, next: end } => {
+                *next = end;
+                records
+            }
+            ReadAnswer::Expired => {
+                *next = self.store().newest(FEED_TOPIC).await?.next;
+                return Ok(FeedState::Still);
+            }
+        };
+        if records.is_empty() {
+            return Ok(FeedState::Still);
+        }
+        let mut followed = FeedState::Moved;
+        for record in &records {
+            // A record that cannot be read leaves a gap.
+            let Some(feed) = record.value.as_ref().and_then(|value| decode_value(value)) else {
+                continue;
+            };
+            match list.take_feed(feed, read_record) {
+                Ok(notices) => self.change_targets(notices),
+                Err(FeedGap) => followed = FeedState::Still,
             }
         }
+        Ok(followed)
+    }
+
+    /// Reads the list itself from where it is known. False if that part is not kept any more.
+    async fn read_list(&self, list: &mut ListFollower) -> Result<bool, StoreError> {
+        let read = self
+            .store()
+            .read(TARGET_TOPIC, list.through(), Duration::ZERO);
+        match read.await? {
+            ReadAnswer::Records { records, next } => {
+                let entries = records.iter().map(read_entry).collect();
+                self.change_targets(list.take_changes(entries, next));
+                Ok(true)
+            }
+            ReadAnswer::Expired => Ok(false),
+        }
+    }
+
+    /// Goes on with the feed, which this VM has read up to `end`. Returns its new end; nothing if another
+    /// VM has gone on with it.
+    async fn publish_feed(
+        &self,
+        list: &mut ListFollower,
+        end: LogOffset,
+    ) -> Result<Option<LogOffset>, StoreError> {
+        let record = list.next_record();
+        let Some(value) = encode_value(&record) else {
+            return Ok(None);
+        };
+        let published = self.store().publish_at(FEED_TOPIC, FEED_KEY, &value, end);
+        let published = published.await?;
+        if published.is_some() {
+            list.published(record.through);
+        }
+        Ok(published)
     }
 
     /// Makes this VM known and finds the others. Runs forever.
@@ -223,7 +328,10 @@
 
     /// The records of entry VMs that were written since `next`, or the newest of each VM if some were
     /// missed.
-    async fn read_vms(&self, next: &mut Option<LogOffset>) -> Result<Vec<PeerSighting>, StoreError> {
+    async fn read_vms(
+        &self,
+        next: &mut Option<LogOffset>,
+    ) -> Result<Vec<PeerSighting>, StoreError> {
         if let Some(from) = *next {
             match self.store().read(VM_TOPIC, from, Duration::ZERO).await? {
                 ReadAnswer::Records { records, next: end } => {
@@ -280,16 +388,20 @@
     sightings.collect()
 }
 
-fn read_notices(records: &[KeyedRecord]) -> Vec<TargetNotice> {
-    let notices = records
-        .iter()
-        .filter_map(|record| read_target(&record.key, record.value.as_deref()));
-    notices.collect()
+fn read_entry(record: &KeyedRecord) -> ListEntry {
+    let offset = record.offset;
+    let value = record.value.as_ref();
+    let record = ListRecord {
+        key: record.key.clone(),
+        value: value.map(|value| value.to_vec()),
+    };
+    ListEntry {
+        offset,
+        notice: read_record(&record),
+        record,
+    }
 }
 
-fn target_of(notice: &TargetNotice) -> &TargetName {
-    match notice {
-        TargetNotice::Listed(entry) => &entry.name,
-        TargetNotice::Removed(name) | TargetNotice::Unreadable(name) => name,
-    }
+fn read_record(record: &ListRecord) -> Option<TargetNotice> {
+    read_target(&record.key, record.value.as_deref())
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod home;
 pub mod ledger;
 pub mod link;
+pub mod listing;
 pub mod pace;
 pub mod patience;
 pub mod reach;
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -111,6 +111,27 @@
     Unreadable(TargetName),
 }
 
+/// A record of the list as the platform stores it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRecord {
+    /// The key.
+    pub key: Box<str>,
+    /// The value; none when the key was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A record of the feed: the latest records of the keys whose entries have changed in a range of the
+/// list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedRecord {
+    /// Where the range begins.
+    pub from: LogOffset,
+    /// Where it ends.
+    pub through: LogOffset,
+    /// The changes.
+    pub changes: Vec<ListRecord>,
+}
+
 /// The tasks of one step of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StepOrder {
