Keep orphaned tasks until a holder that gave no receipts has certainly stopped; return far targets

Change: such a holder may have heard the home until now; its notice time and lease are counted from now. Test: a_cut_home_starts_nothing_that_its_holder_still_runs, failed before.

Change: zones of held targets are computed as well.

Ruled out on the way to cause 2: the intervals, the receipts, the cache of the assignment, the ledger.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -4,7 +4,7 @@
 //! new one claims it with a higher token, finds the runs and asks their homes whether they are still
 //! wanted. The same happens when the former holder has died.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
@@ -160,10 +160,19 @@
                 processor: identity.processor.0,
             })
             .collect::<Vec<_>>();
-        // The targets of other zones are assigned by the VMs there, if there are any.
+        // The targets of other zones are assigned by the VMs there, if there are any. Those that this
+        // VM holds all the same go back to them.
+        let held = self.held.keys();
+        let held = held.filter_map(|target| self.registry.entry(*target));
+        let held = held
+            .map(|entry| entry.zone.as_str())
+            .collect::<BTreeSet<_>>();
         let own_zone = self.identity.zone.as_str();
-        let concerned =
-            |zone: &str| zone == own_zone || !holders.iter().any(|holder| holder.zone == zone);
+        let concerned = |zone: &str| {
+            zone == own_zone
+                || held.contains(zone)
+                || !holders.iter().any(|holder| holder.zone == zone)
+        };
         let listed = self.registry.listed();
         let listed = listed.filter(|(_, entry)| concerned(entry.zone.as_str()));
         let listed = listed.collect::<Vec<_>>();
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -355,8 +355,13 @@
             return;
         };
         let margin = link.pace().own_beat() + NOTICE_MARGIN;
-        let noticed = heard + link.pace().missed_after() + margin;
-        let over_at = self.lapse_after(noticed.min(self.now() + margin));
+        let missed_after = link.pace().missed_after();
+        let noticed = match link.was_lost_unanswered() {
+            // It may have heard this VM until now, and may not hear that it was given up.
+            true => self.now() + missed_after + margin,
+            false => (heard + missed_after + margin).min(self.now() + margin),
+        };
+        let over_at = self.lapse_after(noticed);
         let placed = self.jobs.placed();
         let lost = placed
             .filter(|(_, vm, _)| *vm == holder)
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -283,10 +283,8 @@
     pub fn next_due(&self) -> Option<TimePoint> {
         let held = self.held.values().map(HeldTarget::next_due).min();
         let links = self.links.iter().flatten();
-        let links = links
-            .flat_map(|link| [link.beat_due(), link.judge_due()])
-            .flatten()
-            .min();
+        // Peers are judged by the regular review.
+        let links = links.filter_map(PeerLink::beat_due).min();
         let reach = self
             .zone_reach
             .values()
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -131,6 +131,8 @@
     doubtful: bool,
     /// When the first envelope was sent that got no receipt, if nothing was heard since.
     unanswered_since: Option<TimePoint>,
+    /// Whether the peer was given up because envelopes got no receipt.
+    lost_unanswered: bool,
     last_sent: Option<TimePoint>,
     /// The class of the most urgent task that the last envelope told of.
     sent_class: Option<DemandClass>,
@@ -184,6 +186,7 @@
             in_flight: false,
             doubtful: false,
             unanswered_since: None,
+            lost_unanswered: false,
             last_sent: None,
             sent_class: None,
             confirmed_holdings: None,
@@ -523,17 +526,9 @@
         }
     }
 
-    /// When [`Self::judge`] may change something.
-    pub fn judge_due(&self) -> Option<TimePoint> {
-        let unanswered = self.unanswered_since;
-        let unanswered = unanswered.map(|since| since + self.pace.unanswered_limit());
-        let unheard = match self.phase {
-            LinkPhase::Live => self.last_heard + self.pace.silent_after(),
-            LinkPhase::Silent => self.last_heard + self.pace.lost_after(),
-            LinkPhase::Unheard { since } => since + self.pace.lost_after(),
-            LinkPhase::Lost { .. } => return None,
-        };
-        Some(unanswered.map_or(unheard, |at| at.min(unheard)))
+    /// Whether the peer was given up because envelopes got no receipt. It may have heard them all the same.
+    pub fn was_lost_unanswered(&self) -> bool {
+        self.lost_unanswered && matches!(self.phase, LinkPhase::Lost { .. })
     }
 
     /// Whether envelopes got no receipt for too long.
@@ -615,7 +610,9 @@
             LinkPhase::Unheard { since } => now.since(*since),
             LinkPhase::Live | LinkPhase::Silent => now.since(self.last_heard),
         };
-        if refused || quiet >= self.pace.lost_after() || self.is_unanswered(now) {
+        let unheard = quiet >= self.pace.lost_after();
+        if refused || unheard || self.is_unanswered(now) {
+            self.lost_unanswered = !refused && !unheard;
             self.give_up(now, refused);
             return true;
         }
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -154,7 +154,7 @@
     assert!(!pair.b.judge(START + silent_after, false));
     assert_eq!(pair.b.phase(), LinkPhase::Silent);
     let lost_at = START + LOST_AFTER;
-    assert_eq!(pair.b.judge_due(), Some(lost_at));
+    assert!(!pair.b.judge(lost_at - ms(1), false));
     assert!(pair.b.judge(lost_at, false));
     assert!(!pair.b.judge(lost_at, false), "it is given up once");
     assert!(pair.b.holdings().is_empty());
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -362,3 +362,45 @@
     fleet.run_for(Duration::from_secs(3));
     assert_eq!(fleet.engine(0).view().live_peers, 3);
 }
+
+/// A home is cut off from a holder that sends envelopes rarely. Guards against a task that is started anew
+/// while the holder, which has heard the home later than the other way round, still renews its lease.
+#[test]
+fn a_cut_home_starts_nothing_that_its_holder_still_runs() {
+    for seed in 0..20 {
+        let mut settings = FleetSettings::default();
+        settings.links.pace.far_share = Duration::from_millis(4800);
+        let mut fleet = SimFleet::new(SimOptions {
+            seed,
+            vms: vec![1, 1],
+            targets: vec![1, 4],
+            settings,
+            ..SimOptions::default()
+        });
+        fleet.targets[0].draining = true;
+        fleet.run_for(Duration::from_secs(12) + Duration::from_millis(97 * seed));
+        let job = fleet.submit(
+            0,
+            JobShape {
+                tasks: 3,
+                cores: 40,
+                work: Duration::from_secs(8),
+                declared: Duration::from_secs(8),
+                patience: Duration::from_secs(30),
+                ..JobShape::default()
+            },
+        );
+        fleet.targets[0].draining = false;
+        fleet.run_for(Duration::from_millis(1500));
+        assert!(fleet.jobs[&job].started);
+        let zone = fleet.zone_of(0).clone();
+        fleet.cut_zone(&zone);
+        // The holder is held up as it should notice the cut.
+        fleet.run_for(Duration::from_millis(700));
+        fleet.freeze_vm(1, Duration::from_millis(600));
+        // Each start checks that the task runs nowhere else.
+        fleet.run_for(Duration::from_secs(5));
+        let placed = fleet.targets[0].starts;
+        assert!(placed > 0, "the home goes on with its own target");
+    }
+}
