Let requests wait for a VM that is starting

Change: a request waits up to one second for the VM to have its configuration and targets; after that it is refused as before.

--- a/crates/filbertpitch/src/fleet/callers.rs
+++ b/crates/filbertpitch/src/fleet/callers.rs
@@ -1,8 +1,9 @@
 //! The requests of clients, and the balancer's question whether this VM takes connections.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use filbertpitch_fleet::engine::FleetEvent;
+use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_platform::callers::{self, CallerCall, CallerVerb};
 use filbertpitch_types::fleet::PeerState;
 use filbertpitch_types::prelude::*;
@@ -12,6 +13,13 @@
 
 use super::driver::FleetDriver;
 
+/// How long a request waits for a VM that is starting. A start takes a few hundred milliseconds on a small
+/// VM, and a client that is refused does not return sooner.
+const START_WAIT: Duration = Duration::from_secs(1);
+
+/// How often a waiting request looks whether the VM has started.
+const START_POLL: Duration = Duration::from_millis(20);
+
 /// Answers clients.
 pub(super) struct CallerHandler {
     driver: Rc<FleetDriver>,
@@ -22,6 +30,16 @@
         Self { driver }
     }
 
+    /// Waits until this VM has a configuration and knows its targets, or for too long.
+    async fn await_start(&self) {
+        let mut waited = Duration::ZERO;
+        let starting = |engine: &FleetEngine| engine.state() == PeerState::Starting;
+        while waited < START_WAIT && self.driver.inspect(starting) {
+            monoio::time::sleep(START_POLL).await;
+            waited += START_POLL;
+        }
+    }
+
     async fn submit(&self, call: &CallerCall, request: &ServerRequest) -> ServerResponse {
         let found = self.driver.inspect(|engine| {
             let found = engine.catalog().find(&call.host, request.path())?;
@@ -90,6 +108,7 @@
 
 impl RequestHandler for CallerHandler {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        self.await_start().await;
         let configured = self
             .driver
             .inspect(|engine| engine.catalog().version().is_some());
