Leave changes out of the feed that fit no record

Cause: a feed record wrote values as arrays of numbers, four times their size. When the store returns after the entries of all 1,100 targets have lapsed, the record exceeds the 256 KiB that the platform takes; publishing fails, and each VM encodes and sends it again about once a second.

Change: values are text; a record with more than 64 KiB of changes is published without them, which is a gap, so that the others read the list itself. Test: changes_that_fit_no_record_are_read_from_the_list.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -393,7 +393,7 @@
     let value = record.value.as_ref();
     let record = ListRecord {
         key: record.key.clone(),
-        value: value.map(|value| value.to_vec()),
+        value: value.map(|value| std::str::from_utf8(value).unwrap_or_default().into()),
     };
     ListEntry {
         offset,
@@ -403,5 +403,5 @@
 }
 
 fn read_record(record: &ListRecord) -> Option<TargetNotice> {
-    read_target(&record.key, record.value.as_deref())
+    read_target(&record.key, record.value.as_deref().map(str::as_bytes))
 }
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -8,13 +8,17 @@
 //!
 //! Each record of the feed covers a range of the list's offsets and follows the one before. A VM that
 //! finds a gap reads the list itself from where its own knowledge ends, and the whole list if that part
-//! is not kept any more.
+//! is not kept any more. More changes than fit one record are left out on purpose: that is a gap, too.
 
 use std::collections::BTreeMap;
 
 use filbertpitch_types::fleet::{FeedRecord, ListRecord, TargetNotice};
 use filbertpitch_types::prelude::*;
 
+/// The most bytes of changes in a record of the feed: a quarter of what the platform takes, since text grows
+/// when it is encoded.
+const FEED_RECORD_BYTES: usize = 64 << 10;
+
 /// A record of the list and what it says.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListEntry {
@@ -136,11 +140,21 @@
 
     /// The next record of the feed, if this VM is the one to publish it.
     pub fn next_record(&self) -> FeedRecord {
-        let changes = self.pending.values();
+        let records = self.pending.values().map(|(_, record)| record);
+        let bytes = records
+            .clone()
+            .map(|record| record.key.len() + record.value.as_ref().map_or(0, |value| value.len()));
+        if bytes.sum::<usize>() > FEED_RECORD_BYTES {
+            return FeedRecord {
+                from: self.through,
+                through: self.through,
+                changes: Vec::new(),
+            };
+        }
         FeedRecord {
             from: self.covered,
             through: self.through,
-            changes: changes.map(|(_, record)| record.clone()).collect(),
+            changes: records.cloned().collect(),
         }
     }
 
--- a/crates/fleet/tests/list_feed.rs
+++ b/crates/fleet/tests/list_feed.rs
@@ -19,7 +19,7 @@
 fn entry(offset: u64, key: &str, value: Option<u8>) -> ListEntry {
     let record = ListRecord {
         key: key.into(),
-        value: value.map(|value| vec![value]),
+        value: value.map(|value| value.to_string().into()),
     };
     ListEntry {
         offset: LogOffset(offset),
@@ -112,6 +112,28 @@
     assert_eq!(next.changes, [entry(2, "b", Some(1)).record]);
 }
 
+/// All targets are listed anew, for example after the store was away. Guards against a record that the
+/// platform refuses for its size, again and again at each VM.
+#[test]
+fn changes_that_fit_no_record_are_read_from_the_list() {
+    let mut writer = started(&["a"], 1);
+    let mut reader = started(&["a"], 1);
+    let entries = (0..1100_u64).map(|target| {
+        let mut entry = entry(target + 1, &format!("target-{target}"), Some(1));
+        entry.record.value = Some("x".repeat(250).into());
+        entry
+    });
+    let entries = entries.collect::<Vec<_>>();
+    writer.take_changes(entries.clone(), LogOffset(1101));
+    let record = writer.next_record();
+    assert_eq!(record.changes, []);
+    assert_eq!(reader.take_feed(record.clone(), read), Err(FeedGap));
+    reader.take_changes(entries, LogOffset(1101));
+    assert_eq!(reader.take_feed(record.clone(), read), Ok(vec![]));
+    writer.published(record.through);
+    assert_eq!(writer.next_record(), record);
+}
+
 proptest! {
     /// Several VMs read the list and the feed in any order, and publish when they have read the feed to its
     /// end. Guards against a VM whose knowledge differs from the list.
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -116,8 +116,8 @@
 pub struct ListRecord {
     /// The key.
     pub key: Box<str>,
-    /// The value; none when the key was removed.
-    pub value: Option<Vec<u8>>,
+    /// The value, empty if it is no text; none when the key was removed.
+    pub value: Option<Box<str>>,
 }
 
 /// A record of the feed: the latest records of the keys whose entries have changed in a range of the
