Remember a repeated start while the hold is confirmed again

Cause, found by reading the whole change: confirming a hold again, for example after another start was refused as late, forgot which starts had been sent more than once. A refusal of such a start was then taken for proof that it had not run, although an earlier send may have been carried out.

Change: only a claim under a new token forgets open starts; their answers are not taken any more then. Test: a_repeated_start_is_remembered_while_the_hold_is_confirmed_again, failed before.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -327,7 +327,6 @@
         self.quick_look = None;
         self.quick_wanted = false;
         self.look_due = now;
-        self.open_starts.clear();
     }
 
     /// Whether the target has not confirmed the claim for so long that another VM may have held it
@@ -343,6 +342,7 @@
     pub fn claim_again(&mut self, now: TimePoint, token: FencingToken) {
         self.token = token;
         self.reconfirm(now);
+        self.open_starts.clear();
         let open = self
             .ledger
             .runs()
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -576,3 +576,17 @@
     assert_eq!(outcome.foreign_runs, [later]);
     assert_eq!(holder.free(), RoomSize::default(), "its room is not known");
 }
+
+/// Another refusal makes the holder look at its target again while a repeated start is under way. Guards
+/// against a refusal of that start that is taken for proof.
+#[test]
+fn a_repeated_start_is_remembered_while_the_hold_is_confirmed_again() {
+    let mut holder = Holder::confirmed();
+    let run = holder.order(0).run;
+    let silent = StartAnswer::Silent;
+    holder.target.start_answered(holder.now, run, silent);
+    holder.target.reconfirm(holder.now);
+    let refused = StartAnswer::Refused(StartRefusal::OldRun, None);
+    let outcome = holder.target.start_answered(holder.now, run, refused);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+}
