--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -43,7 +43,7 @@
             job,
             queue,
             tasks,
-            objective,
+            estimate,
             client_timeout: patience,
             version,
         } => log.record(
@@ -52,7 +52,9 @@
                 "job" => %job,
                 "queue" => queue.as_str(),
                 "tasks" => tasks,
-                "objective_ms" => millis(*objective),
+                "objective_ms" => millis(estimate.objective),
+                "run_ms" => millis(estimate.run_time),
+                "work" => estimate.work,
                 "patience_ms" => millis(*patience),
                 "version" => version.map(|version| version.0)
             ),
@@ -76,13 +78,17 @@
             queue,
             reason,
             wait,
+            estimate,
         } => log.record(
             LogEvent::JobRejected,
             b!(
                 "job" => %job,
                 "queue" => queue.as_str(),
                 "reason" => reason.as_str(),
-                "wait_ms" => millis(*wait)
+                "wait_ms" => millis(*wait),
+                "objective_ms" => millis(estimate.objective),
+                "run_ms" => millis(estimate.run_time),
+                "work" => estimate.work
             ),
         ),
         FleetNotice::JobAbandoned { job, took } => log.record(
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -12,15 +12,16 @@
 use rand::Rng;
 
 use super::FleetEngine;
-use crate::job_table::{JobPlan, padded_run_time, task_work};
+use crate::job_table::{JobEstimate, JobPlan, padded_run_time, task_work};
 
 /// Bounds of the delay after which a rejected client is asked to return.
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
-/// The expected work of a job, in core-milliseconds.
-pub(super) fn job_work(order: &JobSpec, plan: &JobPlan) -> u64 {
-    let steps = order.steps.iter().zip(&plan.expected);
+/// The expected work of a job, in core-milliseconds, from the expected run time of the tasks of each
+/// step.
+fn job_work(spec: &JobSpec, expected: &[Duration]) -> u64 {
+    let steps = spec.steps.iter().zip(expected);
     let works =
         steps.map(|(step, expected)| task_work(&step.resources, *expected) * u64::from(step.count));
     works.sum()
@@ -41,6 +42,8 @@
     pub(super) reason: RejectReason,
     /// How long the job would exceed its objective; zero if the load is not the reason.
     pub(super) wait: Duration,
+    /// What was expected of the job; zero if the reason was known before.
+    pub(super) estimate: JobEstimate,
 }
 
 impl JobRejection {
@@ -48,6 +51,7 @@
         Self {
             reason,
             wait: Duration::ZERO,
+            estimate: JobEstimate::default(),
         }
     }
 }
@@ -84,15 +88,16 @@
             return Err(JobRejection::now(RejectReason::NoCapableTarget));
         }
         let plan = self.build_plan(queue, spec, order, client_timeout);
-        let ends_at = self.now() + padded_run_time(plan.expected.iter().sum());
+        let ends_at = self.now() + padded_run_time(plan.estimate.run_time);
         if self.drain_ends_at.is_some_and(|limit| ends_at > limit) {
             return Err(JobRejection::now(RejectReason::Stopping));
         }
-        match self.check_load(order, &plan) {
+        match self.check_load(&plan) {
             Ok(()) => Ok(plan),
             Err(wait) => Err(JobRejection {
                 reason: RejectReason::Overloaded,
                 wait,
+                estimate: plan.estimate,
             }),
         }
     }
@@ -121,13 +126,17 @@
                     .predict_run_time(queue, step.declared, client_timeout)
             })
             .collect::<Vec<_>>();
-        let chain = expected.iter().sum::<Duration>();
-        let objective = chain.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
+        let run_time = expected.iter().sum::<Duration>();
+        let estimate = JobEstimate {
+            objective: run_time.mul_f64(spec.stretch.max(1.0)) + spec.allowance,
+            run_time,
+            work: job_work(order, &expected),
+        };
         let client_timeout = client_timeout.min(self.settings.client_timeout_limit);
         JobPlan {
             queue,
             priority: spec.priority,
-            objective,
+            estimate,
             client_timeout,
             expected,
         }
@@ -135,9 +144,13 @@
 
     /// Checks a job against the current load. The error is the time by which the waiting work
     /// exceeds what can be done before the job must start.
-    fn check_load(&mut self, order: &JobSpec, plan: &JobPlan) -> Result<(), Duration> {
+    fn check_load(&mut self, plan: &JobPlan) -> Result<(), Duration> {
         let now = self.now();
-        let work = job_work(order, plan);
+        let JobEstimate {
+            objective,
+            run_time,
+            work,
+        } = plan.estimate;
         self.offered_rates.record(now, plan.priority, work);
         let cores = self.usable_cores();
         if cores <= 0.0 {
@@ -150,8 +163,7 @@
         }
         // Jobs of higher priority continue to arrive and are served first.
         let cores = (cores - load.offered_above).max(cores * MIN_CORE_SHARE);
-        let needed = plan.expected.iter().sum::<Duration>();
-        let slack = plan.objective.saturating_sub(padded_run_time(needed));
+        let slack = objective.saturating_sub(padded_run_time(run_time));
         let excess = load.waiting.excess_ms(plan.priority, slack, work, cores);
         match excess > 0.0 {
             true => Err(Duration::from_secs_f64(excess / 1000.0)),
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -16,6 +16,7 @@
 use filbertpitch_types::prelude::*;
 
 use crate::held::{PollNumber, PollPlan};
+use crate::job_table::JobEstimate;
 
 /// An input of the engine.
 #[derive(Debug)]
@@ -194,8 +195,8 @@
         queue: QueueName,
         /// The number of its tasks.
         tasks: usize,
-        /// The target time from arrival to answer.
-        objective: Duration,
+        /// What was expected of the job.
+        estimate: JobEstimate,
         /// How long the client waits for the answer.
         client_timeout: Duration,
         /// The version of the configuration in force.
@@ -222,6 +223,8 @@
         reason: RejectReason,
         /// The time by which the load exceeds what the job's objective permits.
         wait: Duration,
+        /// What was expected of the job; zero if the reason was known before.
+        estimate: JobEstimate,
     },
     /// The last client of a job disconnected before the answer.
     JobAbandoned {
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -39,6 +39,7 @@
                     queue: self.catalog.name(queue).clone(),
                     reason: rejection.reason,
                     wait: rejection.wait,
+                    estimate: rejection.estimate,
                 });
                 let reply = JobReply::Rejected {
                     reason: rejection.reason,
@@ -54,7 +55,7 @@
     fn accept_job(&mut self, caller: CallerToken, order: JobSpec, plan: JobPlan) {
         let now = self.now();
         self.counters.jobs_accepted += 1;
-        let (id, objective, queue) = (order.id, plan.objective, plan.queue);
+        let (id, estimate, queue) = (order.id, plan.estimate, plan.queue);
         let client_timeout = plan.client_timeout;
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
@@ -67,7 +68,7 @@
             job: id,
             queue: self.catalog.name(queue).clone(),
             tasks,
-            objective,
+            estimate,
             client_timeout,
             version: self.catalog.version(),
         });
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -236,6 +236,17 @@
     waiting: BTreeSet<QueuePosition>,
 }
 
+/// What a coordinator expects of a job when it arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JobEstimate {
+    /// The target time from arrival to answer.
+    pub objective: Duration,
+    /// The run time of the longest chain of steps.
+    pub run_time: Duration,
+    /// The work of all tasks, in core-milliseconds.
+    pub work: u64,
+}
+
 /// The scheduling parameters of a new job.
 #[derive(Clone, Debug)]
 pub struct JobPlan {
@@ -243,8 +254,8 @@
     pub queue: KindIndex,
     /// The priority of the queue; 0 is the most important.
     pub priority: u8,
-    /// The time in which the job should be answered.
-    pub objective: Duration,
+    /// What is expected of the job as a whole.
+    pub estimate: JobEstimate,
     /// How long the client waits for the answer.
     pub client_timeout: Duration,
     /// The expected run time of a task, for each step.
@@ -289,7 +300,7 @@
             queue: plan.queue,
             priority: plan.priority,
             arrived: now,
-            objective: plan.objective,
+            objective: plan.estimate.objective,
             client_timeout: plan.client_timeout,
             client_deadline: now + plan.client_timeout,
             longest_run: Duration::ZERO,
--- a/crates/fleet/tests/job_queue.rs
+++ b/crates/fleet/tests/job_queue.rs
@@ -5,7 +5,7 @@
 
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_fleet::job_table::{JobPlan, JobTable, TaskPhase, TaskRef};
+use filbertpitch_fleet::job_table::{JobEstimate, JobPlan, JobTable, TaskPhase, TaskRef};
 use filbertpitch_types::fleet::{JobSpec, StepSpec, TaskTimeliness};
 use filbertpitch_types::prelude::*;
 
@@ -39,7 +39,10 @@
     let plan = JobPlan {
         queue: KindIndex::from(0),
         priority,
-        objective,
+        estimate: JobEstimate {
+            objective,
+            ..JobEstimate::default()
+        },
         client_timeout: ms(5000),
         expected: vec![ms(100); steps.len()],
     };
