Claim targets at once when all VMs have just started

Change: envelopes say how long the sender's process has been up. A VM that has just started, and hears only such VMs, claims without waiting; as candidates for the assignment it counts the VMs that it knows from the store and has not heard, so that each claims its own share and nothing moves when the next one starts. An envelope to a process that was replaced no longer blocks the next one for its time-out of 250 ms, so that both sides know each other after one round trip.

--- a/crates/filbertpitch/src/fleet/peers.rs
+++ b/crates/filbertpitch/src/fleet/peers.rs
@@ -9,6 +9,7 @@
 use filbertpitch_dispatch::entity::VmIndex;
 use filbertpitch_fleet::engine::FleetEvent;
 use filbertpitch_types::fleet::{EnvelopeAck, PeerEnvelope};
+use filbertpitch_types::prelude::*;
 use filbertpitch_wire::client::{ClientErrorKind, ConnectionPool, PoolLimits, RequestOptions};
 use filbertpitch_wire::codec::BodyFormat;
 use filbertpitch_wire::message::{ClientRequest, ServerRequest, ServerResponse};
@@ -50,7 +51,7 @@
     pub(super) fn send(
         &self,
         driver: &Rc<FleetDriver>,
-        peer: Option<VmIndex>,
+        peer: Option<(VmIndex, EnvelopeNumber)>,
         address: SocketAddr,
         envelope: PeerEnvelope,
     ) {
@@ -58,16 +59,20 @@
         let driver = Rc::clone(driver);
         monoio::spawn(async move {
             let result = exchange(&pool, &envelope).await;
-            let Some(peer) = peer else {
+            let Some((peer, number)) = peer else {
                 return;
             };
             driver.feed(match result {
-                Ok(receipt) => FleetEvent::EnvelopeAcked { peer, ack: receipt },
+                Ok(ack) => FleetEvent::EnvelopeAcked { peer, number, ack },
                 Err(kind) => {
                     // Established connections may be silent although new ones work.
                     pool.close_idle();
                     let refused = kind == Some(ClientErrorKind::Refused);
-                    FleetEvent::EnvelopeFailed { peer, refused }
+                    FleetEvent::EnvelopeFailed {
+                        peer,
+                        number,
+                        refused,
+                    }
                 }
             });
         });
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -35,6 +35,8 @@
     EnvelopeAcked {
         /// The peer that the envelope was sent to.
         peer: VmIndex,
+        /// The envelope.
+        number: EnvelopeNumber,
         /// The acknowledgement.
         ack: EnvelopeAck,
     },
@@ -42,6 +44,8 @@
     EnvelopeFailed {
         /// The peer that the envelope was sent to.
         peer: VmIndex,
+        /// The envelope.
+        number: EnvelopeNumber,
         /// Whether the connection was refused, so that no process listens there.
         refused: bool,
     },
@@ -123,8 +127,8 @@
     },
     /// Send an envelope to a peer.
     SendEnvelope {
-        /// The peer; `None` for a seed address where one may listen.
-        peer: Option<VmIndex>,
+        /// The peer and the number of the envelope; `None` for a seed address where one may listen.
+        peer: Option<(VmIndex, EnvelopeNumber)>,
         /// The address to send to.
         address: SocketAddr,
         /// The envelope.
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -139,7 +139,10 @@
         self.claim_targets();
     }
 
+    /// Assigns each target to one of the VMs that are present. A VM that has just started counts those
+    /// as present that it has not heard yet: after a loss of all VMs they are starting, too.
     fn assign_holders(&self) -> TiVec<TargetIndex, Option<VmIndex>> {
+        let young = self.has_just_started();
         let mut members = self
             .links
             .iter_enumerated()
@@ -149,11 +152,8 @@
                     self.vms.name(vm).as_str(),
                     &self.identity,
                 )),
-                Some(link) => link.is_holder_candidate().then_some((
-                    vm,
-                    self.vms.name(vm).as_str(),
-                    link.identity(),
-                )),
+                Some(link) => (link.is_holder_candidate() || (young && link.is_awaited()))
+                    .then_some((vm, self.vms.name(vm).as_str(), link.identity())),
             })
             .collect::<Vec<_>>();
         members.sort_unstable_by_key(|(_, name, _)| *name);
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -192,12 +192,14 @@
             FleetEvent::TargetsListed => self.finish_listing(),
             FleetEvent::PeersFound(peers) => self.update_peers(peers),
             FleetEvent::SeedsFound(seeds) => self.add_seeds(seeds),
-            FleetEvent::EnvelopeAcked { peer, ack: receipt } => {
-                self.receive_ack(peer, &receipt);
-            }
-            FleetEvent::EnvelopeFailed { peer, refused } => {
-                self.receive_envelope_failure(peer, refused)
+            FleetEvent::EnvelopeAcked { peer, number, ack } => {
+                self.receive_ack(peer, number, &ack);
             }
+            FleetEvent::EnvelopeFailed {
+                peer,
+                number,
+                refused,
+            } => self.receive_envelope_failure(peer, number, refused),
             FleetEvent::JobSubmitted {
                 caller,
                 queue,
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -12,6 +12,7 @@
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
 
+use super::holding::millis;
 use super::{FleetAction, FleetEngine, FleetNotice};
 use crate::heartbeat::{PeerCounts, PeerLocality};
 use crate::held::HeldTarget;
@@ -94,6 +95,7 @@
             };
             let link = PeerLink::new(settings, identity.clone(), locality, self.clock.time);
             self.links.push(Some(link));
+            self.invalidate_assignment();
         }
         peer
     }
@@ -141,9 +143,10 @@
         }
     }
 
-    pub(super) fn receive_ack(&mut self, peer: VmIndex, ack: &EnvelopeAck) {
+    pub(super) fn receive_ack(&mut self, peer: VmIndex, number: EnvelopeNumber, ack: &EnvelopeAck) {
         let now = self.now();
-        let Some(link) = &mut self.links[peer] else {
+        let link = self.links[peer].as_mut();
+        let Some(link) = link.filter(|link| link.is_in_flight(number)) else {
             return;
         };
         if let Some(contact) = link.handle_ack(now, ack) {
@@ -151,9 +154,15 @@
         }
     }
 
-    pub(super) fn receive_envelope_failure(&mut self, peer: VmIndex, refused: bool) {
+    pub(super) fn receive_envelope_failure(
+        &mut self,
+        peer: VmIndex,
+        number: EnvelopeNumber,
+        refused: bool,
+    ) {
         let now = self.now();
-        let Some(link) = &mut self.links[peer] else {
+        let link = self.links[peer].as_mut();
+        let Some(link) = link.filter(|link| link.is_in_flight(number)) else {
             return;
         };
         link.handle_send_failure();
@@ -311,10 +320,10 @@
                 .as_mut()
                 .expect("a peer with an envelope due has a link");
             let address = link.identity().address;
-            let envelope = link.complete_envelope(now, template.clone());
+            let (number, envelope) = link.complete_envelope(now, template.clone());
             self.counters.envelopes_sent += 1;
             self.actions.push(FleetAction::SendEnvelope {
-                peer: Some(peer),
+                peer: Some((peer, number)),
                 address,
                 envelope: Box::new(envelope),
             });
@@ -389,6 +398,7 @@
             heard_until: None,
             heartbeat_interval_ms: 0,
             state: self.state,
+            uptime_ms: millis(now.since(self.started_at)),
             config_version: self.catalog.version(),
             first_message: 0,
             messages: Vec::new(),
--- a/crates/fleet/src/engine/takeover.rs
+++ b/crates/fleet/src/engine/takeover.rs
@@ -23,7 +23,7 @@
             false => Vec::new(),
         };
         let suspects = self.links.iter().flatten().any(PeerLink::is_suspect);
-        if !suspects {
+        if !suspects || self.is_fleet_starting() {
             self.zone_probers.clear();
             for target in wanted {
                 self.claim_target(target);
@@ -50,6 +50,22 @@
         }
     }
 
+    /// Whether this process and those of all live peers have just started: no VM that is not heard
+    /// holds a target, because it would be heard by some of them or would have been lost with them.
+    fn is_fleet_starting(&self) -> bool {
+        let now = self.now();
+        let links = self.links.iter().flatten();
+        let mut live = links.filter(|link| link.is_live()).peekable();
+        let any_live = live.peek().is_some();
+        let young = |link: &PeerLink| now.since(link.started_at()) < self.settings.settling_time;
+        any_live && self.has_just_started() && live.all(young)
+    }
+
+    /// Whether this process started less than the settling time ago.
+    pub(super) fn has_just_started(&self) -> bool {
+        self.now().since(self.started_at) < self.settings.settling_time
+    }
+
     /// The targets that are assigned to this VM, that no VM is known to hold, and that no silent VM
     /// may be holding. Targets that refused this VM's token recently are left out.
     fn claimable_targets(&self) -> Vec<TargetIndex> {
@@ -97,7 +113,7 @@
     /// Whether this process started so recently that the list of the other VMs may not have been
     /// read yet.
     fn awaits_peer_list(&self) -> bool {
-        !self.peers_listed && self.now().since(self.started_at) < self.settings.settling_time
+        !self.peers_listed && self.has_just_started()
     }
 
     fn send_probe(&mut self, target: TargetIndex) {
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -152,6 +152,8 @@
     last_heard: TimePoint,
     delays: DelayEstimator,
     state: PeerState,
+    /// When the peer's process started.
+    started_at: TimePoint,
     demand: DemandReport,
     /// The number of waiting tasks of the peer for which this VM may still offer capacity.
     offer_quota: u32,
@@ -161,6 +163,8 @@
     peer_losses: LossCount,
     own_losses: LossCount,
     latest_message: Option<LatestMessage>,
+    /// When the latest envelope of the peer was sent, on the peer's clock.
+    latest_envelope: Option<TimePoint>,
     /// When the message arrived that the latest envelope named as the last one heard.
     named_message_at: Option<TimePoint>,
     /// When the last message was sent that the peer says it has heard.
@@ -171,7 +175,9 @@
     outbox: VecDeque<FleetMessage>,
     first_message: u64,
     pending_requests: VecDeque<PendingRequest>,
-    in_flight: bool,
+    /// The envelope that is neither acknowledged nor known to have failed.
+    in_flight: Option<EnvelopeNumber>,
+    next_envelope: EnvelopeNumber,
     /// Whether the latest envelope was not acknowledged and nothing was heard since.
     unacked: bool,
     /// When the first unacknowledged envelope was sent, if nothing was heard since.
@@ -217,6 +223,7 @@
             last_heard: now,
             delays: DelayEstimator::default(),
             state: PeerState::Starting,
+            started_at: now,
             demand: DemandReport::default(),
             offer_quota: 0,
             holdings_version: 0,
@@ -225,13 +232,15 @@
             peer_losses: LossCount::default(),
             own_losses: LossCount::default(),
             latest_message: None,
+            latest_envelope: None,
             named_message_at: None,
             peer_heard_until: None,
             unheard_since: now,
             outbox: VecDeque::new(),
             first_message: 0,
             pending_requests: VecDeque::new(),
-            in_flight: false,
+            in_flight: None,
+            next_envelope: EnvelopeNumber(0),
             unacked: false,
             unacked_since: None,
             last_sent: None,
@@ -274,6 +283,12 @@
         present && self.state == PeerState::Ready
     }
 
+    /// Whether the peer's process is starting, or was not heard yet and may be about to start.
+    pub fn is_awaited(&self) -> bool {
+        let starting = self.is_live() && self.state == PeerState::Starting;
+        starting || matches!(self.phase, LinkPhase::NeverHeard { .. })
+    }
+
     /// Whether the peer can be asked to run tasks.
     pub fn accepts_work(&self) -> bool {
         self.is_live() && !self.unacked
@@ -284,6 +299,11 @@
         self.state
     }
 
+    /// When the peer's process started, as far as the peer was heard.
+    pub fn started_at(&self) -> TimePoint {
+        self.started_at
+    }
+
     /// The waiting tasks that the peer has reported.
     pub fn demand(&self) -> DemandReport {
         self.demand
@@ -394,10 +414,14 @@
         self.next_expected = known.map_or(0, |former| former.next_expected);
         self.peer_losses = LossCount::default();
         self.latest_message = None;
+        self.latest_envelope = None;
         self.named_message_at = None;
         self.peer_heard_until = None;
         self.drop_messages();
         self.acked_holdings = None;
+        // An envelope to the former process may be in flight until its time-out.
+        self.in_flight = None;
+        self.envelope_requested = true;
         contact
     }
 
@@ -489,8 +513,11 @@
             self.phase = LinkPhase::NeverHeard { since: now };
         }
         self.heard = true;
-        let is_latest = self.record_message(now, envelope.sent_at);
+        self.record_message(now, envelope.sent_at);
+        // Envelopes may overtake each other.
+        let is_latest = self.latest_envelope <= Some(envelope.sent_at);
         if is_latest {
+            self.latest_envelope = Some(envelope.sent_at);
             self.unacked = false;
             self.unacked_since = None;
             let interval = Duration::from_millis(envelope.heartbeat_interval_ms.into());
@@ -520,6 +547,7 @@
         if is_latest {
             update.changed |= envelope.state != self.state;
             self.state = envelope.state;
+            self.started_at = heard - Duration::from_millis(envelope.uptime_ms.into());
             self.demand = envelope.demand;
             update.changed |= self.apply_holdings(&envelope, resolve);
         }
@@ -574,18 +602,15 @@
         }
     }
 
-    /// Records a message of the peer. Returns whether it is the latest one; messages may overtake
-    /// each other.
-    fn record_message(&mut self, now: TimePoint, sent_at: TimePoint) -> bool {
-        let latest = self.latest_message;
-        let is_latest = latest.is_none_or(|latest| sent_at >= latest.sent_at);
-        if is_latest {
+    /// Records a message of the peer.
+    fn record_message(&mut self, now: TimePoint, sent_at: TimePoint) {
+        let later = |latest: LatestMessage| sent_at > latest.sent_at;
+        if self.latest_message.is_none_or(later) {
             self.latest_message = Some(LatestMessage {
                 sent_at,
                 arrived_at: now,
             });
         }
-        is_latest
     }
 
     /// Whether the peer has heard this VM before, but not recently.
@@ -613,7 +638,7 @@
         most_urgent: Option<DemandClass>,
         counts: PeerCounts,
     ) -> bool {
-        if self.in_flight {
+        if self.in_flight.is_some() {
             return false;
         }
         let elapsed = self.last_sent.map(|sent| now.since(sent));
@@ -633,7 +658,7 @@
 
     /// The latest time for the next envelope; `None` while one is in flight.
     pub fn heartbeat_due(&self) -> Option<TimePoint> {
-        if self.in_flight {
+        if self.in_flight.is_some() {
             return None;
         }
         let sent = self.last_sent.unwrap_or(TimePoint(0));
@@ -664,8 +689,10 @@
         &mut self,
         now: TimePoint,
         mut envelope: PeerEnvelope,
-    ) -> PeerEnvelope {
-        self.in_flight = true;
+    ) -> (EnvelopeNumber, PeerEnvelope) {
+        let number = self.next_envelope;
+        self.next_envelope = number.next();
+        self.in_flight = Some(number);
         self.envelope_requested = false;
         self.last_sent = Some(now);
         self.advertised_class = envelope.demand.class();
@@ -682,13 +709,19 @@
         if self.acked_holdings == Some(envelope.holdings_version) {
             envelope.holdings = None;
         }
-        envelope
+        (number, envelope)
+    }
+
+    /// Whether the outcome of an envelope is awaited. The outcome of an envelope to a former process
+    /// is not.
+    pub fn is_in_flight(&self, number: EnvelopeNumber) -> bool {
+        self.in_flight == Some(number)
     }
 
     /// Applies an acknowledgement. Returns the end of the contact with the former process if another
     /// one has sent the acknowledgement.
     pub fn handle_ack(&mut self, now: TimePoint, ack: &EnvelopeAck) -> Option<LostContact> {
-        self.in_flight = false;
+        self.in_flight = None;
         if ack.incarnation != self.identity.incarnation {
             let identity = PeerIdentity {
                 incarnation: ack.incarnation,
@@ -733,7 +766,7 @@
 
     /// Records that an envelope was not acknowledged.
     pub fn handle_send_failure(&mut self) {
-        self.in_flight = false;
+        self.in_flight = None;
         self.unacked = true;
         self.unacked_since = self.unacked_since.or(self.last_sent);
         self.heartbeat.record_missing_ack();
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -32,6 +32,7 @@
         heard_until: None,
         heartbeat_interval_ms: 150,
         state: PeerState::Ready,
+        uptime_ms: 60_000,
         config_version: None,
         first_message: 0,
         messages: Vec::new(),
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -53,6 +53,7 @@
         heard_until: None,
         heartbeat_interval_ms: 150,
         state: PeerState::Ready,
+        uptime_ms: 60_000,
         config_version: None,
         first_message: 0,
         messages: Vec::new(),
@@ -99,7 +100,7 @@
     /// The next envelope of A.
     fn envelope(&mut self) -> PeerEnvelope {
         let template = template(identity("vm-a", self.a_process), self.now);
-        self.a.complete_envelope(self.now, template)
+        self.a.complete_envelope(self.now, template).1
     }
 
     fn take(&mut self, envelope: PeerEnvelope) -> LinkUpdate {
@@ -118,7 +119,7 @@
     /// Sends an envelope from B to A.
     fn answer(&mut self) {
         let template = template(identity("vm-b", 2), self.now);
-        let envelope = self.b.complete_envelope(self.now, template);
+        let (_, envelope) = self.b.complete_envelope(self.now, template);
         self.a.receive(self.now, envelope, |_| TargetIndex::from(4));
         let ack = self.a.ack(self.now, IncarnationId(self.a_process));
         self.b.handle_ack(self.now, &ack);
@@ -389,6 +390,22 @@
     assert_eq!(pair.b.state(), PeerState::Ready);
 }
 
+/// Guards against ignoring the state in an envelope because an acknowledgement that was sent after it
+/// has arrived before it.
+#[test]
+fn ack_that_overtakes_an_envelope_does_not_hide_its_state() {
+    let mut pair = Pair::new();
+    let mut envelope = pair.envelope();
+    envelope.state = PeerState::Leaving;
+    pair.now = START + ms(1);
+    let to_a = template(identity("vm-b", 2), pair.now);
+    pair.b.complete_envelope(pair.now, to_a);
+    let ack = pair.a.ack(pair.now, IncarnationId(1));
+    pair.b.handle_ack(pair.now, &ack);
+    pair.take(envelope);
+    assert_eq!(pair.b.state(), PeerState::Leaving);
+}
+
 /// Guards against requesting the same capacity twice before the holder reports again.
 #[test]
 fn requested_capacity_is_not_free() {
--- a/crates/fleet/tests/load_patterns.rs
+++ b/crates/fleet/tests/load_patterns.rs
@@ -422,3 +422,19 @@
         );
     }
 }
+
+/// All VMs lose power and start again one after the other, while the records of all of them are still
+/// in the store. Guards against targets without a holder until the last VM has started.
+#[test]
+fn restarted_vms_claim_targets_before_the_last_one_has_started() {
+    let mut fleet = seven_vm_fleet(10, &FleetSettings::default());
+    for vm in 0..fleet.vm_count() {
+        let down_for = Duration::from_millis(1100 + 100 * vm as u64);
+        fleet.kill_vm(vm, down_for, true);
+    }
+    // All three VMs of the first zone have started, and one of the four others.
+    fleet.run_for(Duration::from_millis(1450));
+    assert_eq!(fleet.confirmed_targets(&[0, 1, 2]), 16);
+    fleet.run_for(Duration::from_millis(1000));
+    assert_eq!(fleet.confirmed_targets(&[0, 1, 2, 3, 4, 5, 6]), 48);
+}
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -101,19 +101,19 @@
         call: u64,
         from: usize,
         to: usize,
-        peer: Option<VmIndex>,
+        peer: Option<(VmIndex, EnvelopeNumber)>,
         envelope: Box<PeerEnvelope>,
     },
     Ack {
         call: u64,
         from: usize,
-        peer: VmIndex,
+        peer: (VmIndex, EnvelopeNumber),
         ack: EnvelopeAck,
     },
     EnvelopeLost {
         call: u64,
         from: usize,
-        peer: VmIndex,
+        peer: (VmIndex, EnvelopeNumber),
         refused: bool,
     },
     StartArrives(StartArrival),
@@ -603,23 +603,28 @@
             SimEvent::Ack {
                 call,
                 from,
-                peer,
+                peer: (peer, number),
                 ack,
             } => {
                 if self.is_call_live(call, from) {
                     self.open_calls.remove(&call);
-                    self.feed(from, FleetEvent::EnvelopeAcked { peer, ack });
+                    self.feed(from, FleetEvent::EnvelopeAcked { peer, number, ack });
                 }
             }
             SimEvent::EnvelopeLost {
                 call,
                 from,
-                peer,
+                peer: (peer, number),
                 refused,
             } => {
                 if self.is_call_live(call, from) {
                     self.open_calls.remove(&call);
-                    self.feed(from, FleetEvent::EnvelopeFailed { peer, refused });
+                    let failed = FleetEvent::EnvelopeFailed {
+                        peer,
+                        number,
+                        refused,
+                    };
+                    self.feed(from, failed);
                 }
             }
             SimEvent::StartArrives(arrival) => self.execute_start(arrival),
@@ -979,7 +984,7 @@
         call: u64,
         from: usize,
         to: usize,
-        peer: Option<VmIndex>,
+        peer: Option<(VmIndex, EnvelopeNumber)>,
         envelope: PeerEnvelope,
     ) {
         if self.vm_cuts.contains(&(from, to)) {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -632,6 +632,8 @@
     pub heartbeat_interval_ms: u32,
     /// The lifecycle state of the sender.
     pub state: PeerState,
+    /// How long ago the sender's process has started, in milliseconds.
+    pub uptime_ms: u32,
     /// The version of the sender's configuration, if it has one.
     pub config_version: Option<ConfigVersion>,
     /// The number of the first message.
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -187,6 +187,11 @@
     LossCount(u32), "loss count"
 );
 
+number_type!(
+    /// Identifies an envelope among those that a VM has sent to one peer.
+    EnvelopeNumber(u64), "envelope number"
+);
+
 /// Identifies an incarnation, which is one process of an entry VM, by 64 random bits that are chosen
 /// when the process starts. A restart on the same VM is another incarnation.
 #[derive(
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -1,10 +1,10 @@
 //! Re-exports of the types that nearly every module uses.
 
 pub use crate::ids::{
-    AttemptId, AttemptNumber, ConfigVersion, EpochNumber, FencingToken, IncarnationId, JobNumber,
-    KindName, LogOffset, LossCount, OwnerPrefix, QueueName, RunNumber, ServiceName, SubmissionId,
-    TargetBoot, TargetName, TargetTime, TaskIndex, TeamName, TicketNonce, TicketNumber, VmName,
-    ZoneName,
+    AttemptId, AttemptNumber, ConfigVersion, EnvelopeNumber, EpochNumber, FencingToken,
+    IncarnationId, JobNumber, KindName, LogOffset, LossCount, OwnerPrefix, QueueName, RunNumber,
+    ServiceName, SubmissionId, TargetBoot, TargetName, TargetTime, TaskIndex, TeamName,
+    TicketNonce, TicketNumber, VmName, ZoneName,
 };
 pub use crate::outcome::{FailureReason, JobOutcome, NotRunReason, TaskOutcome, UnknownReason};
 pub use crate::resources::{GpuCount, MemoryMib, MilliCores, ResourceVector};
