Give up tasks that crash the targets that start them

Cause: nothing counted crashes. A run that is lost with its target ends when its lease has expired, and an expired lease only led to the next start; failures count at one coordinator and only if the target reports them. Class of fault: a retry without a limit for one way to fail, and a count kept where it is lost with the process that keeps it.

Ruled out: counting expired leases in place of crashes, which would give up tasks after two partitions; and counting at the coordinator alone, which forgets with each VM that a client turns to.

Change: - A holder learns of a crash from a refused connection or from another instance of the target, about 10 ms after it, long before the lease has expired. It tells the VMs of the coordinators' zones, to which clients turn next. VMs that hear each other again exchange the latest crashes. - The next run of a task with a recorded crash is a trial: no other run starts on the target within 500 ms before or after. A task is given up after two crashes if no other task can have caused one of them, or after three in any company, so that tasks beside it are not given up with it. Its job is answered as failed at once, also where it is sent again. - Under load no target is ever idle, so a VM reserves one of eight held targets for trials. Targets that are down count, so that trials cost few targets at a time. Of the tasks of one job, one is tried at a time. - When a run is over is decided as before: a refused connection does not prove that. - New events target_crashed (805) and task_suspected (908), new metrics targets_crashed and jobs_given_up.

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -221,6 +221,9 @@
     804 LoadSampled "load_sampled" Info
         "How full the targets are that this VM holds, once a second."
         "Add targets if `open_m` stays near zero while tasks wait.";
+    805 TargetCrashed "target_crashed" Warning
+        "Nothing listens at the address of a held target, or it has started anew; it had runs."
+        "Look for `task_suspected` with the same target, and at the target if there is none.";
     900 JobAccepted "job_accepted" Info
         "A job was accepted."
         "None.";
@@ -245,6 +248,9 @@
     907 RunEnded "run_ended" Info
         "A run has ended without being done; `end` says how."
         "Look for other runs on the same target.";
+    908 TaskSuspected "task_suspected" Warning
+        "A target has crashed while it had a task; the task is tried alone, or its job is given up."
+        "If `given_up`, tell the owner of the job: the task crashes the targets that start it.";
 }
 
 impl EventSpec {
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -165,6 +165,16 @@
             "Targets found with another holder",
             counters.targets_fenced,
         ),
+        (
+            "targets_crashed",
+            "Held targets that crashed while they had runs",
+            counters.targets_crashed,
+        ),
+        (
+            "jobs_given_up",
+            "Jobs given up because a task crashes its targets",
+            counters.jobs_given_up,
+        ),
     ];
     for (name, help, value) in values {
         let counter = Counter::<u64>::default();
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -125,6 +125,20 @@
                 "reason" => refusal_word(*refusal)
             ),
         ),
+        FleetNotice::TaskSuspected {
+            task,
+            target,
+            crashes,
+            given_up,
+        } => log.record(
+            LogEvent::TaskSuspected,
+            b!(
+                "task" => %task,
+                "target" => target.as_str(),
+                "crashes" => crashes,
+                "given_up" => given_up
+            ),
+        ),
         FleetNotice::StartRefused {
             run,
             target,
@@ -160,6 +174,10 @@
             LogEvent::TargetUnreachable,
             b!("target" => target.as_str(), "runs" => runs),
         ),
+        FleetNotice::TargetCrashed { target, runs } => log.record(
+            LogEvent::TargetCrashed,
+            b!("target" => target.as_str(), "runs" => runs),
+        ),
         FleetNotice::TargetReachable(target) => {
             log.record(LogEvent::TargetReachable, b!("target" => target.as_str()))
         }
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -300,6 +300,24 @@
         /// The number of runs on the target.
         runs: usize,
     },
+    /// A held target has crashed while it had runs, or seems to have crashed.
+    TargetCrashed {
+        /// The target.
+        target: TargetName,
+        /// The number of runs on the target.
+        runs: usize,
+    },
+    /// A crash of a target was recorded for a task of a job of this VM.
+    TaskSuspected {
+        /// The task.
+        task: TaskName,
+        /// The target that has crashed.
+        target: TargetName,
+        /// The number of crashes recorded for the task.
+        crashes: usize,
+        /// Whether the task is given up as their cause.
+        given_up: bool,
+    },
     /// A held target responds again.
     TargetReachable(TargetName),
     /// A held target has restarted.
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -395,19 +395,27 @@
                 self.placement_due = true;
             }
             PollResult::Fenced => self.release_fenced_target(target),
-            PollResult::OtherInstance | PollResult::TimedOut | PollResult::ConnectionLost => {
+            PollResult::OtherInstance
+            | PollResult::TimedOut
+            | PollResult::ConnectionRefused
+            | PollResult::ConnectionLost => {
                 self.counters.polls_lost += 1;
                 let timed_out = answer == PollResult::TimedOut;
                 let unreachable = held.handle_poll_failure(now, number, timed_out);
                 if held.take_lost_response() {
                     self.loss_detector.record_loss(now);
                 }
+                let refused = answer == PollResult::ConnectionRefused;
+                let crash = refused.then(|| held.notice_crash(now)).flatten();
                 if unreachable {
                     let runs = held.ledger().len();
                     let name = self.registry.name(target).clone();
                     self.notice(FleetNotice::TargetUnreachable { target: name, runs });
                     self.placement_due = true;
                 }
+                if let Some(crash) = crash {
+                    self.report_crash(target, crash);
+                }
             }
         }
     }
@@ -451,6 +459,9 @@
         if outcome.reachable_again {
             self.notice(FleetNotice::TargetReachable(name.clone()));
         }
+        if let Some(crash) = outcome.crash {
+            self.report_crash(target, crash);
+        }
         if outcome.restarted {
             self.notice(FleetNotice::TargetRestarted(name.clone()));
             let token = self.next_token(target);
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -73,6 +73,7 @@
             version: self.catalog.version(),
         });
         self.placement_due = true;
+        self.give_up_crashing_job(key);
     }
 
     /// Removes a client that has disconnected. A job without clients is removed, and its tasks are
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! same path as one between VMs, except for the network.
 
 mod admission;
+mod crashes;
 mod event;
 mod holding;
 mod jobs;
@@ -29,6 +30,7 @@
 
 use crate::blocked::BlockedRequests;
 use crate::catalog::QueueCatalog;
+use crate::crash_log::CrashLog;
 use crate::held::HeldTarget;
 use crate::job_table::{JobTable, TaskRef};
 use crate::link::PeerLink;
@@ -112,6 +114,8 @@
     /// The last token that this VM chose.
     last_token: FencingToken,
     jobs: JobTable,
+    /// The recent crashes of targets and the tasks that the targets had.
+    crash_log: CrashLog,
     offered_rates: OfferedRates,
     /// Whether waiting tasks must be matched with free capacity again.
     placement_due: bool,
@@ -166,6 +170,7 @@
             seen_tokens: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
+            crash_log: CrashLog::default(),
             offered_rates: OfferedRates::default(),
             placement_due: false,
             offers: OfferTable::default(),
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -67,6 +67,7 @@
         self.placement_due = true;
         if update.appeared {
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
+            self.share_crashes(peer);
         }
         if let Some(contact) = update.work_dropped {
             self.drop_peer_work(peer, contact);
@@ -286,6 +287,7 @@
                 runs,
                 losses,
             } => self.receive_keep(from, &target, &runs, losses),
+            FleetMessage::Crashed(reports) => self.receive_crashes(&reports),
         }
     }
 
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -55,10 +55,19 @@
     capacity: ResourceVector,
     slowdown: f64,
     hop_cost_ms: f64,
+    /// Whether the target is reserved for a run on trial.
+    reserved: bool,
     /// The rank of the most urgent task of another coordinator that may use the capacity.
     competing_rank: Option<TaskRank>,
 }
 
+impl PlacementCandidate {
+    /// Whether nothing runs on the target.
+    fn is_idle(&self) -> bool {
+        self.free == self.capacity
+    }
+}
+
 /// A task, and the target and holder that were chosen for it.
 #[derive(Clone, Copy, Debug)]
 struct TaskChoice {
@@ -73,6 +82,7 @@
     pub(super) fn place_waiting(&mut self) {
         let now = self.now();
         self.jobs.requeue_late(now);
+        self.reserve_trial_targets();
         if self.jobs.waiting_len() == 0 {
             return;
         }
@@ -86,8 +96,7 @@
             match self.choose_candidate(task, &candidates) {
                 Some(position) => {
                     let candidate = &mut candidates[position];
-                    let job = self.jobs.get(task.job).expect("the job is live");
-                    candidate.free = candidate.free - job.step_of(task.position).resources;
+                    candidate.free = self.capacity_beside(task, candidate.free);
                     let holder = candidate.holder;
                     choices.push(TaskChoice {
                         task,
@@ -98,6 +107,8 @@
                     let same = candidates.iter_mut().filter(|it| it.holder == holder);
                     same.for_each(|it| it.hop_cost_ms = 0.0);
                 }
+                // A task that waits for its trial says nothing about the others.
+                None if self.needs_trial(task) => {}
                 None => {
                     unplaced += 1;
                     if unplaced >= SEARCH_LIMIT {
@@ -120,7 +131,11 @@
             let Some(entry) = self.registry.entry(*target) else {
                 continue;
             };
-            let free = held.free_capacity(now);
+            let reserved = held.is_reserved_for_trial();
+            let free = match reserved {
+                true => held.trial_capacity(now),
+                false => held.free_capacity(now),
+            };
             let usable = self.registry.is_ready(*target) && !self.offers.is_offered(*target);
             let leaving = self.state == PeerState::Leaving;
             if usable && !leaving && free.cpu.0 > 0 {
@@ -131,9 +146,10 @@
                     capacity: entry.capacity,
                     slowdown: held.health().slowdown(),
                     hop_cost_ms: hop_cost(entry.zone == *own_zone, true),
+                    reserved,
                     competing_rank: competing
                         .iter()
-                        .filter(|(_, least)| least.fits(&free))
+                        .filter(|(_, least)| !reserved && least.fits(&free))
                         .map(|(rank, _)| *rank)
                         .min(),
                 });
@@ -157,6 +173,7 @@
                         capacity: entry.capacity,
                         slowdown: f64::from(holding.report.slowdown_percent) / 100.0,
                         hop_cost_ms: hop_cost(local, false),
+                        reserved: false,
                         competing_rank: None,
                     });
                 }
@@ -187,10 +204,12 @@
     fn choose_candidate(&self, task: TaskRef, candidates: &[PlacementCandidate]) -> Option<usize> {
         let job = self.jobs.get(task.job)?;
         let step = job.step_of(task.position);
-        let spec = self.catalog.spec(job.queue)?;
-        let state = &job.tasks[task.position];
         let expected = job.expected_of(task.position);
         let rank = self.rank_of(task);
+        let on_trial = self.needs_trial(task);
+        if self.must_await_trial(task) {
+            return None;
+        }
         let suits = |candidate: &&PlacementCandidate| {
             if candidate
                 .competing_rank
@@ -198,15 +217,13 @@
             {
                 return false;
             }
-            let Some(entry) = self.registry.entry(candidate.target) else {
-                return false;
+            let admits = match on_trial {
+                true => candidate.reserved || candidate.is_idle(),
+                false => !candidate.reserved,
             };
-            let label = step.required_label.as_ref();
-            step.resources.fits(&candidate.free)
-                && entry.service == spec.service
-                && label.is_none_or(|label| entry.labels.contains(label))
-                && !state.excluded.contains(&candidate.target)
-                && self.within_spread_limit(task, candidate.target)
+            admits
+                && step.resources.fits(&candidate.free)
+                && self.suits_target(task, candidate.target)
         };
         let suitable = candidates
             .iter()
@@ -229,6 +246,29 @@
             .map(|(position, _)| position)
     }
 
+    /// Whether a task may run on a target, apart from the capacity.
+    pub(super) fn suits_target(&self, task: TaskRef, target: TargetIndex) -> bool {
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let (Some(spec), Some(entry)) = (self.catalog.spec(job.queue), self.registry.entry(target))
+        else {
+            return false;
+        };
+        let label = job.step_of(task.position).required_label.as_ref();
+        entry.service == spec.service
+            && label.is_none_or(|label| entry.labels.contains(label))
+            && !job.tasks[task.position].excluded.contains(&target)
+            && self.within_spread_limit(task, target)
+    }
+
+    /// The free capacity of a target that remains for others beside a task.
+    fn capacity_beside(&self, task: TaskRef, free: ResourceVector) -> ResourceVector {
+        if self.needs_trial(task) {
+            return ResourceVector::default();
+        }
+        let job = self.jobs.get(task.job).expect("the job is live");
+        free - job.step_of(task.position).resources
+    }
+
     /// Whether the limit on concurrent tasks of one step on one target permits another one.
     fn within_spread_limit(&self, task: TaskRef, target: TargetIndex) -> bool {
         let job = self.jobs.get(task.job).expect("the job is live");
@@ -257,8 +297,8 @@
                 target,
                 holder,
             } = choice;
-            // An earlier choice may have reached the limit on tasks per target.
-            if !self.within_spread_limit(task, target) {
+            // An earlier choice may have reached the limit on tasks per target, or on trials.
+            if !self.within_spread_limit(task, target) || self.must_await_trial(task) {
                 continue;
             }
             let phase = TaskPhase::Placed {
@@ -300,6 +340,7 @@
                 .map(|target| self.registry.name(*target).clone())
                 .collect(),
             expected_ms: millis(job.expected_of(task.position)),
+            on_trial: self.needs_trial(task),
         }
     }
 
@@ -348,7 +389,12 @@
         let requested = request
             .tasks
             .iter()
-            .map(|order| (self.registry.find(&order.target), order.resources))
+            .map(|order| {
+                let target = self.registry.find(&order.target);
+                let entry = target.and_then(|target| self.registry.entry(target));
+                let whole = entry.filter(|_| order.on_trial).map(|entry| entry.capacity);
+                (target, whole.unwrap_or(order.resources))
+            })
             .collect::<Vec<_>>();
         self.send(holder, FleetMessage::Place(request));
         if let Some(link) = &mut self.links[holder] {
@@ -380,6 +426,7 @@
             capacity,
             slowdown: 1.0,
             hop_cost_ms: 0.0,
+            reserved: false,
             competing_rank: None,
         }];
         let now = self.now();
@@ -388,8 +435,7 @@
         let mut unplaced = 0;
         for task in self.jobs.waiting() {
             if self.choose_candidate(task, &offered).is_some() {
-                let job = self.jobs.get(task.job).expect("the job is live");
-                offered[0].free = offered[0].free - job.step_of(task.position).resources;
+                offered[0].free = self.capacity_beside(task, offered[0].free);
                 choices.push(TaskChoice {
                     task,
                     target,
@@ -476,9 +522,12 @@
     let rest = (candidate.free - *resources).cpu.0;
     let unusable = rest % resources.cpu.0.max(1);
     let waste = f64::from(unusable) / f64::from(candidate.capacity.cpu.0.max(1));
-    let idle = candidate.free == candidate.capacity;
     run_ms
         + candidate.hop_cost_ms
         + FRAGMENTATION_COST_MS * waste
-        + if idle { IDLE_TARGET_COST_MS } else { 0.0 }
+        + if candidate.is_idle() {
+            IDLE_TARGET_COST_MS
+        } else {
+            0.0
+        }
 }
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -86,10 +86,16 @@
             since: now,
             lease_limit: TimePoint(u64::MAX),
             target_restarted: false,
+            trial_until: order
+                .on_trial
+                .then(|| now + self.settings.held.trial_period),
             phase: RunPhase::Requested { expires_at: now },
         };
         run.lease_limit = LeaseLimits::new(&self.links, &self.settings.held).limit_of(&run);
         let held = self.held.get_mut(&target).ok_or(PlaceRefusal::NoCapacity)?;
+        if order.on_trial {
+            held.reserve_for_trial(false);
+        }
         let payload = std::rc::Rc::clone(&request.payload);
         let start = held
             .start_run(now, order.task, run, payload)
@@ -138,7 +144,10 @@
             if !suits {
                 continue;
             }
-            let free = held.free_capacity(now);
+            let free = match order.on_trial {
+                true => held.trial_capacity(now),
+                false => held.free_capacity(now),
+            };
             if !order.resources.fits(&free) {
                 continue;
             }
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -49,6 +49,10 @@
     pub targets_claimed: u64,
     /// Tokens that a target refused because another VM holds it.
     pub targets_fenced: u64,
+    /// Held targets that crashed while they had runs.
+    pub targets_crashed: u64,
+    /// Jobs given up because one of their tasks crashes the targets that start it.
+    pub jobs_given_up: u64,
 }
 
 /// A snapshot of the engine's state.
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -1,6 +1,6 @@
 //! A target that this VM holds: its runs, its lease, and the schedule of its polls.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::VmIndex;
@@ -54,6 +54,9 @@
     /// time to stop the runs after it has marked the coordinator lost: the lease of the target limits
     /// the runs of other coordinators as well.
     pub coordinator_timeout: Duration,
+    /// How long before and after the start of a task that may crash its target no other run starts
+    /// there.
+    pub trial_period: Duration,
     /// The time between stop requests for the same run.
     pub stop_retry_interval: Duration,
     /// How long a target may hold a poll open while responses get lost.
@@ -73,6 +76,7 @@
             unreachable_poll_interval: Duration::from_millis(150),
             start_window: Duration::from_millis(250),
             coordinator_timeout: Duration::from_millis(1200),
+            trial_period: Duration::from_millis(500),
             stop_retry_interval: Duration::from_millis(100),
             hedged_poll_wait: Duration::from_millis(100),
             response_timeout: TimeoutBounds::default(),
@@ -148,6 +152,19 @@
     pub end: RunEnd,
 }
 
+/// A crash of a target that had runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetCrash {
+    /// The instance that has crashed, if it is known.
+    pub boot: Option<TargetBoot>,
+    /// The tasks whose runs were on the target, or may have been.
+    pub tasks: Vec<TaskName>,
+    /// The task among them that must be the cause if a task is.
+    pub alone: Option<TaskName>,
+    /// The coordinators of these runs; `None` stands for one that is not known.
+    pub coordinators: BTreeSet<Option<VmIndex>>,
+}
+
 /// What a poll report changes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PollOutcome {
@@ -163,6 +180,8 @@
     pub unknown_runs: Vec<RunName>,
     /// Whether the target has restarted.
     pub restarted: bool,
+    /// The crash that the restart shows, unless it was noticed before.
+    pub crash: Option<TargetCrash>,
     /// Whether the target was unreachable before.
     pub reachable_again: bool,
 }
@@ -194,9 +213,13 @@
     claimed_at: TimePoint,
     phase: HoldPhase,
     boot: Option<TargetBoot>,
+    /// Whether the crash of the instance in `boot` has been noticed.
+    crash_noticed: bool,
     clock: RemoteClock,
     acked_through: u64,
     ledger: CapacityLedger,
+    /// Whether further runs wait until one was tried.
+    reserved_for_trial: bool,
     health: TargetHealth,
     /// The regular long poll.
     pending_poll: Option<PendingPoll>,
@@ -247,9 +270,11 @@
             claimed_at: now,
             phase: HoldPhase::Claiming,
             boot: None,
+            crash_noticed: false,
             clock: RemoteClock::default(),
             acked_through: 0,
             ledger,
+            reserved_for_trial: false,
             pending_poll: None,
             hedge_poll: None,
             immediate_poll: None,
@@ -322,11 +347,29 @@
         self.response_missing = true;
     }
 
-    /// The capacity for further runs; nothing while the target accepts no requests. After a failed
-    /// poll the target may have restarted and may have another holder.
+    /// The capacity for further runs; nothing while the target accepts no requests, has a run on
+    /// trial or is reserved for one. After a failed poll the target may have restarted and may have
+    /// another holder.
     pub fn free_capacity(&mut self, now: TimePoint) -> ResourceVector {
+        match self.reserved_for_trial {
+            true => ResourceVector::default(),
+            false => self.usable_capacity(now),
+        }
+    }
+
+    /// The capacity for a run on trial; nothing while another run has just started.
+    pub fn trial_capacity(&mut self, now: TimePoint) -> ResourceVector {
+        let period = self.settings.trial_period;
+        match self.ledger.has_recent_start(now, period) {
+            true => ResourceVector::default(),
+            false => self.usable_capacity(now),
+        }
+    }
+
+    fn usable_capacity(&mut self, now: TimePoint) -> ResourceVector {
         let usable = self.is_steady()
             && self.admits_start(now)
+            && self.ledger.trial(now).is_none()
             && self.health.admits(now, self.ledger.len());
         match usable {
             true => self.ledger.free(),
@@ -334,6 +377,28 @@
         }
     }
 
+    /// Whether the target takes no further runs until one is tried there.
+    pub fn is_reserved_for_trial(&self) -> bool {
+        self.reserved_for_trial
+    }
+
+    /// Reserves the target for a run on trial, or ends the reservation.
+    pub fn reserve_for_trial(&mut self, reserved: bool) {
+        self.reserved_for_trial = reserved;
+    }
+
+    /// When a run can be tried on the target, as far as the expected ends of its runs show; `None`
+    /// while the target accepts no requests or has a run on trial.
+    pub fn trial_expected_at(&self, now: TimePoint) -> Option<TimePoint> {
+        if !self.is_steady() || self.ledger.trial(now).is_some() {
+            return None;
+        }
+        let period = self.settings.trial_period;
+        let runs = self.ledger.runs();
+        let ready = runs.map(|(_, run)| run.since + run.expected.min(period));
+        Some(ready.max().unwrap_or(now))
+    }
+
     /// Polls the target at once, also while the regular poll is open.
     pub fn poll_now(&mut self, now: TimePoint) {
         self.poll_due = now;
@@ -750,6 +815,8 @@
         self.phase = HoldPhase::Confirmed;
         if report.boot != self.boot {
             outcome.restarted = self.boot.is_some();
+            outcome.crash = outcome.restarted.then(|| self.notice_crash(now)).flatten();
+            self.crash_noticed = false;
             self.boot = report.boot;
             self.acked_through = 0;
             self.reported_at = TargetTime(0);
@@ -838,6 +905,7 @@
                         since: now,
                         lease_limit: TimePoint(u64::MAX),
                         target_restarted: false,
+                        trial_until: None,
                         phase: RunPhase::Running { confirmed_at: now },
                     };
                     self.ledger.insert(task, run);
@@ -936,6 +1004,26 @@
         was_reachable && !self.reachable
     }
 
+    /// Records that the target's process has ended, because nothing listens at its address or because
+    /// another instance responds. Returns the crash, unless it was noticed before or the target had
+    /// no runs.
+    pub fn notice_crash(&mut self, now: TimePoint) -> Option<TargetCrash> {
+        let noticed = std::mem::replace(&mut self.crash_noticed, true);
+        if noticed || self.ledger.is_empty() {
+            return None;
+        }
+        let runs = self.ledger.runs();
+        let tasks = runs.map(|(task, _)| *task).collect::<Vec<_>>();
+        let coordinators = self.ledger.runs().map(|(_, run)| run.coordinator);
+        let only = tasks.first().copied().filter(|_| tasks.len() == 1);
+        Some(TargetCrash {
+            boot: self.boot,
+            alone: self.ledger.trial(now).or(only),
+            coordinators: coordinators.collect(),
+            tasks,
+        })
+    }
+
     /// Removes and returns the runs whose leases have expired while the target was unreachable.
     pub fn advance(&mut self, now: TimePoint) -> Vec<EndedRun> {
         if self.is_reachable() || now < self.leases_expired_at {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -61,10 +61,22 @@
     pub lease_limit: TimePoint,
     /// Whether the target has restarted since.
     pub target_restarted: bool,
+    /// Until when no other run may start on the target, because the task may crash it.
+    pub trial_until: Option<TimePoint>,
     /// What the holder knows of the run.
     pub phase: RunPhase,
 }
 
+impl TargetRun {
+    /// Whether the outcome of the start request is unknown.
+    fn is_start_pending(&self) -> bool {
+        matches!(
+            self.phase,
+            RunPhase::Requested { .. } | RunPhase::Uncertain { .. }
+        )
+    }
+}
+
 /// The capacity of a target and its runs.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityLedger {
@@ -95,6 +107,19 @@
         self.capacity - occupied
     }
 
+    /// The task whose run is on trial, if there is one.
+    pub fn trial(&self, now: TimePoint) -> Option<TaskName> {
+        let on_trial = |run: &TargetRun| run.trial_until.is_some_and(|until| until > now);
+        let mut runs = self.runs.iter();
+        runs.find(|(_, run)| on_trial(run)).map(|(task, _)| *task)
+    }
+
+    /// Whether a run has started within `period`, or may still start.
+    pub fn has_recent_start(&self, now: TimePoint, period: Duration) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.is_start_pending() || now.since(run.since) < period)
+    }
+
     /// Adds a run.
     ///
     /// # Panics
@@ -162,11 +187,6 @@
 
     /// Whether the outcome of a start request is unknown.
     pub fn has_pending_start(&self) -> bool {
-        self.runs.values().any(|run| {
-            matches!(
-                run.phase,
-                RunPhase::Requested { .. } | RunPhase::Uncertain { .. }
-            )
-        })
+        self.runs.values().any(TargetRun::is_start_pending)
     }
 }
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -174,6 +174,7 @@
             since: self.now,
             lease_limit: TimePoint(u64::MAX),
             target_restarted: false,
+            trial_until: None,
             phase: RunPhase::Running {
                 confirmed_at: self.now,
             },
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -481,6 +481,9 @@
     pub excluded: Vec<TargetName>,
     /// The expected run time, in milliseconds.
     pub expected_ms: u32,
+    /// Whether no other run may start on the target shortly before or after this one, because a
+    /// target has crashed while it had the task.
+    pub on_trial: bool,
 }
 
 /// Asks a holder to run tasks of one job.
@@ -540,6 +543,20 @@
     pub took_ms: Option<u32>,
 }
 
+/// A crash of a target, and the tasks that the target had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The target.
+    pub target: TargetName,
+    /// The instance that has crashed, if it is known.
+    pub boot: Option<TargetBoot>,
+    /// The tasks whose runs were on the target, or may have been.
+    pub tasks: Vec<TaskName>,
+    /// The task among them that must be the cause if a task is, because no other one had started
+    /// recently.
+    pub alone: Option<TaskName>,
+}
+
 /// A run that its coordinator still needs, with its resources.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KeptRun {
@@ -607,6 +624,8 @@
         /// As in [`PlaceRequest`].
         losses: LossCount,
     },
+    /// From a VM to those that may get the jobs concerned: targets have crashed.
+    Crashed(Vec<CrashReport>),
 }
 
 /// What one entry VM sends to another: its pending messages and its current state.
--- a/crates/types/src/lease.rs
+++ b/crates/types/src/lease.rs
@@ -165,6 +165,8 @@
     OtherInstance,
     /// No response arrived in time.
     TimedOut,
+    /// Nothing listens at the address of the target.
+    ConnectionRefused,
     /// The connection failed, or the response was inconclusive.
     ConnectionLost,
 }
