Add tests of the crash limit to the simulated fleet

A deadly task crashes the target that starts it: connections break, nothing listens until the next instance starts 3 s later. The simulated fleet now has such tasks, records the starts and the crashes of each task, and panics at a third start, by VMs in touch, after a task has crashed three targets.

New draws happen only at crashed targets. The answers of a crashed process come from SimTarget::absent_*.

--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -55,6 +55,7 @@
         work,
         declared: work,
         client_timeout: Duration::from_millis(rng.random_range(1500..2800)),
+        deadly: 0,
     }
 }
 
--- a/crates/fleet/tests/support/client.rs
+++ b/crates/fleet/tests/support/client.rs
@@ -21,6 +21,8 @@
     pub declared: Duration,
     /// The client's time-out.
     pub client_timeout: Duration,
+    /// The number of its tasks, from the first one on, that crash the targets that start them.
+    pub deadly: u16,
 }
 
 impl Default for JobShape {
@@ -32,6 +34,7 @@
             work: Duration::from_millis(100),
             declared: Duration::from_millis(100),
             client_timeout: Duration::from_millis(2000),
+            deadly: 0,
         }
     }
 }
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -9,11 +9,16 @@
 };
 use filbertpitch_types::prelude::*;
 
+/// The longest time that a request is on its way to a target.
+const TRANSIT_TIME: u64 = 1_100;
+
 /// The fault of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum TargetFault {
-    /// The process is down.
+    /// The process is down, and its address does not respond.
     Down,
+    /// The process has crashed at this time, and nothing listens at its address.
+    Crashed { crashed_at: u64 },
     /// Each run fails after 3 ms.
     Failing,
     /// Runs make no progress.
@@ -93,7 +98,33 @@
     }
 
     pub fn is_down(&self) -> bool {
-        self.fault == Some(TargetFault::Down)
+        self.fault == Some(TargetFault::Down) || self.has_crashed()
+    }
+
+    /// Whether the process has crashed and nothing listens at its address.
+    pub fn has_crashed(&self) -> bool {
+        matches!(self.fault, Some(TargetFault::Crashed { .. }))
+    }
+
+    /// The answer to a run request that arrives after the crash. A request that was on its way at
+    /// the crash is lost with its connection; a later one finds nothing to connect to.
+    pub fn absent_start_answer(&self, now: u64) -> StartAnswer {
+        match self.fault {
+            Some(TargetFault::Crashed { crashed_at }) if now < crashed_at + TRANSIT_TIME => {
+                StartAnswer::ConnectionLost
+            }
+            _ => StartAnswer::NotSent,
+        }
+    }
+
+    /// The result of a stop request that arrives after the crash.
+    pub fn absent_stop_result(&self) -> StopResult {
+        StopResult::ConnectionLost
+    }
+
+    /// The result of a poll that arrives after the crash.
+    pub fn absent_poll_result(&self) -> PollResult {
+        PollResult::ConnectionLost
     }
 
     /// Restarts the process, which loses all of its state.
@@ -109,8 +140,8 @@
         self.next_end = 1;
     }
 
-    pub fn crash(&mut self) {
-        self.fault = Some(TargetFault::Down);
+    pub fn crash(&mut self, fault: TargetFault) {
+        self.fault = Some(fault);
         self.runs.clear();
     }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -24,7 +24,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::client::{ClientJob, JobShape};
-use super::target::SimTarget;
+use super::crash::{TaskCrash, TaskRecord, TaskStart};
+use super::target::{SimTarget, TargetFault};
 
 /// The time after which an unacknowledged envelope counts as lost, as in the process.
 const ENVELOPE_TIMEOUT: u64 = 250_000;
@@ -34,6 +35,12 @@
 const RESEND_DELAY: u64 = 1_300_000;
 /// The maximum number of sends of a job.
 const SEND_LIMIT: u32 = 3;
+/// The run time of a deadly task unless it crashes its target.
+const DEADLY_WORK: u64 = 1_000_000_000;
+/// The number of starts of a task that are allowed after it has crashed three targets.
+const START_LIMIT: usize = 2;
+/// How long after the end of a cut or a freeze a VM counts as in touch with its peers again.
+const TOUCH_DELAY: u64 = 2_000_000;
 
 /// The size and the settings of a simulated fleet.
 #[derive(Clone, Debug)]
@@ -52,6 +59,10 @@
     pub event_cost: Duration,
     /// The processor time of the VMs of each zone, in order; a whole core for the rest.
     pub processors: Vec<MilliCores>,
+    /// How long after the start of a deadly task its target crashes.
+    pub crash_delay: Duration,
+    /// How long after such a crash the next instance of the target starts.
+    pub restart_delay: Duration,
 }
 
 impl Default for SimOptions {
@@ -65,6 +76,8 @@
             settings: FleetSettings::default(),
             event_cost: Duration::ZERO,
             processors: Vec::new(),
+            crash_delay: Duration::from_millis(8),
+            restart_delay: Duration::from_secs(3),
         }
     }
 }
@@ -139,6 +152,17 @@
         event: Box<FleetEvent>,
     },
     TargetChanges(usize),
+    /// A run of a deadly task crashes the instance of the target on which it started.
+    DeadlyRun {
+        target: usize,
+        instance: u64,
+        run: RunName,
+    },
+    /// The next instance of a target starts, unless the crashed one was replaced before.
+    TargetStarts {
+        target: usize,
+        crashed_instance: u64,
+    },
     Submit(JobId),
     ClientDisconnects(JobId, u64),
 }
@@ -180,6 +204,8 @@
     /// How far its wall clock is ahead.
     clock_offset_ms: i64,
     frozen_until: u64,
+    /// When a link of it last broke or healed, or when its last freeze ends.
+    disrupted_at: u64,
     /// When it finishes handling the events so far.
     busy_until: u64,
     wake_at: Option<u64>,
@@ -203,6 +229,8 @@
     pub jobs: BTreeMap<JobId, ClientJob>,
     pub targets: Vec<SimTarget>,
     pub notices: Vec<(u64, usize, FleetNotice)>,
+    /// The starts and the crashes of each task.
+    pub tasks: BTreeMap<TaskName, TaskRecord>,
     options: SimOptions,
     configuration: Rc<FleetConfiguration>,
     vms: Vec<SimVm>,
@@ -252,6 +280,7 @@
                     unresponsive: false,
                     clock_offset_ms: 0,
                     frozen_until: 0,
+                    disrupted_at: 0,
                     busy_until: 0,
                     wake_at: None,
                     callers: BTreeMap::new(),
@@ -284,6 +313,7 @@
             jobs: BTreeMap::new(),
             targets,
             notices: Vec::new(),
+            tasks: BTreeMap::new(),
             options,
             configuration,
             vms,
@@ -394,6 +424,17 @@
         self.jobs.get_mut(&id).unwrap().sends = SEND_LIMIT;
     }
 
+    /// Closes the connection of a job's client, which sends the job again to a VM of its choice after
+    /// the usual delay.
+    pub fn send_again(&mut self, id: JobId, vm: usize) {
+        let current = self.jobs[&id].current;
+        self.process_event(SimEvent::ClientDisconnects(id, current));
+        let job = self.jobs.get_mut(&id).expect("the job was submitted");
+        job.vm = vm;
+        job.reply = None;
+        self.schedule(self.now + RESEND_DELAY, SimEvent::Submit(id));
+    }
+
     /// Ends a VM's process, which starts again after `down_for`. An unresponsive VM does not refuse
     /// connections in the meantime.
     pub fn kill_vm(&mut self, vm: usize, down_for: Duration, unresponsive: bool) {
@@ -418,6 +459,7 @@
     pub fn freeze_vm(&mut self, vm: usize, duration: Duration) {
         let until = self.now + duration.as_micros() as u64;
         self.vms[vm].frozen_until = self.vms[vm].frozen_until.max(until);
+        self.vms[vm].disrupted_at = self.vms[vm].disrupted_at.max(until);
         self.schedule(until, SimEvent::Unfreeze(vm));
     }
 
@@ -438,6 +480,9 @@
 
     /// Cuts or restores one direction of the network between two VMs.
     pub fn cut_direction(&mut self, from: usize, to: usize, cut: bool) {
+        for vm in [from, to] {
+            self.vms[vm].disrupted_at = self.vms[vm].disrupted_at.max(self.now);
+        }
         match cut {
             true => self.vm_cuts.insert((from, to)),
             false => self.vm_cuts.remove(&(from, to)),
@@ -454,12 +499,82 @@
 
     /// Ends a target's process and breaks its connections; it is down until it is restarted.
     pub fn crash_target(&mut self, target: usize) {
-        self.targets[target].crash();
+        self.record_crash(target, None);
+        self.targets[target].crash(TargetFault::Down);
+        self.fail_open_polls(target);
+    }
+
+    /// Ends a target's process: its connections break, and its address refuses new ones until the
+    /// next instance starts after the restart delay.
+    pub fn crash_process(&mut self, target: usize, cause: Option<RunName>) {
+        self.record_crash(target, cause);
+        let crashed_instance = self.targets[target].instance;
+        let fault = TargetFault::Crashed {
+            crashed_at: self.now,
+        };
+        self.targets[target].crash(fault);
+        self.fail_open_polls(target);
+        let at = self.now + self.options.restart_delay.as_micros() as u64;
+        self.schedule(
+            at,
+            SimEvent::TargetStarts {
+                target,
+                crashed_instance,
+            },
+        );
+    }
+
+    /// Breaks the open connections to a target, whose process is not affected.
+    pub fn break_connections(&mut self, target: usize) {
         self.fail_open_polls(target);
     }
 
+    /// Records that an instance of a target ends with its runs.
+    fn record_crash(&mut self, target: usize, cause: Option<RunName>) {
+        let place = &self.targets[target];
+        let (name, instance) = (place.name.clone(), place.instance);
+        let tasks = place.runs.keys().copied().collect::<Vec<_>>();
+        let alone = tasks.len() == 1;
+        if let Some(run) = cause {
+            let mut company = String::new();
+            for task in tasks.iter().filter(|task| **task != run.task) {
+                company = format!("{company} {task}");
+            }
+            self.record_history(target, format!("crash by {run}, in company:{company}"));
+        }
+        for task in tasks {
+            let record = self.tasks.entry(task).or_default();
+            let starter = record.starts.last().map(|start| start.vm);
+            let zone = &self.vms[self.jobs[&task.job].vm].zone;
+            let witnesses = self.vms.iter().enumerate();
+            let witnesses = witnesses.filter(|(vm, state)| {
+                state.engine.is_some() && (state.zone == *zone || Some(*vm) == starter)
+            });
+            let witnesses = witnesses.map(|(vm, state)| (vm, state.generation));
+            record.crashes.push(TaskCrash {
+                at: self.now,
+                target: name.clone(),
+                instance,
+                is_cause: cause.is_some_and(|run| run.task == task),
+                alone,
+                witnesses: witnesses.collect(),
+            });
+        }
+    }
+
+    /// Crashes a target if a run of a deadly task is still on it.
+    fn end_deadly_run(&mut self, target: usize, instance: u64, run: RunName) {
+        self.targets[target].advance(self.now);
+        let place = &self.targets[target];
+        let runs = place.runs.get(&run.task);
+        if place.instance == instance && runs.is_some_and(|started| started.run == run.run) {
+            self.crash_process(target, Some(run));
+        }
+    }
+
     /// Restarts a target at once.
     pub fn restart_target(&mut self, target: usize) {
+        self.record_crash(target, None);
         let now = self.now;
         self.targets[target].restart(now);
         self.fail_open_polls(target);
@@ -505,6 +620,11 @@
 
     /// Heals all partitions.
     pub fn heal(&mut self) {
+        for (from, to) in &self.vm_cuts {
+            for vm in [*from, *to] {
+                self.vms[vm].disrupted_at = self.vms[vm].disrupted_at.max(self.now);
+            }
+        }
         self.vm_cuts.clear();
         self.target_cuts.clear();
         self.store_cuts.clear();
@@ -670,6 +790,20 @@
                 }
             }
             SimEvent::TargetChanges(target) => self.advance_target(target),
+            SimEvent::DeadlyRun {
+                target,
+                instance,
+                run,
+            } => self.end_deadly_run(target, instance, run),
+            SimEvent::TargetStarts {
+                target,
+                crashed_instance,
+            } => {
+                let place = &self.targets[target];
+                if place.has_crashed() && place.instance == crashed_instance {
+                    self.restart_target(target);
+                }
+            }
             SimEvent::Submit(id) => self.deliver_job(id),
             SimEvent::ClientDisconnects(id, send) => {
                 let vm = self.jobs[&id].vm;
@@ -944,7 +1078,8 @@
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
                 let reached = self.reaches(vm, target);
-                let at = match reached {
+                let answered = reached || self.refuses(vm, target);
+                let at = match answered {
                     true => self.now + 2 * self.target_delay(vm, target),
                     false => self.now + 200_000,
                 };
@@ -1031,6 +1166,17 @@
         !self.targets[target].is_down() && !self.target_cuts.contains(&(vm, target))
     }
 
+    /// Whether a target's address refuses the connections of a VM.
+    fn refuses(&self, vm: usize, target: usize) -> bool {
+        self.targets[target].has_crashed() && !self.target_cuts.contains(&(vm, target))
+    }
+
+    /// Answers a call that a VM made to a target whose process has crashed.
+    fn refuse(&mut self, call: u64, vm: usize, target: usize, event: FleetEvent) {
+        let at = self.now + self.target_delay(vm, target);
+        self.schedule_answer(at, call, vm, event);
+    }
+
     fn execute_start(&mut self, arrival: StartArrival) {
         let StartArrival {
             call,
@@ -1042,13 +1188,27 @@
         } = arrival;
         // A request that waits at a target is lost when the target ends.
         let gone = late_instance.is_some_and(|instance| instance != self.targets[target].instance);
+        if self.refuses(vm, target) && late_instance.is_none() {
+            let event = FleetEvent::StartResult {
+                target: index,
+                token: request.token,
+                run: request.run,
+                answer: self.targets[target].absent_start_answer(self.now),
+            };
+            self.refuse(call, vm, target, event);
+        }
         if !self.reaches(vm, target) || gone {
             return;
         }
         let task = request.run.task;
         let job = &self.jobs[&task.job];
         let resources = ResourceVector::from((job.shape.cores * 1000, 64, 0));
-        let work = job.shape.work.as_micros() as u64;
+        let deadly = task.index < job.shape.deadly;
+        let work = match deadly {
+            // A deadly run ends by its crash or with its lease, never as done.
+            true => DEADLY_WORK,
+            false => job.shape.work.as_micros() as u64,
+        };
         let before = self.targets[target].runs.contains_key(&task);
         let answer = self.targets[target].start(self.now, &request, resources, work);
         self.record_history(
@@ -1063,6 +1223,19 @@
         {
             self.check_start_invariants(target, task);
             self.jobs.get_mut(&task.job).unwrap().started = true;
+            self.record_start(vm, target, request.run, late_instance.is_some());
+            if deadly {
+                let at = self.now + self.options.crash_delay.as_micros() as u64;
+                let instance = self.targets[target].instance;
+                self.schedule(
+                    at,
+                    SimEvent::DeadlyRun {
+                        target,
+                        instance,
+                        run: request.run,
+                    },
+                );
+            }
         }
         self.answer_due_polls(target);
         if late_instance.is_some() || self.rng.random_bool(self.net.response_loss) {
@@ -1078,6 +1251,47 @@
         self.schedule_answer(at, call, vm, event);
     }
 
+    /// Records a start, and checks that no task is started for a third time, by VMs in touch, after
+    /// it has crashed three targets. A start that a target executed late does not count.
+    fn record_start(&mut self, vm: usize, target: usize, run: RunName, late: bool) {
+        let in_touch = self.is_in_touch(vm) && !late;
+        let place = &self.targets[target];
+        let start = TaskStart {
+            at: self.now,
+            vm,
+            target: place.name.clone(),
+            instance: place.instance,
+            in_touch,
+        };
+        let record = self.tasks.entry(run.task).or_default();
+        record.starts.push(start);
+        let vms = &self.vms;
+        let is_known = |crash: &TaskCrash| {
+            let mut witnesses = crash.witnesses.iter();
+            witnesses.any(|(vm, generation)| {
+                vms[*vm].engine.is_some() && vms[*vm].generation == *generation
+            })
+        };
+        let starts = record.starts_beyond_limit(is_known);
+        if in_touch && starts > START_LIMIT {
+            println!("{record:#?}");
+            self.print_job(run.task.job);
+            panic!(
+                "{} was started {starts} times after it crashed three targets, at {} us",
+                run.task, self.now
+            );
+        }
+    }
+
+    /// Whether a VM runs and has had links to all other VMs for a while.
+    fn is_in_touch(&self, vm: usize) -> bool {
+        let cut = self
+            .vm_cuts
+            .iter()
+            .any(|(from, to)| [*from, *to].contains(&vm));
+        !cut && self.vms[vm].disrupted_at + TOUCH_DELAY <= self.now
+    }
+
     fn record_history(&mut self, target: usize, line: String) {
         if self.history.len() == 40_000 {
             self.history.pop_front();
@@ -1154,6 +1368,15 @@
         target: usize,
         request: StopRequest,
     ) {
+        if self.refuses(vm, target) {
+            let event = FleetEvent::StopResult {
+                target: index,
+                token: request.token,
+                run: request.run,
+                answer: self.targets[target].absent_stop_result(),
+            };
+            self.refuse(call, vm, target, event);
+        }
         if !self.reaches(vm, target) {
             return;
         }
@@ -1187,6 +1410,15 @@
         target: usize,
         plan: PollPlan,
     ) {
+        if self.refuses(vm, target) {
+            let event = FleetEvent::PollResult {
+                target: index,
+                token: plan.request.token,
+                number: plan.number,
+                answer: self.targets[target].absent_poll_result(),
+            };
+            self.refuse(call, vm, target, event);
+        }
         if !self.reaches(vm, target) {
             return;
         }
@@ -1306,6 +1538,47 @@
         }
     }
 
+    /// Checks that a job without deadly tasks was answered as failed only if two targets have
+    /// crashed while one of its tasks was on them.
+    pub fn check_failures(&self) {
+        for (id, job) in &self.jobs {
+            if job.reply != Some(JobReply::Failed) || job.shape.deadly > 0 {
+                continue;
+            }
+            let tasks = self.tasks.range(task_range(*id));
+            let crashes = tasks.map(|(_, record)| record.crashes.len());
+            if crashes.max().unwrap_or(0) < 2 {
+                self.print_job(*id);
+                panic!("job {id} failed without crashes: {job:?}");
+            }
+        }
+    }
+
+    /// The records of the tasks of a job that have started.
+    pub fn records(&self, id: JobId) -> Vec<(TaskName, &TaskRecord)> {
+        let records = self.tasks.range(task_range(id));
+        records.map(|(task, record)| (*task, record)).collect()
+    }
+
+    /// The highest number of targets that a task of a job has crashed.
+    pub fn most_crashes(&self, id: JobId) -> usize {
+        let crashes = self.records(id).into_iter();
+        let crashes = crashes.map(|(_, record)| record.caused_crashes());
+        crashes.max().unwrap_or(0)
+    }
+
+    /// The number of targets that the tasks of a job have crashed.
+    pub fn crashes_of(&self, id: JobId) -> usize {
+        let crashes = self.records(id).into_iter();
+        crashes.map(|(_, record)| record.caused_crashes()).sum()
+    }
+
+    /// The number of starts of the tasks of a job.
+    pub fn starts_of(&self, id: JobId) -> usize {
+        let records = self.records(id).into_iter();
+        records.map(|(_, record)| record.starts.len()).sum()
+    }
+
     /// The number of jobs that were answered as completed.
     pub fn completed(&self) -> usize {
         let replies = self.jobs.values().map(|job| job.reply);
@@ -1315,6 +1588,17 @@
     }
 }
 
+/// The names of the tasks of a job.
+fn task_range(job: JobId) -> std::ops::RangeInclusive<TaskName> {
+    let name = |occurrence, step, index| TaskName {
+        job,
+        occurrence,
+        step,
+        index,
+    };
+    name(0, 0, 0)..=name(u32::MAX, u16::MAX, u16::MAX)
+}
+
 /// The priority of a queue.
 fn queue_priority(queue: usize) -> u8 {
     [0, 2, 1].get(queue).copied().unwrap_or(0)
