Add random faults with deadly tasks to the simulated fleet

Fleets of the kind Deadly have a deadly task in 8 of 100 jobs, and targets that crash by themselves, beside all other random faults. At the end of each run of any kind the fleet now checks that no job with a deadly task was answered as completed, and that a job without one was answered as failed only after two crashes with one of its tasks, or after as many failed runs as its queue allows.

--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -33,6 +33,11 @@
 /// short interval to their holders; the cause was not traced.
 const LARGE_REGRESSION_SEEDS: [u64; 1] = [10_197];
 
+/// The share of the jobs with a deadly task in a fleet that has them.
+const DEADLY_SHARE: f64 = 0.08;
+/// The probability of a crash without a deadly task within 100 ms in such a fleet.
+const CRASH_RATE: f64 = 0.02;
+
 fn shape(fleet: &mut SimFleet, kind: FleetKind) -> JobShape {
     let rng = &mut fleet.rng;
     if let FleetKind::OneWay = kind {
@@ -48,7 +53,7 @@
         };
     }
     let work = Duration::from_millis(rng.random_range(20..400));
-    JobShape {
+    let shape = JobShape {
         queue: rng.random_range(0..2),
         tasks: rng.random_range(1..6),
         cores: rng.random_range(15..40),
@@ -56,6 +61,13 @@
         declared: work,
         client_timeout: Duration::from_millis(rng.random_range(1500..2800)),
         deadly: 0,
+    };
+    match kind {
+        FleetKind::Deadly => JobShape {
+            deadly: u16::from(rng.random_bool(DEADLY_SHARE)),
+            ..shape
+        },
+        _ => shape,
     }
 }
 
@@ -92,7 +104,11 @@
                 TargetFault::Hanging,
                 TargetFault::Slow(slow),
             ];
-            fleet.targets[target].fault = Some(faults[fleet.rng.random_range(0..3)]);
+            let fault = faults[fleet.rng.random_range(0..3)];
+            // A crashed process comes back only as another instance.
+            if !fleet.targets[target].has_crashed() {
+                fleet.targets[target].fault = Some(fault);
+            }
         }
         11 => fleet.net.response_loss = 0.2,
         12 => fleet.net.delayed_calls = 0.1,
@@ -117,9 +133,9 @@
     fleet.net = Default::default();
     for target in 0..fleet.targets.len() {
         fleet.targets[target].draining = false;
-        match fleet.targets[target].fault {
-            Some(TargetFault::Down) => fleet.restart_target(target),
-            _ => fleet.targets[target].fault = None,
+        match fleet.targets[target].is_down() {
+            true => fleet.restart_target(target),
+            false => fleet.targets[target].fault = None,
         }
     }
 }
@@ -135,6 +151,8 @@
     Stepping,
     /// As the small fleet, with links between VMs that break and heal one direction at a time.
     OneWay,
+    /// As the small fleet, with jobs that crash targets and with targets that crash by themselves.
+    Deadly,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -162,6 +180,7 @@
         match kind {
             FleetKind::Stepping => step_clocks(&mut fleet),
             FleetKind::OneWay => cut_directions(&mut fleet),
+            FleetKind::Deadly => crash_targets(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
         }
         if fleet.rng.random_bool(0.25) {
@@ -207,6 +226,16 @@
     }
 }
 
+/// Crashes a target now and then, whatever runs on it.
+fn crash_targets(fleet: &mut SimFleet) {
+    if fleet.rng.random_bool(CRASH_RATE) {
+        let target = fleet.rng.random_range(0..fleet.targets.len());
+        if !fleet.targets[target].is_down() {
+            fleet.crash_process(target, None);
+        }
+    }
+}
+
 /// Guards against targets beyond their capacity, tasks that run twice at a time, and rejected jobs
 /// that have run; and against a fleet that does not serve all jobs after the repair.
 fn check_invariants(seed: u64, kind: FleetKind) {
@@ -214,6 +243,7 @@
     repair(&mut fleet);
     fleet.run_for(Duration::from_secs(14));
     fleet.check_rejections();
+    fleet.check_failures();
     let mut sent = Vec::new();
     for round in 0..20 {
         let vm = round % fleet.vm_count();
@@ -266,6 +296,15 @@
     }
 }
 
+/// Guards against a task that is started again and again after it has crashed targets, whichever
+/// VM counts its crashes, and against innocent jobs that are given up without two crashes.
+#[test]
+fn invariants_hold_under_deadly_tasks() {
+    for seed in SEEDS {
+        check_invariants(seed, FleetKind::Deadly);
+    }
+}
+
 #[test]
 fn regression_seeds_pass() {
     for seed in REGRESSION_SEEDS {
@@ -296,6 +335,7 @@
         FleetKind::Large,
         FleetKind::Stepping,
         FleetKind::OneWay,
+        FleetKind::Deadly,
     ];
     let failed = kinds.map(fails);
     assert!(
--- a/crates/fleet/tests/support/crash.rs
+++ b/crates/fleet/tests/support/crash.rs
@@ -12,17 +12,31 @@
     pub instance: u64,
     /// Whether that VM was in touch with the other VMs, and the request was not delayed.
     pub in_touch: bool,
+    /// Whether the target fails what it starts.
+    pub fails: bool,
 }
 
-/// The end of an instance of a target while a task ran on it.
+/// How far a run was when its target crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashStage {
+    /// The run request was on its way, or arrived while the target was down.
+    Requested,
+    /// The run was active.
+    Running,
+    /// The run had ended, and the holder had not acknowledged that.
+    Ended,
+}
+
+/// The end of an instance of a target with which a run of a task may be lost.
 #[derive(Clone, Debug)]
 pub struct TaskCrash {
     pub at: u64,
     pub target: TargetName,
     pub instance: u64,
+    pub stage: CrashStage,
     /// Whether the task caused the crash; otherwise it ran in company of the cause.
     pub is_cause: bool,
-    /// Whether the task was alone on the target.
+    /// Whether the task ran alone on the target.
     pub alone: bool,
     /// The processes that can know of the crash, each with its generation: the holder, and the VMs
     /// in the zone of the VM to which the job was sent. A crash that none of them survives is
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -13,7 +13,7 @@
 mod world;
 
 pub use client::{ClientJob, JobShape};
-pub use crash::{TaskCrash, TaskRecord, TaskStart};
+pub use crash::{CrashStage, TaskCrash, TaskRecord, TaskStart};
 pub use load::{ALLOWANCE_MS, JOB_KINDS, KindResult, LoadResult, STRETCH, run_load};
 pub use target::{SimTarget, TargetFault};
 pub use world::{NetFault, SimFleet, SimOptions};
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -106,6 +106,13 @@
         matches!(self.fault, Some(TargetFault::Crashed { .. }))
     }
 
+    /// Whether the sender of a run request that arrives while the process is down cannot know that
+    /// it was not started.
+    pub fn may_have_started(&self, now: u64) -> bool {
+        self.is_down()
+            && (!self.has_crashed() || self.absent_start_answer(now) != StartAnswer::NotSent)
+    }
+
     /// The answer to a run request that arrives after the crash. A request that was on its way at
     /// the crash is lost with its connection; a later one finds nothing to connect to.
     pub fn absent_start_answer(&self, now: u64) -> StartAnswer {
@@ -296,6 +303,11 @@
         Some(ends.min(self.lease_end_us()))
     }
 
+    /// The tasks whose runs have ended without an acknowledgement of the holder.
+    pub fn unacknowledged_tasks(&self) -> Vec<TaskName> {
+        self.ended.iter().map(|row| row.run.task).collect()
+    }
+
     pub fn allocated(&self) -> ResourceVector {
         let rooms = self.runs.values().map(|run| run.resources);
         rooms.fold(ResourceVector::default(), |sum, room| sum + room)
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -24,7 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::client::{ClientJob, JobShape};
-use super::crash::{TaskCrash, TaskRecord, TaskStart};
+use super::crash::{CrashStage, TaskCrash, TaskRecord, TaskStart};
 use super::target::{SimTarget, TargetFault};
 
 /// The time after which an unacknowledged envelope counts as lost, as in the process.
@@ -39,6 +39,8 @@
 const DEADLY_WORK: u64 = 1_000_000_000;
 /// The number of starts of a task that are allowed after it has crashed three targets.
 const START_LIMIT: usize = 2;
+/// The number of crashes under a task without which it is not given up.
+const CRASH_MINIMUM: usize = 2;
 /// How long after the end of a cut or a freeze a VM counts as in touch with its peers again.
 const TOUCH_DELAY: u64 = 2_000_000;
 
@@ -532,7 +534,6 @@
     /// Records that an instance of a target ends with its runs.
     fn record_crash(&mut self, target: usize, cause: Option<RunName>) {
         let place = &self.targets[target];
-        let (name, instance) = (place.name.clone(), place.instance);
         let tasks = place.runs.keys().copied().collect::<Vec<_>>();
         let alone = tasks.len() == 1;
         if let Some(run) = cause {
@@ -543,25 +544,47 @@
             self.record_history(target, format!("crash by {run}, in company:{company}"));
         }
         for task in tasks {
-            let record = self.tasks.entry(task).or_default();
-            let starter = record.starts.last().map(|start| start.vm);
-            let zone = &self.vms[self.jobs[&task.job].vm].zone;
-            let witnesses = self.vms.iter().enumerate();
-            let witnesses = witnesses.filter(|(vm, state)| {
-                state.engine.is_some() && (state.zone == *zone || Some(*vm) == starter)
-            });
-            let witnesses = witnesses.map(|(vm, state)| (vm, state.generation));
-            record.crashes.push(TaskCrash {
-                at: self.now,
-                target: name.clone(),
-                instance,
-                is_cause: cause.is_some_and(|run| run.task == task),
-                alone,
-                witnesses: witnesses.collect(),
-            });
+            let is_cause = cause.is_some_and(|run| run.task == task);
+            self.record_task_crash(target, task, CrashStage::Running, is_cause, alone);
+        }
+        for task in self.targets[target].unacknowledged_tasks() {
+            self.record_task_crash(target, task, CrashStage::Ended, false, false);
         }
     }
 
+    /// Records that a run of a task may be lost with an instance of a target.
+    fn record_task_crash(
+        &mut self,
+        target: usize,
+        task: TaskName,
+        stage: CrashStage,
+        is_cause: bool,
+        alone: bool,
+    ) {
+        let place = &self.targets[target];
+        let record = self.tasks.entry(task).or_default();
+        let mut crashes = record.crashes.iter();
+        if crashes.any(|crash| crash.target == place.name && crash.instance == place.instance) {
+            return;
+        }
+        let starter = record.starts.last().map(|start| start.vm);
+        let zone = &self.vms[self.jobs[&task.job].vm].zone;
+        let witnesses = self.vms.iter().enumerate();
+        let witnesses = witnesses.filter(|(vm, state)| {
+            state.engine.is_some() && (state.zone == *zone || Some(*vm) == starter)
+        });
+        let witnesses = witnesses.map(|(vm, state)| (vm, state.generation));
+        record.crashes.push(TaskCrash {
+            at: self.now,
+            target: place.name.clone(),
+            instance: place.instance,
+            stage,
+            is_cause,
+            alone,
+            witnesses: witnesses.collect(),
+        });
+    }
+
     /// Crashes a target if a run of a deadly task is still on it.
     fn end_deadly_run(&mut self, target: usize, instance: u64, run: RunName) {
         self.targets[target].advance(self.now);
@@ -1197,6 +1220,10 @@
             };
             self.refuse(call, vm, target, event);
         }
+        if self.targets[target].may_have_started(self.now) && !gone {
+            let task = request.run.task;
+            self.record_task_crash(target, task, CrashStage::Requested, false, false);
+        }
         if !self.reaches(vm, target) || gone {
             return;
         }
@@ -1262,6 +1289,7 @@
             target: place.name.clone(),
             instance: place.instance,
             in_touch,
+            fails: place.fault == Some(TargetFault::Failing),
         };
         let record = self.tasks.entry(run.task).or_default();
         record.starts.push(start);
@@ -1538,22 +1566,37 @@
         }
     }
 
-    /// Checks that a job without deadly tasks was answered as failed only if two targets have
-    /// crashed while one of its tasks was on them.
+    /// Checks that no job with a deadly task was answered as completed, and that a job without one
+    /// was answered as failed only if two targets have crashed with one of its tasks, or if a task
+    /// has failed as often as its queue allows.
     pub fn check_failures(&self) {
         for (id, job) in &self.jobs {
-            if job.reply != Some(JobReply::Failed) || job.shape.deadly > 0 {
-                continue;
-            }
-            let tasks = self.tasks.range(task_range(*id));
-            let crashes = tasks.map(|(_, record)| record.crashes.len());
-            if crashes.max().unwrap_or(0) < 2 {
+            let valid = match job.reply {
+                Some(JobReply::Completed) => job.shape.deadly == 0,
+                Some(JobReply::Failed) => job.shape.deadly > 0 || self.may_give_up(*id),
+                _ => true,
+            };
+            if !valid {
+                println!("{:#?}", self.records(*id));
                 self.print_job(*id);
-                panic!("job {id} failed without crashes: {job:?}");
+                panic!(
+                    "seed {}: job {id} has the wrong answer: {job:?}",
+                    self.seed()
+                );
             }
         }
     }
 
+    /// Whether a task of a job has lost two runs to crashes, or failed as often as allowed.
+    fn may_give_up(&self, id: JobId) -> bool {
+        let queue = self.jobs[&id].shape.queue;
+        let attempt_limit = self.configuration.queues[queue].attempt_limit;
+        self.records(id).iter().any(|(_, record)| {
+            let failed = record.starts.iter().filter(|start| start.fails).count();
+            record.crashes.len() >= CRASH_MINIMUM || failed >= usize::from(attempt_limit)
+        })
+    }
+
     /// The records of the tasks of a job that have started.
     pub fn records(&self, id: JobId) -> Vec<(TaskName, &TaskRecord)> {
         let records = self.tasks.range(task_range(id));
