Simulate targets whose capacity shrinks and grows

A target may show a smaller or a larger capacity while it runs. A start may use the former, larger one only until contactMs and one heartbeat (4.5 s) have passed. The simulated fleet had constant capacities.

Each start is judged by the capacity in force, or by one that was replaced within the last 4.5 s; targets that never change are judged as before.

--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -9,6 +9,17 @@
 };
 use filbertpitch_types::prelude::*;
 
+/// How long a caller may go without contact to the platform, in microseconds: `contactMs` of the
+/// platform.
+const CONTACT_US: u64 = 3_000_000;
+
+/// The heartbeat interval of the platform in microseconds: a target shows a new capacity with its next
+/// heartbeat.
+pub const HEARTBEAT_US: u64 = 1_500_000;
+
+/// How long the platform's rule lets starts use a former, larger capacity, in microseconds.
+pub const FORMER_CAPACITY_US: u64 = CONTACT_US + HEARTBEAT_US;
+
 /// The fault of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum TargetFault {
@@ -37,6 +48,8 @@
     pub name: TargetName,
     pub zone: ZoneName,
     pub capacity: ResourceVector,
+    /// Earlier capacities, each with the time at which it was replaced.
+    former_capacities: Vec<(u64, ResourceVector)>,
     pub fault: Option<TargetFault>,
     pub draining: bool,
     pub listed: bool,
@@ -63,6 +76,7 @@
             name: name.parse().unwrap(),
             zone: zone.clone(),
             capacity: ResourceVector::from((cores * 1000, 131_072, 0)),
+            former_capacities: Vec::new(),
             fault: None,
             draining: false,
             listed: true,
@@ -109,6 +123,31 @@
         self.next_end = 1;
     }
 
+    /// Changes the capacity; the runs go on.
+    pub fn set_capacity(&mut self, now: u64, capacity: ResourceVector) {
+        let former = std::mem::replace(&mut self.capacity, capacity);
+        self.former_capacities.push((now, former));
+    }
+
+    /// The capacity that the target's latest heartbeat shows. A new instance sends one at once.
+    pub fn listed_capacity(&self, now: u64, heartbeat_us: u64) -> ResourceVector {
+        let since_boot = now.saturating_sub(self.boot_us);
+        let heartbeat = now - since_boot.checked_rem(heartbeat_us).unwrap_or(0);
+        let former = self.former_capacities.iter();
+        let mut later = former.filter(|(until, _)| *until > heartbeat);
+        later
+            .next()
+            .map_or(self.capacity, |(_, capacity)| *capacity)
+    }
+
+    /// Whether the runs fit the capacity, or one that was replaced within the last `former_us`.
+    pub fn is_within_capacity(&self, now: u64, former_us: u64) -> bool {
+        let allocated = self.allocated();
+        let former = self.former_capacities.iter();
+        let mut recent = former.filter(|(until, _)| now <= *until + former_us);
+        allocated.fits(&self.capacity) || recent.any(|(_, capacity)| allocated.fits(capacity))
+    }
+
     pub fn crash(&mut self) {
         self.fault = Some(TargetFault::Down);
         self.runs.clear();
