Free nothing on a target whose runs exceed its capacity in a dimension

After the capacity of a target shrinks below what its runs occupy, the free capacity was zero only in the exceeded dimensions. A task that needs nothing of these, such as one without accelerators on a target that has lost some of those in use, was started although the runs together exceeded the capacity.

The free capacity is now zero in all dimensions until enough runs have ended. Found by reading; the test failed before the change. The simulated tasks all need processor time and memory, so the fault runs could not show it: their capacities change in processor time.

--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -83,7 +83,8 @@
         self.capacity
     }
 
-    /// The capacity that no run occupies; nothing while the resources of a run are unknown.
+    /// The capacity that no run occupies; nothing while the resources of a run are unknown, or while
+    /// the runs exceed the capacity in any dimension: a capacity may shrink below what runs occupy.
     pub fn free(&self) -> ResourceVector {
         let mut occupied = ResourceVector::default();
         for run in self.runs.values() {
@@ -92,7 +93,10 @@
                 None => return ResourceVector::default(),
             }
         }
-        self.capacity - occupied
+        match occupied.fits(&self.capacity) {
+            true => self.capacity - occupied,
+            false => ResourceVector::default(),
+        }
     }
 
     /// Adds a run.
--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
+use filbertpitch_fleet::ledger::{CapacityLedger, RunPhase, TargetRun};
 use filbertpitch_types::fleet::{JobReply, RejectReason};
+use filbertpitch_types::prelude::*;
 use support::{JobShape, SimFleet, SimOptions};
 
 /// The interval between reads of the list, and the time that a start request takes.
@@ -172,3 +174,35 @@
     assert!(refused && !job.started, "{job:?}");
     assert!(job.waited() < Duration::from_secs(6), "{job:?}");
 }
+
+/// Guards against a start on a target that exceeds its capacity in one dimension, by a task that
+/// needs nothing of this dimension.
+#[test]
+fn nothing_is_free_while_one_dimension_is_exceeded() {
+    let mut ledger = CapacityLedger::default();
+    ledger.set_capacity(ResourceVector::from((64_000, 1024, 4)));
+    let task = TaskName {
+        job: JobId(7),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let run = TargetRun {
+        run: RunNumber(1),
+        resources: Some(ResourceVector::from((8_000, 64, 4))),
+        coordinator: None,
+        queue: None,
+        expected: Duration::from_millis(100),
+        since: TimePoint(0),
+        lease_limit: TimePoint(u64::MAX),
+        target_restarted: false,
+        phase: RunPhase::Running {
+            confirmed_at: TimePoint(0),
+        },
+    };
+    ledger.insert(task, run);
+    ledger.set_capacity(ResourceVector::from((64_000, 1024, 2)));
+    assert_eq!(ledger.free(), ResourceVector::default());
+    ledger.remove(&task);
+    assert_eq!(ledger.free(), ledger.capacity());
+}
