Add a failing test of capacities that cannot be confirmed

A VM that cannot read the list of targets keeps the capacities that it read last, without bound. If a target shrinks meanwhile, the VM starts more there than the limit admits once 4.5 s have passed.

Not fixed: to start nothing without a confirmed capacity is safe but makes a VM idle in each outage of the store that is longer than that. Listed in KNOWN-RED.txt and ignored by the normal run.

--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -206,3 +206,19 @@
     ledger.remove(&task);
     assert_eq!(ledger.free(), ledger.capacity());
 }
+
+/// Guards against VMs that use a capacity which they have not been able to confirm for longer than
+/// the platform lets a former capacity count.
+#[test]
+#[ignore = "fails: see KNOWN-RED.txt"]
+fn capacity_that_cannot_be_confirmed_is_not_used() {
+    let mut fleet = SimFleet::new(SimOptions::default());
+    fleet.run_for(Duration::from_secs(3));
+    for vm in 0..fleet.vm_count() {
+        fleet.cut_list(vm, true);
+    }
+    resize_all(&mut fleet, 25);
+    fleet.run_for(Duration::from_secs(5));
+    fleet.submit(0, shape(4, 27, Duration::from_millis(100)));
+    fleet.run_for(Duration::from_secs(1));
+}
