--- a/crates/standins/src/children/ports.rs
+++ b/crates/standins/src/children/ports.rs
@@ -9,6 +9,8 @@
 const FIRST_PORT: u16 = 11_000;
 const BLOCKS: u16 = 90;
 const BLOCK_SIZE: u16 = 64;
+/// The ports of a block that a test may use, from 1 on.
+pub const USABLE_PORTS: u16 = BLOCK_SIZE - 1;
 const TARGET_OFFSET: u16 = 32;
 
 /// Consecutive ports that no other test uses, as long as this value exists.
