Log when a coordinator orphans a run or records another holder

Events 908 run_orphaned and 909 run_reassigned; at most one each for a run and a change, with the limits of all events from 900 on.

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -245,6 +245,12 @@
     907 RunEnded "run_ended" Info
         "A run has ended without being done; `end` says how."
         "Look for other runs on the same target.";
+    908 RunOrphaned "run_orphaned" Info
+        "It is not known whether a run goes on; unless its holder is heard of, the task is placed again after `over_in_ms`."
+        "None; `reason` says why.";
+    909 RunReassigned "run_reassigned" Info
+        "Another VM has found a run on a target and is its holder from now on."
+        "None.";
 }
 
 impl EventSpec {
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -113,6 +113,36 @@
             LogEvent::RunEnded,
             b!("run" => %run, "target" => target.as_str(), "end" => %end),
         ),
+        FleetNotice::RunOrphaned {
+            run,
+            holder,
+            target,
+            reason,
+            over_in,
+        } => log.record(
+            LogEvent::RunOrphaned,
+            b!(
+                "run" => %run,
+                "holder" => holder.as_str(),
+                "target" => target.as_str(),
+                "reason" => reason,
+                "over_in_ms" => millis(*over_in)
+            ),
+        ),
+        FleetNotice::RunReassigned {
+            run,
+            target,
+            former,
+            holder,
+        } => log.record(
+            LogEvent::RunReassigned,
+            b!(
+                "run" => %run,
+                "target" => target.as_str(),
+                "former" => former.as_str(),
+                "holder" => holder.as_str()
+            ),
+        ),
         FleetNotice::PlaceRefused {
             task,
             holder,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -257,6 +257,30 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// The coordinator does not know whether a run goes on, and counts it as over after a while.
+    RunOrphaned {
+        /// The run.
+        run: RunName,
+        /// The holder of the target.
+        holder: VmName,
+        /// The target.
+        target: TargetName,
+        /// The reason, as it is logged.
+        reason: &'static str,
+        /// After which time the run counts as over.
+        over_in: Duration,
+    },
+    /// The coordinator counts another VM as the holder of a run.
+    RunReassigned {
+        /// The run.
+        run: RunName,
+        /// The target.
+        target: TargetName,
+        /// The former holder.
+        former: VmName,
+        /// The new holder.
+        holder: VmName,
+    },
     /// A holder has refused a task or could not start it.
     PlaceRefused {
         /// The task.
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -193,6 +193,14 @@
         }
     }
 
+    fn current_run(&self, task: TaskRef) -> RunName {
+        let state = self.jobs.task(task);
+        RunName {
+            task: state.name,
+            run: state.run,
+        }
+    }
+
     /// The holder and the target of a run; `None` unless it is the task's current run and may be in
     /// progress.
     fn placement_of(&self, task: TaskRef, run: RunNumber) -> Option<(VmIndex, TargetIndex)> {
@@ -339,21 +347,26 @@
             };
             let placement = self.placement_of(task, run.run);
             if placement.is_some_and(|(holder, _)| holder == from) {
-                self.orphan_task(task, from, target, over_at);
+                self.orphan_task(task, from, target, over_at, "released");
             }
         }
     }
 
     /// Marks all tasks that were placed with a lost holder as orphaned, because they may still be
     /// running: the holder may not know that it was marked as lost, or may fail to stop them.
-    pub(super) fn orphan_tasks_on(&mut self, holder: VmIndex, contact: LostContact) {
+    pub(super) fn orphan_tasks_on(
+        &mut self,
+        holder: VmIndex,
+        contact: LostContact,
+        reason: &'static str,
+    ) {
         let placed = self.jobs.placed();
         let lost = placed
             .filter(|placed| placed.holder == holder)
             .collect::<Vec<_>>();
         for placed in lost {
             let over_at = self.run_expiry_after(placed, contact);
-            self.orphan_task(placed.task, holder, placed.target, over_at);
+            self.orphan_task(placed.task, holder, placed.target, over_at, reason);
         }
     }
 
@@ -378,8 +391,16 @@
         holder: VmIndex,
         target: TargetIndex,
         over_at: TimePoint,
+        reason: &'static str,
     ) {
         let now = self.now();
+        self.notice(FleetNotice::RunOrphaned {
+            run: self.current_run(task),
+            holder: self.vms.name(holder).clone(),
+            target: self.registry.name(target).clone(),
+            reason,
+            over_in: over_at.since(now),
+        });
         let phase = TaskPhase::Orphaned {
             holder,
             target,
@@ -418,8 +439,16 @@
     ) -> bool {
         let now = self.now();
         let placement = self.placement_of(task, run);
-        if placement.is_none_or(|(_, placed_on)| placed_on != target) {
+        let Some((former, _)) = placement.filter(|(_, placed_on)| *placed_on == target) else {
             return false;
+        };
+        if former != holder {
+            self.notice(FleetNotice::RunReassigned {
+                run: self.current_run(task),
+                target: self.registry.name(target).clone(),
+                former: self.vms.name(former).clone(),
+                holder: self.vms.name(holder).clone(),
+            });
         }
         let phase = TaskPhase::Placed {
             holder,
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -69,7 +69,7 @@
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
         }
         if let Some(contact) = update.work_dropped {
-            self.drop_peer_work(peer, contact);
+            self.drop_peer_work(peer, contact, "work_dropped");
         }
         if candidacy_changed {
             self.invalidate_assignment();
@@ -128,7 +128,7 @@
                 .as_mut()
                 .expect("an interned peer has a link");
             if let Some(contact) = link.observe_record(&identity, revision, now) {
-                self.drop_peer_work(peer, contact);
+                self.drop_peer_work(peer, contact, "replaced");
                 self.invalidate_assignment();
             }
         }
@@ -222,18 +222,18 @@
             silence,
             refused,
         });
-        self.drop_peer_work(peer, contact);
+        self.drop_peer_work(peer, contact, "holder_lost");
         self.invalidate_assignment();
     }
 
     /// Drops the messages and offers of a peer, stops the runs that it has requested as a
     /// coordinator, and marks the tasks that were placed with it as orphaned.
-    fn drop_peer_work(&mut self, peer: VmIndex, contact: LostContact) {
+    fn drop_peer_work(&mut self, peer: VmIndex, contact: LostContact, reason: &'static str) {
         self.inbox.retain(|(from, _)| *from != peer);
         self.offers.drop_coordinator(peer);
         self.blocked_requests.drop_coordinator(peer);
         self.stop_runs_for(peer);
-        self.orphan_tasks_on(peer, contact);
+        self.orphan_tasks_on(peer, contact, reason);
         self.placement_due = true;
     }
 
