--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -55,6 +55,9 @@
     pub max_lease_ms: u64,
     /// Its speed, as a percentage of the usual speed.
     pub speed_percent: u64,
+    /// Whether the token of a poll is checked only when the poll arrives, so that a poll which waits
+    /// is answered with a report although a later holder has claimed the target meanwhile.
+    pub reports_to_former_holder: bool,
 }
 
 impl SimTarget {
@@ -78,6 +81,7 @@
             starts: 0,
             max_lease_ms: 1000,
             speed_percent: 100,
+            reports_to_former_holder: false,
         }
     }
 
@@ -214,7 +218,7 @@
     /// Whether a poll would be answered without waiting.
     pub fn answers_at_once(&mut self, now: u64, order: &PollRequest) -> bool {
         self.advance(now);
-        order.token < self.token
+        (order.token < self.token && !self.reports_to_former_holder)
             || self
                 .ended
                 .iter()
@@ -235,9 +239,9 @@
         true
     }
 
-    pub fn poll_response(&mut self, now: u64, order: &PollRequest) -> PollResult {
+    pub fn poll_response(&mut self, now: u64, order: &PollRequest, admitted: bool) -> PollResult {
         self.advance(now);
-        if order.token < self.token {
+        if order.token < self.token && !(admitted && self.reports_to_former_holder) {
             return PollResult::Fenced;
         }
         let running = self.runs.iter().map(|(task, run)| RunningEntry {
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -194,6 +194,8 @@
     target: usize,
     plan: PollPlan,
     until: u64,
+    /// Whether the token was valid when the poll arrived.
+    admitted: bool,
 }
 
 /// A fleet in simulated time.
@@ -1190,8 +1192,11 @@
         if !self.reaches(vm, target) {
             return;
         }
-        self.targets[target].apply_poll(self.now, &plan.request);
-        let until = self.now + plan.request.wait.as_micros() as u64;
+        let admitted = self.targets[target].apply_poll(self.now, &plan.request);
+        let until = match admitted {
+            true => self.now + plan.request.wait.as_micros() as u64,
+            false => self.now,
+        };
         self.polls.push(WaitingPoll {
             call,
             vm,
@@ -1199,6 +1204,7 @@
             target,
             plan,
             until,
+            admitted,
         });
         self.schedule(until, SimEvent::TargetChanges(target));
         self.answer_due_polls(target);
@@ -1225,7 +1231,7 @@
             if !self.reaches(poll.vm, target) || self.rng.random_bool(self.net.response_loss) {
                 continue;
             }
-            let answer = self.targets[target].poll_response(now, &poll.plan.request);
+            let answer = self.targets[target].poll_response(now, &poll.plan.request, poll.admitted);
             self.record_history(
                 target,
                 format!("poll vm-{} {:?}: {answer:?}", poll.vm, poll.plan.request),
