Ignore a former holder's question for the runs of a later one

The former holder took the later holder's runs for found runs, broadcast Inquire, and the coordinator recorded it as their holder and sent Keep. The former holder had been fenced by then and answered Released; the coordinator counted the runs as over after one lease and its margin, while the later holder, whose reports it no longer took, renewed them.

Evidence: the history of the task in its placement line, played on: reassigned from a-2 to a-1, orphaned by a-1's release 1.3 ms later, placed again after 1.12 s and the wait for capacity.

Ruled out: a loss count (the holder never dropped the coordinator's work), a false end.

Change: Inquire carries the token; a coordinator keeps the recorded holder if it knows that this one is live and holds the target with a higher token.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -478,13 +478,14 @@
                 took_ms: None,
             }));
         }
-        if !outcome.unknown_runs.is_empty() {
-            let due = self.now() + self.settings.adoption_timeout;
-            if let Some(held) = self.held.get_mut(&target) {
-                held.begin_adoption(due);
-            }
+        if !outcome.unknown_runs.is_empty()
+            && let Some(held) = self.held.get_mut(&target)
+        {
+            held.begin_adoption(self.clock.time + self.settings.adoption_timeout);
+            let token = held.token();
             self.broadcast(FleetMessage::Inquire {
                 target: name,
+                token,
                 runs: outcome.unknown_runs,
             });
         }
@@ -537,14 +538,20 @@
 
     /// Tells a new holder which of the runs that it found on a target are still wanted, and records
     /// the new holder for the tasks of these runs.
-    pub(super) fn receive_inquiry(&mut self, from: VmIndex, target: &TargetName, runs: &[RunName]) {
+    pub(super) fn receive_inquiry(
+        &mut self,
+        from: VmIndex,
+        target: &TargetName,
+        token: FencingToken,
+        runs: &[RunName],
+    ) {
         let index = self.registry.intern(target);
         let mut kept = Vec::new();
         for run in runs {
             let Some(task) = self.jobs.find_task(&run.task) else {
                 continue;
             };
-            if self.reassign_run(task, run.run, index, from) {
+            if self.reassign_run(task, run.run, index, (from, token)) {
                 let job = self.jobs.get(task.job).expect("the job is live");
                 kept.push(KeptRun {
                     run: *run,
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -11,6 +11,7 @@
 
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
 use crate::clock::max_lease_duration;
+use crate::held::HeldTarget;
 use crate::job_table::{ActiveJob, JobPlan, PlacedTask, TaskPhase, TaskRef};
 use crate::lease_limits::LEASE_MARGIN;
 use crate::link::LostContact;
@@ -429,13 +430,15 @@
     }
 
     /// Returns whether a run that a new holder has found is still wanted; if so, assigns it to that
-    /// holder.
+    /// holder. A poll that has waited at the target while the target changed its holder can show the
+    /// former holder the runs of the new one, so a VM with a lower token than the run's live holder
+    /// is not a new holder.
     pub(super) fn reassign_run(
         &mut self,
         task: TaskRef,
         run: RunNumber,
         target: TargetIndex,
-        holder: VmIndex,
+        (holder, token): (VmIndex, FencingToken),
     ) -> bool {
         let now = self.now();
         let placement = self.placement_of(task, run);
@@ -443,6 +446,9 @@
             return false;
         };
         if former != holder {
+            if self.token_of(former, target) > Some(token) {
+                return false;
+            }
             self.notice(FleetNotice::RunReassigned {
                 run: self.current_run(task),
                 target: self.registry.name(target).clone(),
@@ -458,4 +464,14 @@
         self.jobs.set_phase(now, task, phase);
         true
     }
+
+    /// The token with which a VM holds a target, as far as this VM knows.
+    fn token_of(&self, holder: VmIndex, target: TargetIndex) -> Option<FencingToken> {
+        let Some(link) = &self.links[holder] else {
+            return self.held.get(&target).map(HeldTarget::token);
+        };
+        let mut holdings = link.holdings().iter();
+        let holding = holdings.find(|holding| holding.target == target)?;
+        Some(holding.token)
+    }
 }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -280,7 +280,11 @@
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
             FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
-            FleetMessage::Inquire { target, runs } => self.receive_inquiry(from, &target, &runs),
+            FleetMessage::Inquire {
+                target,
+                token,
+                runs,
+            } => self.receive_inquiry(from, &target, token, &runs),
             FleetMessage::Keep {
                 target,
                 runs,
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -595,6 +595,9 @@
     Inquire {
         /// The target on which they run.
         target: TargetName,
+        /// The sender's token for the target: a coordinator ignores the question if it knows of a
+        /// later holder.
+        token: FencingToken,
         /// The names of the runs.
         runs: Vec<RunName>,
     },
