--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -248,7 +248,13 @@
     907 RunEnded "run_ended" Info
         "A run has ended without being done; `end` says how."
         "Look for other runs on the same target.";
-    908 TaskSuspected "task_suspected" Warning
+    908 RunOrphaned "run_orphaned" Info
+        "It is not known whether a run goes on; unless its holder is heard of, the task is placed again after `over_in_ms`."
+        "None; `reason` says why.";
+    909 RunReassigned "run_reassigned" Info
+        "Another VM has found a run on a target and is its holder from now on."
+        "None.";
+    910 TaskSuspected "task_suspected" Warning
         "A target has crashed while it had a task; the task is tried alone, or its job is given up."
         "If `given_up`, tell the owner of the job: the task crashes the targets that start it.";
 }
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -11,6 +11,7 @@
 
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic};
 use crate::clock::max_lease_duration;
+use crate::held::HeldTarget;
 use crate::job_table::{ActiveJob, JobPlan, PlacedTask, TaskPhase, TaskRef};
 use crate::lease_limits::LEASE_MARGIN;
 use crate::link::LostContact;
@@ -194,6 +195,14 @@
         }
     }
 
+    fn current_run(&self, task: TaskRef) -> RunName {
+        let state = self.jobs.task(task);
+        RunName {
+            task: state.name,
+            run: state.run,
+        }
+    }
+
     /// The holder and the target of a run; `None` unless it is the task's current run and may be in
     /// progress.
     fn placement_of(&self, task: TaskRef, run: RunNumber) -> Option<(VmIndex, TargetIndex)> {
@@ -340,21 +349,26 @@
             };
             let placement = self.placement_of(task, run.run);
             if placement.is_some_and(|(holder, _)| holder == from) {
-                self.orphan_task(task, from, target, over_at);
+                self.orphan_task(task, from, target, over_at, "released");
             }
         }
     }
 
     /// Marks all tasks that were placed with a lost holder as orphaned, because they may still be
     /// running: the holder may not know that it was marked as lost, or may fail to stop them.
-    pub(super) fn orphan_tasks_on(&mut self, holder: VmIndex, contact: LostContact) {
+    pub(super) fn orphan_tasks_on(
+        &mut self,
+        holder: VmIndex,
+        contact: LostContact,
+        reason: &'static str,
+    ) {
         let placed = self.jobs.placed();
         let lost = placed
             .filter(|placed| placed.holder == holder)
             .collect::<Vec<_>>();
         for placed in lost {
             let over_at = self.run_expiry_after(placed, contact);
-            self.orphan_task(placed.task, holder, placed.target, over_at);
+            self.orphan_task(placed.task, holder, placed.target, over_at, reason);
         }
     }
 
@@ -379,8 +393,16 @@
         holder: VmIndex,
         target: TargetIndex,
         over_at: TimePoint,
+        reason: &'static str,
     ) {
         let now = self.now();
+        self.notice(FleetNotice::RunOrphaned {
+            run: self.current_run(task),
+            holder: self.vms.name(holder).clone(),
+            target: self.registry.name(target).clone(),
+            reason,
+            over_in: over_at.since(now),
+        });
         let phase = TaskPhase::Orphaned {
             holder,
             target,
@@ -409,18 +431,31 @@
     }
 
     /// Returns whether a run that a new holder has found is still wanted; if so, assigns it to that
-    /// holder.
+    /// holder. A poll that has waited at the target while the target changed its holder can show the
+    /// former holder the runs of the new one, so a VM with a lower token than the run's live holder
+    /// is not a new holder.
     pub(super) fn reassign_run(
         &mut self,
         task: TaskRef,
         run: RunNumber,
         target: TargetIndex,
-        holder: VmIndex,
+        (holder, token): (VmIndex, FencingToken),
     ) -> bool {
         let now = self.now();
         let placement = self.placement_of(task, run);
-        if placement.is_none_or(|(_, placed_on)| placed_on != target) {
+        let Some((former, _)) = placement.filter(|(_, placed_on)| *placed_on == target) else {
             return false;
+        };
+        if former != holder {
+            if self.token_of(former, target) > Some(token) {
+                return false;
+            }
+            self.notice(FleetNotice::RunReassigned {
+                run: self.current_run(task),
+                target: self.registry.name(target).clone(),
+                former: self.vms.name(former).clone(),
+                holder: self.vms.name(holder).clone(),
+            });
         }
         let phase = TaskPhase::Placed {
             holder,
@@ -430,4 +465,14 @@
         self.jobs.set_phase(now, task, phase);
         true
     }
+
+    /// The token with which a VM holds a target, as far as this VM knows.
+    fn token_of(&self, holder: VmIndex, target: TargetIndex) -> Option<FencingToken> {
+        let Some(link) = &self.links[holder] else {
+            return self.held.get(&target).map(HeldTarget::token);
+        };
+        let mut holdings = link.holdings().iter();
+        let holding = holdings.find(|holding| holding.target == target)?;
+        Some(holding.token)
+    }
 }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -70,7 +70,7 @@
             self.share_crashes(peer);
         }
         if let Some(contact) = update.work_dropped {
-            self.drop_peer_work(peer, contact);
+            self.drop_peer_work(peer, contact, "work_dropped");
         }
         if candidacy_changed {
             self.invalidate_assignment();
@@ -129,7 +129,7 @@
                 .as_mut()
                 .expect("an interned peer has a link");
             if let Some(contact) = link.observe_record(&identity, revision, now) {
-                self.drop_peer_work(peer, contact);
+                self.drop_peer_work(peer, contact, "replaced");
                 self.invalidate_assignment();
             }
         }
@@ -223,18 +223,18 @@
             silence,
             refused,
         });
-        self.drop_peer_work(peer, contact);
+        self.drop_peer_work(peer, contact, "holder_lost");
         self.invalidate_assignment();
     }
 
     /// Drops the messages and offers of a peer, stops the runs that it has requested as a
     /// coordinator, and marks the tasks that were placed with it as orphaned.
-    fn drop_peer_work(&mut self, peer: VmIndex, contact: LostContact) {
+    fn drop_peer_work(&mut self, peer: VmIndex, contact: LostContact, reason: &'static str) {
         self.inbox.retain(|(from, _)| *from != peer);
         self.offers.drop_coordinator(peer);
         self.blocked_requests.drop_coordinator(peer);
         self.stop_runs_for(peer);
-        self.orphan_tasks_on(peer, contact);
+        self.orphan_tasks_on(peer, contact, reason);
         self.placement_due = true;
     }
 
@@ -281,7 +281,11 @@
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
             FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
-            FleetMessage::Inquire { target, runs } => self.receive_inquiry(from, &target, &runs),
+            FleetMessage::Inquire {
+                target,
+                token,
+                runs,
+            } => self.receive_inquiry(from, &target, token, &runs),
             FleetMessage::Keep {
                 target,
                 runs,
