Ask for the coordinators of found runs only after a confirming poll

The check at the coordinator covers the case that it knows the next holder's token; it does not know it when it has lost that holder, and a release by the former one would then move the time at which the run counts as over.

Change: runs that a waiting poll shows and that were not known are withheld until a poll without a wait has confirmed that this VM holds the target. They occupy the target in the meantime.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -218,6 +218,9 @@
     clock: RemoteClock,
     acked_through: u64,
     ledger: CapacityLedger,
+    /// Runs that a poll which has waited at the target has shown, and that were not known before. The
+    /// target may have had another holder by the time of the response.
+    unconfirmed_runs: Vec<RunName>,
     /// Whether further runs wait until one was tried.
     reserved_for_trial: bool,
     health: TargetHealth,
@@ -274,6 +277,7 @@
             clock: RemoteClock::default(),
             acked_through: 0,
             ledger,
+            unconfirmed_runs: Vec::new(),
             reserved_for_trial: false,
             pending_poll: None,
             hedge_poll: None,
@@ -511,7 +515,8 @@
     /// How long the target may hold a poll open that grants `lease`. A shorter lease needs more polls
     /// to be renewed in time.
     fn poll_wait(&self, hedged: bool, lease: Option<Duration>) -> Duration {
-        let wait = match (self.is_steady(), hedged) {
+        let steady = self.is_steady() && self.unconfirmed_runs.is_empty();
+        let wait = match (steady, hedged) {
             (true, false) => self.settings.poll_wait,
             (true, true) => self.settings.hedged_poll_wait,
             (false, _) => return Duration::ZERO,
@@ -837,12 +842,14 @@
         if report.time.is_none_or(|time| time >= self.reported_at) {
             self.reported_at = report.time.unwrap_or_default();
             self.apply_running(now, report, &mut outcome);
+            self.confirm_unknown_runs(now, poll.wait, &mut outcome);
             self.remove_missing(poll.sent_at, report, &mut outcome);
             outcome.missing_starts = self.missing_starts(poll.sent_at, report);
         }
         // A target that answers without waiting although no run has ended is not polled again at
         // once.
-        let early = report.ended.is_empty() && now.since(poll.sent_at) < poll.wait / 2;
+        let waits = report.ended.is_empty() && self.unconfirmed_runs.is_empty();
+        let early = waits && now.since(poll.sent_at) < poll.wait / 2;
         let due = match early {
             true => poll.sent_at + poll.wait,
             false => now,
@@ -915,6 +922,23 @@
         }
     }
 
+    /// Withholds unknown runs until a poll that the target answers at once has shown that this VM still
+    /// holds the target: the token of a poll is checked when the poll arrives, so that a former holder
+    /// whose poll waits is shown the runs of the next one.
+    fn confirm_unknown_runs(&mut self, now: TimePoint, wait: Duration, outcome: &mut PollOutcome) {
+        self.unconfirmed_runs.append(&mut outcome.unknown_runs);
+        let ledger = &self.ledger;
+        self.unconfirmed_runs.retain(|name| {
+            let run = ledger.get(&name.task);
+            run.is_some_and(|run| run.run == name.run && run.coordinator.is_none())
+        });
+        if wait.is_zero() {
+            outcome.unknown_runs = std::mem::take(&mut self.unconfirmed_runs);
+        } else if !self.unconfirmed_runs.is_empty() {
+            self.poll_now(now);
+        }
+    }
+
     /// Removes the runs that the report does not list although the target had them, or could no
     /// longer accept their start request, when the poll was sent.
     fn remove_missing(
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -673,6 +673,15 @@
     };
     let outcome = holder.exchange(vec![later], vec![]);
     assert_eq!(ends(&outcome), [(task(0), RunEnd::LeaseExpired)]);
+    assert_eq!(
+        outcome.unknown_runs,
+        [],
+        "the target may have another holder"
+    );
+    let confirmation = holder.plan();
+    assert_eq!(confirmation.request.wait, Duration::ZERO);
+    let report = holder.report(vec![later], vec![]);
+    let outcome = holder.answer(&confirmation, &report);
     assert_eq!(outcome.unknown_runs, [later]);
     assert_eq!(
         holder.free(),
