Simulate targets that answer a waiting poll of a former holder

The protocol lets a target check the token of a poll when the poll arrives or again when it answers. The simulated targets did the latter, so that no fault run could show a former holder the runs of the next one.

--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -277,7 +277,10 @@
             for _ in 0..*count {
                 let name = format!("target-{}", targets.len());
                 let drift = rng.random_range(0..=2);
-                targets.push(SimTarget::new(&name, zone, options.cores, 0, drift));
+                let mut target = SimTarget::new(&name, zone, options.cores, 0, drift);
+                // The protocol permits both.
+                target.reports_to_former_holder = targets.len() % 2 == 1;
+                targets.push(target);
             }
         }
         let mut vms = Vec::new();
