Keep the time before which an orphaned run does not count as over

By calculation, found in review: a coordinator that has lost the holder of a run by a refused connection may accept a delayed question of a former holder, and its release then put the end of the run at 1.12 s from now, where the loss requires up to 1.3 s from the last contact; a holder that is alive may renew the lease in between. The later of the two times now counts. No test shows the gap, which needs a question that is 50 to 180 ms late; fault_run and former_holder pass with it.

--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -396,6 +396,10 @@
         reason: &'static str,
     ) {
         let now = self.now();
+        // The report of one VM does not shorten what the loss of another one requires.
+        let state = self.jobs.task_mut(task);
+        state.over_after = state.over_after.max(over_at);
+        let over_at = state.over_after;
         self.notice(FleetNotice::RunOrphaned {
             run: self.current_run(task),
             holder: self.vms.name(holder).clone(),
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -99,6 +99,8 @@
     pub phase: TaskPhase,
     /// The number of the current or next run.
     pub run: RunNumber,
+    /// Before this time the latest runs do not count as over, whoever reports to hold their target.
+    pub over_after: TimePoint,
     /// The number of failed runs.
     pub failures: u8,
     /// Targets that the task avoids, the oldest first.
@@ -289,6 +291,7 @@
                 },
                 phase: TaskPhase::Blocked,
                 run: RunNumber(1),
+                over_after: TimePoint(0),
                 failures: 0,
                 excluded: SmallVec::new(),
                 queue_position: None,
