--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -14,11 +14,11 @@
 use filbertpitch_types::fleet::CrashReport;
 use filbertpitch_types::prelude::*;
 
-/// The crashes after which a task is given up if one of them must have been caused by it.
+/// The crashes after which a task is given up if it was alone on one of the targets.
 const CRASH_LIMIT: usize = 2;
 
-/// The crashes after which a task is given up whatever else the targets ran: three crashes in
-/// different company are unlikely to have another cause.
+/// The crashes after which a task is given up whatever else the targets ran: three crashes
+/// beside different tasks are unlikely to have another cause.
 const SHARED_CRASH_LIMIT: usize = 3;
 
 /// How long a crash is remembered: longer than clients keep sending a job again.
@@ -36,7 +36,7 @@
     task: TaskName,
     target: TargetName,
     boot: Option<TargetBoot>,
-    /// Whether no other task can have caused the crash.
+    /// Whether the target had no other task.
     alone: bool,
 }
 
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -29,13 +29,16 @@
     10_163, 10_211, 10_303,
 ];
 
-/// The same for fleets with long heartbeat intervals. The first seed failed before coordinators kept the
-/// short interval to their holders; the cause was not traced.
+/// The same for fleets with long heartbeat intervals. The causes were not traced: the first seed failed
+/// before coordinators kept the short interval to their holders, the second one while the backlog
+/// counted tasks that wait for a trial.
 const LARGE_REGRESSION_SEEDS: [u64; 2] = [10_197, 10_395];
 
-/// The same for fleets whose links heal one direction at a time, and whose capacities change: runs of the
-/// next instance of a target were blamed for the crash of the former one.
+/// The same for fleets whose links heal one direction at a time: runs of the next instance of a target
+/// were blamed for the crash of the former one.
 const ONE_WAY_REGRESSION_SEEDS: [u64; 1] = [10_290];
+
+/// The same for fleets whose capacities change: as before, and one seed that was not traced (10_113).
 const RESIZING_REGRESSION_SEEDS: [u64; 2] = [10_113, 10_189];
 
 /// The share of the jobs with a deadly task in a fleet that has them.
