Drop requests whose client has closed the connection before they are handled

A VM that was paused for 7.2 s woke, accepted two jobs whose clients had closed their connections and sent the jobs to another VM, and placed their tasks: the server polled the handler before the connection, and saw its end only afterwards.

For handlers that are cancelled on disconnect the server now reads from the connection once more before it calls the handler. The socket is marked as readable after each successful read, so this is always a read, not the state of an earlier readiness event. As before, a client that closes only its sending direction counts as disconnected; it no longer gets the answers that a handler gives at once.

--- a/crates/wire/src/server/connection.rs
+++ b/crates/wire/src/server/connection.rs
@@ -1,8 +1,10 @@
 //! One connection of a server: reads requests, writes responses and closes without losing a
 //! response.
 
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
@@ -210,16 +212,26 @@
         self.write(response, keep_alive).await && keep_alive
     }
 
-    /// Runs the handler. Returns `None` if the client disconnects first and the handler is
-    /// cancelled on disconnect.
+    /// Runs the handler. Returns `None` if the handler is cancelled on disconnect and the client
+    /// disconnects first. A client that closes its sending direction counts as disconnected, because
+    /// the server cannot tell it from one that has closed the connection.
     async fn handle(&mut self, request: ServerRequest) -> Option<ServerResponse> {
-        let state = self.state;
-        let response = state.handler.handle(request);
-        if !state.handler.cancels_on_disconnect() || !self.frames.read_buffer().is_empty() {
-            return Some(response.await);
+        let handler = &self.state.handler;
+        if !handler.cancels_on_disconnect() || !self.frames.read_buffer().is_empty() {
+            return Some(handler.handle(request).await);
         }
-        let response = pin!(response);
-        let data = pin!(self.frames.peek_data());
+        let mut data = pin!(self.frames.peek_data());
+        // The client may have closed the connection before the request was read, for example while this
+        // process was paused, and may have sent the request to another server. The socket is still
+        // marked as readable after the request was read, so this poll always reads from it.
+        match poll_fn(|context| Poll::Ready(data.as_mut().poll(context))).await {
+            Poll::Pending => {}
+            Poll::Ready(Ok(data)) if !data.is_empty() => {
+                return Some(handler.handle(request).await);
+            }
+            Poll::Ready(_) => return None,
+        }
+        let response = pin!(handler.handle(request));
         match select(response, data).await {
             Either::Left((response, _)) => Some(response),
             // The client has sent the next request, so it is still connected.
--- a/crates/wire/src/server/mod.rs
+++ b/crates/wire/src/server/mod.rs
@@ -41,7 +41,8 @@
     fn handle(&self, request: ServerRequest) -> impl Future<Output = ServerResponse>;
 
     /// Whether the future is dropped when the client closes its connection, because its work is of
-    /// use only to that client.
+    /// use only to that client. If the client has closed it before the request is handled,
+    /// [`Self::handle`] is not called.
     fn cancels_on_disconnect(&self) -> bool {
         false
     }
--- a/crates/wire/tests/http/disconnect.rs
+++ b/crates/wire/tests/http/disconnect.rs
@@ -1,6 +1,8 @@
 //! Clients that disconnect before the response, and servers that disable keep-alive.
 
 use std::cell::Cell;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
 use monoio::time::{sleep, timeout};
+use socket2::SockRef;
 use test_case::test_case;
 
 /// How long [`CountingHandler`] takes for a request.
@@ -64,6 +67,100 @@
     .unwrap();
 }
 
+/// How a client ends its connection while the server's process does not run.
+#[derive(Clone, Copy)]
+enum ConnectionEnd {
+    Close,
+    Reset,
+    /// Only the sending direction ends. The server cannot tell this from a close.
+    HalfClose,
+}
+
+/// Counts the requests that the handler gets, and answers them at once.
+struct ImmediateHandler {
+    cancels_on_disconnect: bool,
+    handled: Rc<Cell<u32>>,
+}
+
+impl RequestHandler for ImmediateHandler {
+    async fn handle(&self, _: ServerRequest) -> ServerResponse {
+        self.handled.set(self.handled.get() + 1);
+        ServerResponse::empty(StatusCode::OK)
+    }
+
+    fn cancels_on_disconnect(&self) -> bool {
+        self.cancels_on_disconnect
+    }
+}
+
+/// Sends a request and ends the connection without letting the server run in between.
+fn send_and_end(
+    mut stream: std::net::TcpStream,
+    end: ConnectionEnd,
+) -> Option<std::net::TcpStream> {
+    stream.write_all(REQUEST).unwrap();
+    match end {
+        ConnectionEnd::Close => None,
+        ConnectionEnd::Reset => {
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+            None
+        }
+        ConnectionEnd::HalfClose => {
+            stream.shutdown(Shutdown::Write).unwrap();
+            Some(stream)
+        }
+    }
+}
+
+async fn connect(address: SocketAddr, reused: bool) -> std::net::TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).unwrap();
+    if reused {
+        stream.write_all(REQUEST).unwrap();
+        sleep(HANDLER_TIME).await;
+        let mut response = [0; 1024];
+        assert!(stream.read(&mut response).unwrap() > 0, "no response");
+    }
+    stream
+}
+
+/// Guards against a process that has been paused and hands on the requests of clients that have
+/// closed their connections meanwhile and sent their jobs to another VM, and against a handler that
+/// is not called although its work does not depend on the client.
+#[test_case(ConnectionEnd::Close, false, true, 0; "new connection closed")]
+#[test_case(ConnectionEnd::Close, true, true, 0; "reused connection closed")]
+#[test_case(ConnectionEnd::Reset, false, true, 0; "new connection reset")]
+#[test_case(ConnectionEnd::Reset, true, true, 0; "reused connection reset")]
+#[test_case(ConnectionEnd::HalfClose, false, true, 0; "new connection half closed")]
+#[test_case(ConnectionEnd::HalfClose, true, true, 0; "reused connection half closed")]
+#[test_case(ConnectionEnd::Close, false, false, 1; "work that does not depend on the client")]
+#[test_case(ConnectionEnd::HalfClose, true, false, 1; "half closed, and work that does not depend on the client")]
+fn request_of_an_ended_connection(
+    end: ConnectionEnd,
+    reused: bool,
+    cancels_on_disconnect: bool,
+    expected: u32,
+) {
+    run(async {
+        let server = HttpServer::bind("127.0.0.1:0".parse().unwrap(), short_limits()).unwrap();
+        let address = server.local_addr().unwrap();
+        let handled = Rc::<Cell<u32>>::default();
+        let handler = ImmediateHandler {
+            cancels_on_disconnect,
+            handled: Rc::clone(&handled),
+        };
+        monoio::spawn(server.run(handler));
+        let stream = connect(address, reused).await;
+        handled.set(0);
+        // The server shares this thread, so it does not run before the next await.
+        let half_closed = send_and_end(stream, end);
+        sleep(HANDLER_TIME).await;
+        assert_eq!(handled.get(), expected);
+        drop(half_closed);
+    })
+    .unwrap();
+}
+
 /// Guards against treating the bytes of a pipelined request as the end of the connection.
 #[test]
 fn pipelined_request_does_not_cancel_the_first() {
