Blame crashes only on runs that the crashed instance may have had

Two causes of a task that is given up after one crash:

A run that an earlier instance of the target may have started stays in the ledger until its end is known, and counted for the crash of the next instance too. possible_crash leaves out runs that are marked with target_restarted. The mark is removed when the present instance lists the run, because a run that was requested just before the restart was known is a run of the new instance.

A start without a response counted as a run that was alone on the target, although it may never have reached it. Such a task is still a suspect; that it was alone takes a confirmed run. A task that crashes its targets before the responses to its starts arrive may cost three targets instead of two.

Measured: run_of_an_earlier_instance_is_not_blamed_for_a_second_crash failed before and passes.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -158,8 +158,11 @@
     pub boot: Option<TargetBoot>,
     /// The tasks whose runs were on the target, or may have been.
     pub tasks: Vec<TaskName>,
-    /// The task, if it was the only one.
+    /// The task, if it was the only one and the target had confirmed its run. A start without a response
+    /// may never have reached the target, so that the crash does not show that the task is its cause.
     pub alone: Option<TaskName>,
+    /// Those of the tasks whose runs the target had not confirmed.
+    pub unconfirmed: BTreeSet<TaskName>,
     /// The coordinators of these runs; `None` stands for one that is not known.
     pub coordinators: BTreeSet<Option<VmIndex>>,
 }
@@ -171,15 +174,19 @@
         let started = running.chain(report.ended.iter().map(|entry| entry.run.task));
         let started = started.collect::<BTreeSet<_>>();
         self.tasks.retain(|task| !started.contains(task));
-        self.alone = self
-            .tasks
-            .first()
-            .copied()
-            .filter(|_| self.tasks.len() == 1);
+        self.alone = sole_task(&self.tasks, &self.unconfirmed);
         (!self.tasks.is_empty()).then_some(self)
     }
 }
 
+/// The task, if it is the only one and its run is confirmed.
+fn sole_task(tasks: &[TaskName], unconfirmed: &BTreeSet<TaskName>) -> Option<TaskName> {
+    match tasks {
+        [task] if !unconfirmed.contains(task) => Some(*task),
+        _ => None,
+    }
+}
+
 /// What a poll report changes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PollOutcome {
@@ -914,6 +921,9 @@
             let RunName { task, run: number } = entry.run;
             match self.ledger.get_mut(&task) {
                 Some(run) if run.run == number => {
+                    // The instance that responds has the run, even if it was requested before the
+                    // restart was known.
+                    run.target_restarted = false;
                     if let RunPhase::Requested { .. } | RunPhase::Uncertain { .. } = run.phase {
                         run.phase = RunPhase::Running { confirmed_at: now };
                     }
@@ -1058,24 +1068,29 @@
     /// another instance responds. Returns the crash, unless it was noticed before or the target had
     /// no runs.
     pub fn notice_crash(&mut self) -> Option<TargetCrash> {
-        if self.crash_noticed || self.ledger.is_empty() {
+        if self.crash_noticed {
             return None;
         }
+        let crash = self.possible_crash()?;
         self.crash_noticed = true;
-        Some(self.possible_crash())
+        Some(crash)
     }
 
-    /// The crash of the target, should its process have ended by now.
-    fn possible_crash(&self) -> TargetCrash {
-        let runs = self.ledger.runs();
-        let tasks = runs.map(|(task, _)| *task).collect::<Vec<_>>();
-        let coordinators = self.ledger.runs().map(|(_, run)| run.coordinator);
-        TargetCrash {
+    /// The crash of the target, should its process have ended by now; `None` if it had no runs. The runs
+    /// that an earlier instance may have started count for the crash of that instance only.
+    fn possible_crash(&self) -> Option<TargetCrash> {
+        let runs = self.ledger.runs().filter(|(_, run)| !run.target_restarted);
+        let runs = runs.collect::<Vec<_>>();
+        let tasks = runs.iter().map(|(task, _)| **task).collect::<Vec<_>>();
+        let unconfirmed = runs.iter().filter(|(_, run)| !run.is_confirmed());
+        let unconfirmed = unconfirmed.map(|(task, _)| **task).collect();
+        (!tasks.is_empty()).then(|| TargetCrash {
             boot: self.boot,
-            alone: tasks.first().copied().filter(|_| tasks.len() == 1),
-            coordinators: coordinators.collect(),
+            alone: sole_task(&tasks, &unconfirmed),
+            unconfirmed,
+            coordinators: runs.iter().map(|(_, run)| run.coordinator).collect(),
             tasks,
-        }
+        })
     }
 
     /// Removes and returns the runs whose leases have expired while the target was unreachable.
@@ -1083,8 +1098,10 @@
         if self.is_reachable() || now < self.leases_expired_at {
             return Vec::new();
         }
-        if !self.crash_noticed && !self.ledger.is_empty() {
-            self.silent_crash = Some(self.possible_crash());
+        if !self.crash_noticed
+            && let Some(crash) = self.possible_crash()
+        {
+            self.silent_crash = Some(crash);
         }
         let runs = self.ledger.take_runs();
         runs.into_iter()
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -67,6 +67,16 @@
     pub phase: RunPhase,
 }
 
+impl TargetRun {
+    /// Whether the target has confirmed the run. A run that is being stopped counts as confirmed.
+    pub fn is_confirmed(&self) -> bool {
+        !matches!(
+            self.phase,
+            RunPhase::Requested { .. } | RunPhase::Uncertain { .. }
+        )
+    }
+}
+
 /// The capacity of a target and its runs.
 #[derive(Clone, Debug, Default)]
 pub struct CapacityLedger {
@@ -175,11 +185,6 @@
 
     /// Whether the outcome of a start request is unknown.
     pub fn has_pending_start(&self) -> bool {
-        self.runs.values().any(|run| {
-            matches!(
-                run.phase,
-                RunPhase::Requested { .. } | RunPhase::Uncertain { .. }
-            )
-        })
+        self.runs.values().any(|run| !run.is_confirmed())
     }
 }
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -720,6 +720,60 @@
     assert_eq!(crash.tasks, [task(0)]);
 }
 
+fn report_of_instance(holder: &Holder, boot: u64, running: Vec<RunName>) -> PollReport {
+    PollReport {
+        boot: Some(TargetBoot(boot)),
+        ..holder.report(running, vec![])
+    }
+}
+
+/// Guards against a run of an earlier instance that is still in the ledger and is blamed for the next
+/// crash too, so that a task is given up after one crash (fault run, `Resizing`, seed 10262).
+#[test]
+fn run_of_an_earlier_instance_is_not_blamed_for_a_second_crash() {
+    let mut holder = Holder::confirmed();
+    holder.start(0, StartAnswer::Accepted(None));
+    holder.target.stop_run(holder.now, &task(0));
+    holder.pause();
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 1, vec![]);
+    let crash = holder.answer(&plan, &report).crash.expect("a crash");
+    assert_eq!(crash.tasks, [task(0)]);
+    assert_eq!(holder.target.ledger().len(), 1, "the stop is not confirmed");
+    assert_eq!(holder.target.notice_crash(), None);
+    holder.start(1, StartAnswer::Accepted(None));
+    holder.pause();
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 2, vec![]);
+    let crash = holder.answer(&plan, &report).crash.expect("a crash");
+    assert_eq!((crash.tasks, crash.alone), (vec![task(1)], Some(task(1))));
+}
+
+/// Guards against a task that is given up although its only run on a crashed target may never have reached
+/// it (fault run, `Resizing`, seed 10262), and against a crash that leaves such a task unsuspected.
+#[test]
+fn unconfirmed_run_is_suspected_but_not_alone() {
+    let mut holder = Holder::confirmed();
+    holder.start(0, StartAnswer::ConnectionLost);
+    let crash = holder.target.notice_crash().expect("a crash");
+    assert_eq!((crash.tasks, crash.alone), (vec![task(0)], None));
+}
+
+/// Guards against a crash that counts for no task because the holder had requested the run before it
+/// learnt that another instance had started it.
+#[test]
+fn run_that_the_next_instance_lists_is_blamed_for_its_crash() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 1, vec![run]);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted && outcome.crash.is_none(), "{outcome:?}");
+    let crash = holder.target.notice_crash().expect("a crash");
+    assert_eq!(crash.tasks, [task(0)]);
+}
+
 /// Guards against a crash that counts for no task because the target was silent, so that its runs had
 /// ended with their lease before its next instance responded.
 #[test_case(BOOT, false; "the same instance")]
