Start nothing on targets of zones that the operator has closed

Cause: the operator closes a zone by the record evacuate/ZONE, and until now no VM read it.

Change: the adapter decodes the records, follow.rs feeds them before the configuration of the same read, and ClosedZones decides by offset which zones are closed. ClosedZones::may_start replaces registry.is_ready wherever a start follows; holding, polling and takeover of targets are unchanged, because their runs go on. Envelopes (path 5) carry closed and recently opened zones and are requested at once on a change. A start without a response is not repeated once its zone is closed. Jobs that only closed zones could run are refused as zone_closed, also after acceptance while nothing of them has started. Entries of targets keep coldRemainingMs and remainingMs; what is learned of a target while it is cold is kept separately and discarded afterwards.

The simulated fleet panics at a start in a zone that was closed more than 5 s before, and the fault run has a kind of fleet whose zones close.

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -185,6 +185,12 @@
     407 TargetReachable "target_reachable" Info
         "A target that did not respond responds again."
         "None.";
+    410 ZoneClosed "zone_closed" Warning
+        "The operator has closed an availability zone: its targets get no new tasks. `age_ms` is the time since the first VM has read the record."
+        "None; if `age_ms` exceeds 3000, check the links between the VMs.";
+    411 ZoneOpened "zone_opened" Info
+        "The operator has opened an availability zone again."
+        "None.";
     500 SubmissionRefused "submission_refused" Warning
         "A submission was refused with an unknown outcome: its epoch is closed or its owner is gone."
         "None; `reason` names the case.";
--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -8,13 +8,14 @@
 
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_fleet::listing::{FeedGap, ListEntry, ListFollower};
+use filbertpitch_platform::closed_zones::read_zone_change;
 use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
 use filbertpitch_platform::listing::read_target;
 use filbertpitch_platform::store::{
     FEED_TOPIC, KeyedRecord, OPERATOR_TOPIC, ReadResult, StoreError, TARGET_TOPIC, VM_TOPIC,
     decode_value, encode_value,
 };
-use filbertpitch_types::fleet::{ListRecord, PeerObservation, PeerRecord, TargetChange};
+use filbertpitch_types::fleet::{ListRecord, PeerObservation, PeerRecord, TargetChange, ZoneRead};
 use filbertpitch_types::prelude::*;
 use slog::b;
 
@@ -93,13 +94,14 @@
 }
 
 impl FleetNode {
-    /// Keeps the configuration in force up to date. Runs forever.
+    /// Keeps the configuration and the closed zones in force up to date. Runs forever.
     pub(super) async fn follow_configuration(self: Rc<Self>) {
         let mut state = TopicState::new(OPERATOR_TOPIC);
         loop {
             match self.store().newest(OPERATOR_TOPIC).await {
                 Ok(newest) => {
                     state.note(&self, None);
+                    self.apply_zones(&newest.records, newest.next, true);
                     self.apply_configuration(&newest.records);
                     self.read_configurations(&mut state, newest.next).await;
                 }
@@ -118,6 +120,9 @@
             match read.await {
                 Ok(ReadResult::Records { records, next: end }) => {
                     state.note(self, None);
+                    if end > next {
+                        self.apply_zones(&records, end, false);
+                    }
                     self.apply_configuration(&records);
                     next = end;
                 }
@@ -130,6 +135,30 @@
         }
     }
 
+    /// Applies the records of closed zones of a read up to `through`. The caller applies the configuration
+    /// of the same read afterwards, so that a VM that starts takes no jobs before it knows the zones.
+    fn apply_zones(&self, records: &[KeyedRecord], through: LogOffset, complete: bool) {
+        let mut changes = Vec::new();
+        for record in records {
+            match read_zone_change(record) {
+                None => {}
+                Some(Ok(change)) => changes.push(change),
+                Some(Err(error)) => {
+                    let text = error.to_string();
+                    self.log().record(
+                        LogEvent::RecordUnreadable,
+                        b!("topic" => OPERATOR_TOPIC, "key" => &*record.key, "error" => &text),
+                    );
+                }
+            }
+        }
+        self.driver().feed(FleetEvent::ZonesChanged(ZoneRead {
+            changes,
+            through,
+            complete,
+        }));
+    }
+
     fn apply_configuration(&self, records: &[KeyedRecord]) {
         let published = records
             .iter()
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -97,6 +97,11 @@
             "Jobs rejected; nothing of them has run",
             counters.jobs_rejected,
         ),
+        (
+            "jobs_rejected_zone_closed",
+            "Rejected jobs that only targets of closed zones could run",
+            counters.jobs_rejected_zone_closed,
+        ),
         (
             "jobs_unknown",
             "Jobs given up after parts may have run",
@@ -208,6 +213,11 @@
             "Targets in the platform's list",
             view.listed_targets,
         ),
+        (
+            "closed_zones",
+            "Availability zones that the operator has closed",
+            view.closed_zones,
+        ),
     ];
     for (name, help, value) in values {
         let gauge = Gauge::<i64>::default();
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use filbertpitch_fleet::engine::FleetNotice;
-use filbertpitch_types::fleet::{JobReply, PlaceRefusal};
+use filbertpitch_fleet::engine::{FleetNotice, ZoneSource};
+use filbertpitch_types::fleet::{JobReply, PlaceRefusal, ZoneChange};
 use slog::b;
 
 use crate::events::{EventLog, LogEvent};
@@ -30,6 +30,7 @@
         PlaceRefusal::OldRun => "old_run",
         PlaceRefusal::StillRunning => "still_running",
         PlaceRefusal::NeverStarted => "never_started",
+        PlaceRefusal::ZoneClosed => "zone_closed",
     }
 }
 
@@ -221,6 +222,11 @@
             LogEvent::TargetUnlisted,
             b!("target" => target.as_str(), "draining" => draining),
         ),
+        FleetNotice::ZoneChanged {
+            change,
+            source,
+            age,
+        } => record_zone(log, change, source, *age),
         FleetNotice::PeerLive(peer) => {
             log.record(LogEvent::PeerLive, b!("peer" => peer.as_str()));
         }
@@ -239,6 +245,7 @@
             open,
             runs,
             waiting,
+            closed_zones,
         } => log.record(
             LogEvent::LoadSampled,
             b!(
@@ -247,7 +254,8 @@
                 "free_m" => free.cpu.0,
                 "open_m" => open.cpu.0,
                 "runs" => runs,
-                "waiting" => waiting
+                "waiting" => waiting,
+                "closed_zones" => closed_zones
             ),
         ),
         FleetNotice::ProcessPaused(gap) => {
@@ -256,3 +264,24 @@
         _ => {}
     }
 }
+
+fn record_zone(log: &EventLog, change: &ZoneChange, source: &ZoneSource, age: Duration) {
+    let event = match change.closed {
+        true => LogEvent::ZoneClosed,
+        false => LogEvent::ZoneOpened,
+    };
+    let (source, peer) = match source {
+        ZoneSource::Store => ("store", None),
+        ZoneSource::Peer(peer) => ("peer", Some(peer.as_str())),
+    };
+    log.record(
+        event,
+        b!(
+            "zone" => change.zone.as_str(),
+            "offset" => change.offset.0,
+            "source" => source,
+            "peer" => peer,
+            "age_ms" => millis(age)
+        ),
+    );
+}
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -80,12 +80,8 @@
         if unsupported {
             return Err(JobRejection::now(RejectReason::Unsupported));
         }
-        if order
-            .steps
-            .iter()
-            .any(|step| !self.has_capable_target(spec, step))
-        {
-            return Err(JobRejection::now(RejectReason::NoCapableTarget));
+        if let Some(reason) = self.missing_target(spec, &order.steps) {
+            return Err(JobRejection::now(reason));
         }
         let plan = self.build_plan(queue, spec, order, client_timeout);
         let ends_at = self.now() + padded_run_time(plan.estimate.run_time);
@@ -102,13 +98,17 @@
         }
     }
 
-    /// Whether some listed target could run a task of the step if it were idle.
-    fn has_capable_target(&self, spec: &QueueSpec, step: &StepSpec) -> bool {
+    /// Whether some listed target that satisfies `counts` could run a task of the step if it were idle.
+    pub(super) fn has_capable_target<F>(&self, spec: &QueueSpec, step: &StepSpec, counts: F) -> bool
+    where
+        F: Fn(&TargetEntry) -> bool,
+    {
         let label = step.required_label.as_ref();
         self.registry.listed().any(|(_, entry)| {
             entry.service == spec.service
                 && step.resources.fits(&entry.capacity)
                 && label.is_none_or(|label| entry.labels.contains(label))
+                && counts(entry)
         })
     }
 
@@ -193,10 +193,13 @@
         load
     }
 
-    /// The usable cores of all targets that a live VM holds. While the membership changes, all
+    /// The usable cores of all targets in open zones that a live VM holds. While the membership changes, all
     /// listed targets count, because those without a holder will soon have one.
     fn usable_cores(&self) -> f64 {
-        let cores = |entry: &TargetEntry| u64::from(entry.capacity.cpu.0);
+        let cores = |entry: &TargetEntry| match self.closed_zones.is_closed(&entry.zone) {
+            true => 0,
+            false => u64::from(entry.capacity.cpu.0),
+        };
         let millis = if self.is_settling() {
             self.registry.listed().map(|(_, entry)| cores(entry)).sum()
         } else {
--- a/crates/fleet/src/engine/crashes.rs
+++ b/crates/fleet/src/engine/crashes.rs
@@ -106,7 +106,8 @@
         let mut ready = Vec::new();
         for (target, held) in &mut self.held {
             held.reserve_for_trial(false);
-            let usable = self.registry.is_ready(*target) && !self.offers.is_offered(*target);
+            let usable = self.closed_zones.may_start(&self.registry, *target)
+                && !self.offers.is_offered(*target);
             if !tasks.is_empty()
                 && usable
                 && let Some(at) = held.trial_expected_at(now)
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -8,7 +8,7 @@
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
     EnvelopeAck, FleetConfiguration, JobReply, JobSpec, PeerEnvelope, PeerObservation,
-    RejectReason, TargetChange,
+    RejectReason, TargetChange, ZoneChange, ZoneRead,
 };
 use filbertpitch_types::lease::{
     CallOptions, PollResult, RunRequest, StartAnswer, StopRequest, StopResult,
@@ -23,6 +23,8 @@
 pub enum FleetEvent {
     /// A version of the operator's configuration was read.
     Configured(Rc<FleetConfiguration>),
+    /// The operator's records of closed availability zones were read.
+    ZonesChanged(ZoneRead),
     /// Changes of the platform's list of targets.
     TargetsChanged(Vec<TargetChange>),
     /// The list of targets was read to its end for the first time.
@@ -186,6 +188,15 @@
     Notice(FleetNotice),
 }
 
+/// Where a VM has learned that a zone was closed or opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ZoneSource {
+    /// The platform's store.
+    Store,
+    /// An envelope of a peer.
+    Peer(VmName),
+}
+
 /// A decision or a state change of the engine that is logged.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FleetNotice {
@@ -355,6 +366,15 @@
         /// Whether the target is draining.
         draining: bool,
     },
+    /// An availability zone was closed or opened by the operator.
+    ZoneChanged {
+        /// The change.
+        change: ZoneChange,
+        /// Where this VM has learned of it.
+        source: ZoneSource,
+        /// The time since the first VM has read the operator's record.
+        age: Duration,
+    },
     /// A peer is heard for the first time or again.
     PeerLive(VmName),
     /// A peer was marked as lost.
@@ -380,6 +400,8 @@
         runs: usize,
         /// The number of tasks of this VM's jobs that wait for capacity.
         waiting: usize,
+        /// The number of closed availability zones.
+        closed_zones: usize,
     },
     /// The process was not scheduled for this long.
     ProcessPaused(Duration),
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -87,9 +87,10 @@
             let draining = entry.is_some_and(|entry| entry.state == TargetState::Draining);
             if let Some(entry) = entry
                 && let Some(held) = self.held.get_mut(&target)
-                && held.ledger().capacity() != entry.capacity
             {
                 held.ledger_mut().set_capacity(entry.capacity);
+                held.health_mut()
+                    .set_cold_until(now, self.registry.cold_until(target));
             }
             let is_listed = self.registry.entry(target).is_some();
             if was_ready && !self.registry.is_ready(target) {
@@ -109,6 +110,7 @@
         self.timers.subscribe(due, TimerTopic::Reconcile);
         self.detect_lost_peers();
         self.repeat_stops();
+        self.reject_unservable_jobs();
         self.reconcile_due = true;
         self.placement_due |= self.jobs.waiting_len() > 0;
     }
@@ -263,7 +265,7 @@
 
     /// Sends the next envelope to each peer as soon as possible, so that peers learn of a changed
     /// holding.
-    fn expedite_envelopes(&mut self) {
+    pub(super) fn expedite_envelopes(&mut self) {
         for link in self.links.iter_mut().flatten() {
             link.request_envelope();
         }
@@ -276,7 +278,10 @@
         let capacity = entry.capacity;
         let token = self.next_token(target);
         let settings = self.settings.held.clone();
-        let held = HeldTarget::claim(settings, token, capacity, self.now());
+        let now = self.now();
+        let mut held = HeldTarget::claim(settings, token, capacity, now);
+        held.health_mut()
+            .set_cold_until(now, self.registry.cold_until(target));
         self.held.insert(target, held);
         self.holdings_version += 1;
         self.expedite_envelopes();
@@ -533,7 +538,13 @@
         match end {
             RunEnd::Done => {
                 self.counters.runs_done += 1;
-                held.health_mut().record_success(took, run.expected);
+                let health = held.health_mut();
+                health.advance(now);
+                let expected = match health.is_run_typical(run.since) {
+                    true => run.expected,
+                    false => std::time::Duration::ZERO,
+                };
+                health.record_success(took, expected);
             }
             RunEnd::Failed => {
                 self.counters.runs_not_done += 1;
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -35,6 +35,9 @@
             Ok(plan) => plan,
             Err(rejection) => {
                 self.counters.jobs_rejected += 1;
+                if rejection.reason == RejectReason::ZoneClosed {
+                    self.counters.jobs_rejected_zone_closed += 1;
+                }
                 self.notice(FleetNotice::JobRejected {
                     job: order.id,
                     queue: self.catalog.name(queue).clone(),
@@ -243,9 +246,15 @@
                 state.next_run();
                 state.exclude(target);
             }
-            PlaceRefusal::NoCapacity | PlaceRefusal::Stale | PlaceRefusal::StillRunning => {}
+            PlaceRefusal::NoCapacity
+            | PlaceRefusal::Stale
+            | PlaceRefusal::StillRunning
+            | PlaceRefusal::ZoneClosed => {}
         }
         self.requeue_task(task);
+        if refusal == PlaceRefusal::ZoneClosed {
+            self.reject_unservable_jobs();
+        }
     }
 
     fn requeue_task(&mut self, task: TaskRef) {
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod takeover;
 mod view;
+mod zones;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 
 use crate::blocked::BlockedRequests;
 use crate::catalog::QueueCatalog;
+use crate::closed_zones::ClosedZones;
 use crate::crash_log::CrashLog;
 use crate::held::HeldTarget;
 use crate::job_table::{JobTable, TaskRef};
@@ -39,7 +41,7 @@
 use crate::response_timeout::LossDetector;
 use crate::zone_probe::ZoneProber;
 
-pub use self::event::{FleetAction, FleetEvent, FleetNotice};
+pub use self::event::{FleetAction, FleetEvent, FleetNotice, ZoneSource};
 pub use self::settings::FleetSettings;
 pub use self::view::{EngineView, FleetCounters};
 
@@ -86,6 +88,7 @@
     drain_ends_at: Option<TimePoint>,
     catalog: QueueCatalog,
     registry: TargetRegistry,
+    closed_zones: ClosedZones,
     targets_listed: bool,
     peers_listed: bool,
     vms: NameInterner<VmIndex, VmName>,
@@ -153,6 +156,7 @@
             drain_ends_at: None,
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
+            closed_zones: ClosedZones::default(),
             targets_listed: false,
             peers_listed: false,
             vms,
@@ -193,6 +197,7 @@
     fn apply_event(&mut self, event: FleetEvent) {
         match event {
             FleetEvent::Configured(configuration) => self.configure(configuration),
+            FleetEvent::ZonesChanged(read) => self.read_zones(read),
             FleetEvent::TargetsChanged(notices) => self.update_targets(notices),
             FleetEvent::TargetsListed => self.finish_listing(),
             FleetEvent::PeersFound(peers) => self.update_peers(peers),
--- a/crates/fleet/src/engine/offers.rs
+++ b/crates/fleet/src/engine/offers.rs
@@ -25,7 +25,8 @@
         let now = self.now();
         let mut free = Vec::new();
         for (target, held) in &mut self.held {
-            let usable = self.registry.is_ready(*target) && !self.offers.is_offered(*target);
+            let usable = self.closed_zones.may_start(&self.registry, *target)
+                && !self.offers.is_offered(*target);
             let capacity = held.free_capacity(now);
             if usable && capacity.cpu.0 > 0 {
                 free.push((*target, capacity));
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -34,7 +34,7 @@
         ack
     }
 
-    fn accept_envelope(&mut self, envelope: PeerEnvelope) -> EnvelopeAck {
+    fn accept_envelope(&mut self, mut envelope: PeerEnvelope) -> EnvelopeAck {
         let own = self.identity.incarnation;
         let refusal = EnvelopeAck {
             incarnation: own,
@@ -57,6 +57,7 @@
             return refusal;
         }
         let was_candidate = link.is_holder_candidate();
+        let zones = std::mem::take(&mut envelope.zones);
         let update = link.receive(now, envelope, |name| registry.intern(name));
         let candidacy_changed = was_candidate != link.is_holder_candidate();
         let ack = link.ack(now, own);
@@ -69,6 +70,8 @@
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
             self.share_crashes(peer);
         }
+        // The messages may be about targets of a zone that the envelope closes.
+        self.merge_zones(peer, &zones);
         if let Some(contact) = update.work_dropped {
             self.drop_peer_work(peer, contact, "work_dropped");
         }
@@ -382,7 +385,8 @@
         let offers = &self.offers;
         let mut capacities = Vec::with_capacity(self.held.len());
         for (target, held) in &mut self.held {
-            let open = self.registry.is_ready(*target) && !offers.is_offered(*target);
+            let open =
+                self.closed_zones.may_start(&self.registry, *target) && !offers.is_offered(*target);
             let free = match open && self.state != PeerState::Leaving {
                 true => held.free_capacity(now),
                 false => ResourceVector::default(),
@@ -413,6 +417,7 @@
             holdings_version: self.holdings_version,
             holdings: Some(holdings.collect()),
             capacities,
+            zones: self.closed_zones.reports(now),
         }
     }
 }
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -136,7 +136,8 @@
                 true => held.trial_capacity(now),
                 false => held.free_capacity(now),
             };
-            let usable = self.registry.is_ready(*target) && !self.offers.is_offered(*target);
+            let usable = self.closed_zones.may_start(&self.registry, *target)
+                && !self.offers.is_offered(*target);
             let leaving = self.state == PeerState::Leaving;
             if usable && !leaving && free.cpu.0 > 0 {
                 candidates.push(PlacementCandidate {
@@ -164,7 +165,7 @@
                     continue;
                 };
                 let free = link.free_capacity(holding);
-                if free.cpu.0 > 0 && self.registry.is_ready(holding.target) {
+                if free.cpu.0 > 0 && self.may_start(holding.target) {
                     let local = link.identity().zone == *own_zone && entry.zone == *own_zone;
                     candidates.push(PlacementCandidate {
                         target: holding.target,
@@ -416,7 +417,9 @@
         offered_capacity: ResourceVector,
     ) {
         let target = self.registry.intern(target);
-        let Some(capacity) = self.registry.entry(target).map(|entry| entry.capacity) else {
+        let entry = self.registry.entry(target);
+        let entry = entry.filter(|entry| !self.closed_zones.is_closed(&entry.zone));
+        let Some(capacity) = entry.map(|entry| entry.capacity) else {
             return self.send(from, FleetMessage::Decline(offer));
         };
         let mut offered = [PlacementCandidate {
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -75,7 +75,7 @@
         }
         let target = self
             .choose_held_target(request, order)
-            .ok_or(PlaceRefusal::NoCapacity)?;
+            .ok_or_else(|| self.placement_refusal(order))?;
         let now = self.now();
         let mut run = TargetRun {
             run: order.run,
@@ -137,7 +137,7 @@
             };
             let label = request.required_label.as_ref();
             let suits = entry.service == request.service
-                && self.registry.is_ready(*target)
+                && self.closed_zones.may_start(&self.registry, *target)
                 && label.is_none_or(|label| entry.labels.contains(label))
                 && !order.excluded.contains(&entry.name)
                 && !self.offers.is_offered(*target);
@@ -244,6 +244,11 @@
             .ledger()
             .get(&name.task)
             .and_then(|run| run.coordinator);
+        if answer == StartAnswer::TimedOut
+            && !self.closed_zones.is_in_open_zone(&self.registry, target)
+        {
+            held.stop_repeating(&name.task);
+        }
         let outcome = held.handle_start_response(now, name, answer);
         if held.take_lost_response() {
             self.loss_detector.record_loss(now);
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -17,6 +17,8 @@
     pub jobs_failed: u64,
     /// Jobs rejected before any of their tasks may have started.
     pub jobs_rejected: u64,
+    /// Rejected jobs that only targets of closed zones could run.
+    pub jobs_rejected_zone_closed: u64,
     /// Jobs answered as unknown: tasks of them may have run, but the job did not finish in time.
     pub jobs_unknown: u64,
     /// Jobs whose client disconnected or cancelled.
@@ -76,6 +78,8 @@
     pub live_peers: usize,
     /// Targets in the platform's list.
     pub listed_targets: usize,
+    /// Availability zones that the operator has closed.
+    pub closed_zones: usize,
 }
 
 impl FleetEngine {
@@ -106,6 +110,7 @@
             open,
             runs,
             waiting: self.jobs.waiting_len(),
+            closed_zones: self.closed_zones.len(),
         };
         self.notice(notice);
     }
@@ -131,6 +136,7 @@
                 .filter(|link| link.is_live())
                 .count(),
             listed_targets: self.registry.listed().count(),
+            closed_zones: self.closed_zones.len(),
         }
     }
 }
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -52,6 +52,18 @@
     backoff: Duration,
     /// Mean of the natural logarithm of run time over expected run time.
     slowdown: f64,
+    /// Until when the target is slow for a while, and its slowdown in that time.
+    cold: Option<ColdPhase>,
+    /// When the target was last slow for a while.
+    cold_ended_at: Option<TimePoint>,
+}
+
+/// A time in which a target is slow, for example because its caches are empty.
+#[derive(Clone, Copy, Debug)]
+struct ColdPhase {
+    until: TimePoint,
+    /// As in [`TargetHealth`].
+    slowdown: f64,
 }
 
 impl TargetHealth {
@@ -63,7 +75,37 @@
             breaker: BreakerState::Closed,
             failures: 0,
             slowdown: 0.0,
+            cold: None,
+            cold_ended_at: None,
+        }
+    }
+
+    /// Sets until when the target is slow; `None` if it is not. What is learned in that time is kept
+    /// separately and discarded at its end.
+    pub fn set_cold_until(&mut self, now: TimePoint, until: Option<TimePoint>) {
+        match (until, &mut self.cold) {
+            (Some(until), Some(cold)) => cold.until = until,
+            (Some(until), None) => {
+                let slowdown = self.slowdown;
+                self.cold = Some(ColdPhase { until, slowdown });
+            }
+            (None, Some(cold)) => cold.until = cold.until.min(now),
+            (None, None) => {}
         }
+        self.advance(now);
+    }
+
+    /// Discards what was learned while the target was slow, once that time is over.
+    pub fn advance(&mut self, now: TimePoint) {
+        if let Some(cold) = self.cold.take_if(|cold| cold.until <= now) {
+            self.cold_ended_at = Some(cold.until);
+        }
+    }
+
+    /// Whether a run that has started at `since` and ends now says something about the speed of the
+    /// target: not if the target was slow during a part of it only.
+    pub fn is_run_typical(&self, since: TimePoint) -> bool {
+        self.cold.is_some() || self.cold_ended_at.is_none_or(|ended| ended <= since)
     }
 
     /// Records a completed run and compares its run time with the expected one.
@@ -75,7 +117,11 @@
             return;
         }
         let ratio = (took.as_secs_f64() / expected.as_secs_f64()).ln();
-        self.slowdown += (ratio - self.slowdown) * self.settings.slowdown_gain;
+        let slowdown = match &mut self.cold {
+            Some(cold) => &mut cold.slowdown,
+            None => &mut self.slowdown,
+        };
+        *slowdown += (ratio - *slowdown) * self.settings.slowdown_gain;
     }
 
     /// Records a failed run, or a request that the target did not fulfil. Returns whether this
@@ -97,6 +143,7 @@
 
     /// Whether the target may get a task while `running` tasks run there.
     pub fn admits(&mut self, now: TimePoint, running: usize) -> bool {
+        self.advance(now);
         if let BreakerState::Open { until } = self.breaker
             && until <= now
         {
@@ -116,6 +163,7 @@
 
     /// The factor by which runs take longer than expected.
     pub fn slowdown(&self) -> f64 {
-        self.slowdown.exp()
+        let slowdown = self.cold.map_or(self.slowdown, |cold| cold.slowdown);
+        slowdown.exp()
     }
 }
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -681,6 +681,13 @@
         Some(StartPlan { request, options })
     }
 
+    /// Ends the repetition of the start request of a task, as after the last repetition.
+    pub fn stop_repeating(&mut self, task: &TaskName) {
+        if let Some(open) = self.pending_starts.get_mut(task) {
+            open.sends = MAX_START_SENDS;
+        }
+    }
+
     /// Applies the response to a start request.
     pub fn handle_start_response(
         &mut self,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod blocked;
 pub mod catalog;
 pub mod clock;
+pub mod closed_zones;
 pub mod crash_log;
 pub mod engine;
 pub mod health;
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -13,7 +13,7 @@
 
 use std::collections::BTreeMap;
 
-use filbertpitch_types::fleet::{FeedRecord, ListRecord, TargetChange};
+use filbertpitch_types::fleet::{FeedRecord, ListRecord, TargetChange, TargetEntry};
 use filbertpitch_types::prelude::*;
 
 /// The most bytes of changes in a record of the feed: a quarter of what the platform accepts,
@@ -102,7 +102,10 @@
                 continue;
             };
             let key = entry.record.key.clone();
-            if self.latest.get(&key) == Some(&change) {
+            if let Some(latest) = self.latest.get_mut(&key)
+                && is_expected(latest, &change)
+            {
+                *latest = change;
                 continue;
             }
             self.unpublished
@@ -169,6 +172,30 @@
     }
 }
 
+/// Whether a change says nothing new: at most that the remaining times of a target have become shorter.
+/// If each renewal of the entry counted as a change, the feed would carry all renewals of slow or
+/// draining targets.
+fn is_expected(latest: &TargetChange, change: &TargetChange) -> bool {
+    let (TargetChange::Listed(former), TargetChange::Listed(entry)) = (latest, change) else {
+        return latest == change;
+    };
+    if former == entry {
+        return true;
+    }
+    let cold = (former.cold_remaining, entry.cold_remaining);
+    let remaining = (former.remaining, entry.remaining);
+    let passes = cold.0 >= cold.1
+        && cold.0.is_zero() == cold.1.is_zero()
+        && remaining.0 >= remaining.1
+        && remaining.0.is_some() == remaining.1.is_some();
+    let adjusted = TargetEntry {
+        cold_remaining: cold.0,
+        remaining: remaining.0,
+        ..entry.clone()
+    };
+    passes && *former == adjusted
+}
+
 fn target_name(change: &TargetChange) -> &TargetName {
     match change {
         TargetChange::Listed(entry) => &entry.name,
--- a/crates/fleet/src/offers.rs
+++ b/crates/fleet/src/offers.rs
@@ -80,6 +80,14 @@
             .retain(|_, offer| offer.coordinator != coordinator);
     }
 
+    /// Closes the offers of targets that do not satisfy `condition`.
+    pub fn retain_targets<F>(&mut self, condition: F)
+    where
+        F: Fn(TargetIndex) -> bool,
+    {
+        self.offers.retain(|_, offer| condition(offer.target));
+    }
+
     /// When the next offer expires.
     pub fn next_due(&self) -> Option<TimePoint> {
         self.offers.values().map(|offer| offer.expires_at).min()
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -17,6 +17,8 @@
     entry: Option<TargetEntry>,
     /// When the entry was removed; `None` while the target is listed.
     unlisted_since: Option<TimePoint>,
+    /// Until when the target is slow, if it is.
+    cold_until: Option<TimePoint>,
 }
 
 impl TargetRecord {
@@ -40,6 +42,8 @@
             TargetChange::Listed(entry) => {
                 let index = self.intern(&entry.name);
                 let record = &mut self.records[index];
+                let cold = entry.cold_remaining;
+                record.cold_until = (!cold.is_zero()).then(|| now + cold);
                 record.entry = Some(entry);
                 record.unlisted_since = None;
                 index
@@ -62,6 +66,7 @@
             self.records.push(TargetRecord {
                 entry: None,
                 unlisted_since: None,
+                cold_until: None,
             });
         }
         index
@@ -88,7 +93,19 @@
         entry.map(|entry| entry.address)
     }
 
-    /// Whether a target is listed and accepts work.
+    /// The availability zone of a target, also after its entry was removed.
+    pub fn zone(&self, index: TargetIndex) -> Option<&ZoneName> {
+        let entry = self.records.get(index)?.entry.as_ref();
+        entry.map(|entry| &entry.zone)
+    }
+
+    /// Until when a target is slow by its latest entry; `None` if it is not.
+    pub fn cold_until(&self, index: TargetIndex) -> Option<TimePoint> {
+        self.records.get(index)?.cold_until
+    }
+
+    /// Whether a target is listed and does not drain. Whether it may start something also depends on its
+    /// availability zone: see [`ClosedZones::may_start`](crate::closed_zones::ClosedZones::may_start).
     pub fn is_ready(&self, index: TargetIndex) -> bool {
         self.entry(index)
             .is_some_and(|entry| entry.state == TargetState::Ready)
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -139,6 +139,12 @@
 fn repair(fleet: &mut SimFleet) {
     fleet.heal();
     fleet.net = Default::default();
+    for vm in 0..fleet.vm_count() {
+        let zone = fleet.zone_of(vm).clone();
+        if fleet.closed_at(&zone).is_some() {
+            fleet.close_zone(&zone, false);
+        }
+    }
     for target in 0..fleet.targets.len() {
         fleet.resize_target(target, 100);
         fleet.targets[target].draining = false;
@@ -164,6 +170,8 @@
     Deadly,
     /// As the small fleet, with targets whose capacity shrinks and grows.
     Resizing,
+    /// As the small fleet, with zones that the operator closes and opens.
+    Evacuating,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -196,6 +204,7 @@
             FleetKind::OneWay => cut_directions(&mut fleet),
             FleetKind::Deadly => crash_targets(&mut fleet),
             FleetKind::Resizing => resize_targets(&mut fleet),
+            FleetKind::Evacuating => close_zones(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
         }
         if fleet.rng.random_bool(0.25) {
@@ -265,6 +274,22 @@
     }
 }
 
+/// Closes or opens a zone now and then, and cuts a VM off from the store or reconnects it just then. A zone
+/// stays closed for 7 s on average, longer than the limit after which the simulation panics at a start
+/// there.
+fn close_zones(fleet: &mut SimFleet) {
+    for vm in 0..fleet.vm_count() {
+        let zone = fleet.zone_of(vm).clone();
+        let closed = fleet.closed_at(&zone).is_some();
+        if fleet.rng.random_bool(if closed { 0.007 } else { 0.02 }) {
+            fleet.close_zone(&zone, !closed);
+            let other = fleet.rng.random_range(0..fleet.vm_count());
+            let cut = fleet.rng.random_bool(0.5);
+            fleet.cut_store(other, cut);
+        }
+    }
+}
+
 /// Guards against targets beyond their capacity, tasks that run twice at a time, and rejected jobs
 /// that have run; and against a fleet that does not serve all jobs after the repair.
 fn check_invariants(seed: u64, kind: FleetKind) {
@@ -343,6 +368,15 @@
     }
 }
 
+/// Guards against tasks that start in a closed zone, whichever VMs, links or reads of the store fail as
+/// the zone closes.
+#[test]
+fn invariants_hold_while_zones_close() {
+    for seed in SEEDS {
+        check_invariants(seed, FleetKind::Evacuating);
+    }
+}
+
 #[test]
 fn regression_seeds_pass() {
     for seed in REGRESSION_SEEDS {
@@ -381,6 +415,7 @@
         FleetKind::OneWay,
         FleetKind::Deadly,
         FleetKind::Resizing,
+        FleetKind::Evacuating,
     ];
     let chosen = std::env::var("FLEET_KIND").ok();
     let chosen = |kind: &FleetKind| chosen.as_ref().is_none_or(|it| *it == format!("{kind:?}"));
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -41,6 +41,7 @@
         holdings_version: 0,
         holdings: None,
         capacities: Vec::new(),
+        zones: Vec::new(),
     }
 }
 
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -68,6 +68,7 @@
             free: ResourceVector::from((8000, 64, 0)),
             slowdown_percent: 100,
         }],
+        zones: Vec::new(),
     }
 }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -15,7 +15,8 @@
 use filbertpitch_fleet::held::PollPlan;
 use filbertpitch_types::fleet::{
     EnvelopeAck, FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerObservation,
-    PeerRecord, QueueSpec, ServicePolicy, TargetChange, TargetEntry, TargetState,
+    PeerRecord, QueueSpec, ServicePolicy, TargetChange, TargetEntry, TargetState, ZoneChange,
+    ZoneRead,
 };
 use filbertpitch_types::lease::{PollResult, RunRequest, StartAnswer, StopRequest, StopResult};
 use filbertpitch_types::prelude::*;
@@ -31,6 +32,11 @@
 const ENVELOPE_TIMEOUT: u64 = 250_000;
 /// The interval between reads of the list of targets.
 const LISTING_INTERVAL: u64 = 500_000;
+/// The longest time between reads of the operator's records: that of a read which waits for a change and
+/// gets no response.
+const OPERATOR_INTERVAL: u64 = 2_000_000;
+/// How long after the operator has closed a zone tasks may still start there.
+const CLOSURE_LIMIT: u64 = 5_000_000;
 /// The delay after which a client sends an unanswered job again.
 const RESEND_DELAY: u64 = 1_300_000;
 /// The maximum number of sends of a job.
@@ -119,6 +125,7 @@
     Unfreeze(usize),
     Listing(usize, u64),
     Store(usize, u64),
+    Operator(usize, u64),
     Envelope {
         call: u64,
         from: usize,
@@ -202,6 +209,13 @@
     }
 }
 
+/// A record by which the operator closes or opens a zone. Its position in the log is its offset.
+struct OperatorRecord {
+    at: u64,
+    zone: ZoneName,
+    closed: bool,
+}
+
 struct SimVm {
     name: VmName,
     zone: ZoneName,
@@ -215,6 +229,10 @@
     frozen_until: u64,
     /// When a link of it last broke or healed, or when its last freeze ends.
     disrupted_at: u64,
+    /// When it was last unable to read the store.
+    store_cut_at: u64,
+    /// The offset at which it continues to read the operator's records.
+    operator_next: usize,
     /// When it finishes handling the events so far.
     busy_until: u64,
     wake_at: Option<u64>,
@@ -255,6 +273,7 @@
     store_cuts: HashSet<usize>,
     /// The VMs that cannot read the list of targets.
     list_cuts: HashSet<usize>,
+    operator_log: Vec<OperatorRecord>,
     /// The generation and the revision of each VM's record in the store.
     revisions: BTreeMap<usize, (u64, u64)>,
     next_revision: u64,
@@ -297,6 +316,8 @@
                     clock_offset_ms: 0,
                     frozen_until: 0,
                     disrupted_at: 0,
+                    store_cut_at: 0,
+                    operator_next: 0,
                     busy_until: 0,
                     wake_at: None,
                     callers: BTreeMap::new(),
@@ -342,6 +363,7 @@
             target_cuts: HashSet::new(),
             store_cuts: HashSet::new(),
             list_cuts: HashSet::new(),
+            operator_log: Vec::new(),
             revisions: BTreeMap::new(),
             next_revision: 0,
             next_caller: 0,
@@ -688,7 +710,9 @@
         }
         self.vm_cuts.clear();
         self.target_cuts.clear();
-        self.store_cuts.clear();
+        for vm in std::mem::take(&mut self.store_cuts) {
+            self.vms[vm].store_cut_at = self.now;
+        }
         self.list_cuts.clear();
     }
 
@@ -775,6 +799,7 @@
             }
             SimEvent::Listing(vm, generation) => self.list_targets(vm, generation),
             SimEvent::Store(vm, generation) => self.visit_store(vm, generation),
+            SimEvent::Operator(vm, generation) => self.read_operator(vm, generation),
             SimEvent::Envelope {
                 call,
                 from,
@@ -899,6 +924,9 @@
         ));
         let generation = self.vms[vm].generation;
         self.visit_store(vm, generation);
+        self.read_all_zones(vm);
+        let next_read = self.now + self.operator_phase(vm);
+        self.schedule(next_read, SimEvent::Operator(vm, generation));
         let configuration = Rc::clone(&self.configuration);
         self.feed(vm, FleetEvent::Configured(configuration));
         self.list_targets(vm, generation);
@@ -948,6 +976,113 @@
             true => self.store_cuts.insert(vm),
             false => self.store_cuts.remove(&vm),
         };
+        self.vms[vm].store_cut_at = self.now;
+    }
+
+    /// Closes or opens a zone, as the operator does. Each VM reads the record after a while.
+    pub fn close_zone(&mut self, zone: &ZoneName, closed: bool) {
+        self.operator_log.push(OperatorRecord {
+            at: self.now,
+            zone: zone.clone(),
+            closed,
+        });
+    }
+
+    /// When the operator closed a zone; `None` if it is open.
+    pub fn closed_at(&self, zone: &ZoneName) -> Option<u64> {
+        let mut records = self.operator_log.iter().rev();
+        let latest = records.find(|record| record.zone == *zone)?;
+        latest.closed.then_some(latest.at)
+    }
+
+    /// The time from the start of a VM to its second read of the operator's records: differs between VMs.
+    fn operator_phase(&self, vm: usize) -> u64 {
+        OPERATOR_INTERVAL * (vm as u64 + 1) / self.vms.len() as u64
+    }
+
+    /// Reads the newest record of each zone.
+    fn read_all_zones(&mut self, vm: usize) {
+        let mut newest = BTreeMap::new();
+        for (offset, record) in (0..).zip(&self.operator_log) {
+            newest.insert(&record.zone, (LogOffset(offset), record.closed));
+        }
+        let closed = newest.into_iter().filter(|(_, (_, closed))| *closed);
+        let changes = closed.map(|(zone, (offset, closed))| ZoneChange {
+            zone: zone.clone(),
+            offset,
+            closed,
+        });
+        let read = ZoneRead {
+            changes: changes.collect(),
+            through: LogOffset(self.operator_log.len() as u64),
+            complete: true,
+        };
+        self.vms[vm].operator_next = self.operator_log.len();
+        self.feed(vm, FleetEvent::ZonesChanged(read));
+    }
+
+    /// Reads the operator's records since the last read, if the VM reaches the store.
+    fn read_operator(&mut self, vm: usize, generation: u64) {
+        if self.vms[vm].generation != generation || self.vms[vm].engine.is_none() {
+            return;
+        }
+        let next = self.vms[vm].operator_next;
+        let end = self.operator_log.len();
+        if !self.store_cuts.contains(&vm) && end > next {
+            let records = self.operator_log.iter().enumerate().skip(next);
+            let changes = records.map(|(offset, record)| ZoneChange {
+                zone: record.zone.clone(),
+                offset: LogOffset(offset as u64),
+                closed: record.closed,
+            });
+            let read = ZoneRead {
+                changes: changes.collect(),
+                through: LogOffset(end as u64),
+                complete: false,
+            };
+            self.vms[vm].operator_next = end;
+            self.feed(vm, FleetEvent::ZonesChanged(read));
+        }
+        let at = self.now + OPERATOR_INTERVAL;
+        self.schedule(at, SimEvent::Operator(vm, generation));
+    }
+
+    /// Since when a VM has been able to learn of the operator's records without interruption, from the
+    /// store or from another VM that reads it; `None` while it cannot.
+    fn informed_since(&self, vm: usize) -> Option<u64> {
+        let reads_since =
+            |vm: usize| (!self.store_cuts.contains(&vm)).then_some(self.vms[vm].store_cut_at);
+        let linked = |other: usize| {
+            self.is_up(other)
+                && !self.vm_cuts.contains(&(vm, other))
+                && !self.vm_cuts.contains(&(other, vm))
+        };
+        let others = (0..self.vms.len()).filter(|other| *other != vm && linked(*other));
+        let told_since = others.filter_map(|other| {
+            let steady_since = self.vms[vm].disrupted_at.max(self.vms[other].disrupted_at);
+            Some(reads_since(other)?.max(steady_since))
+        });
+        told_since.chain(reads_since(vm)).min()
+    }
+
+    /// Checks that a start is not in a zone that was closed longer ago than the limit.
+    fn check_zone(&self, vm: usize, target: usize, task: TaskName) {
+        let place = &self.targets[target];
+        let (Some(closed_at), Some(informed_since)) =
+            (self.closed_at(&place.zone), self.informed_since(vm))
+        else {
+            return;
+        };
+        if self.now > closed_at.max(informed_since) + CLOSURE_LIMIT {
+            self.print_job(task.job);
+            panic!(
+                "seed {}: vm-{vm} started {task} on {} at {} us; {} was closed at {closed_at} us",
+                self.seed(),
+                place.name,
+                self.now,
+                place.zone
+            );
+        }
     }
 
     /// The availability zone of a VM.
@@ -1296,6 +1431,7 @@
             && !before
         {
             self.check_start_invariants(target, task);
+            self.check_zone(vm, target, task);
             self.jobs.get_mut(&task.job).unwrap().started = true;
             self.record_start(vm, target, request.run, late_instance.is_some());
             if deadly {
@@ -1710,7 +1846,10 @@
 /// The VM whose process handles an event, if it is one that waits for the process.
 fn acting_vm(event: &SimEvent) -> Option<usize> {
     match event {
-        SimEvent::Wake(vm, _) | SimEvent::Listing(vm, _) | SimEvent::Store(vm, _) => Some(*vm),
+        SimEvent::Wake(vm, _)
+        | SimEvent::Listing(vm, _)
+        | SimEvent::Store(vm, _)
+        | SimEvent::Operator(vm, _) => Some(*vm),
         SimEvent::Envelope { to, .. } => Some(*to),
         SimEvent::Ack { from, .. } | SimEvent::EnvelopeLost { from, .. } => Some(*from),
         SimEvent::Answer { vm, .. } => Some(*vm),
@@ -1741,5 +1880,7 @@
         capacity: target.capacity,
         labels: Vec::new(),
         boot: Some(TargetBoot(target.instance)),
+        cold_remaining: Duration::ZERO,
+        remaining: None,
     }
 }
--- a/crates/fleet/tests/target_health.rs
+++ b/crates/fleet/tests/target_health.rs
@@ -29,6 +29,8 @@
         capacity: ResourceVector::from((32_000, 1024, 0)),
         labels: Vec::new(),
         boot: None,
+        cold_remaining: Duration::ZERO,
+        remaining: None,
     }
 }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -98,6 +98,11 @@
     pub labels: Vec<Box<str>>,
     /// Identifies the instance of the target process, if the entry states it.
     pub boot: Option<TargetBoot>,
+    /// How long the target remains slow, from the time of the entry on; zero if it is not slow.
+    pub cold_remaining: Duration,
+    /// How long a draining target remains at least, from the time of the entry on. When it goes away,
+    /// its runs end.
+    pub remaining: Option<Duration>,
 }
 
 /// A change of the platform's list of targets.
@@ -131,6 +136,41 @@
     pub changes: Vec<ListRecord>,
 }
 
+/// A record that closes an availability zone, or opens it again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneChange {
+    /// The zone.
+    pub zone: ZoneName,
+    /// The offset of the record; a later one has a higher offset.
+    pub offset: LogOffset,
+    /// Whether the record closes the zone: no task may start on its targets.
+    pub closed: bool,
+}
+
+/// A read of the operator's records, as far as they concern availability zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ZoneRead {
+    /// The changes in the order of their offsets.
+    pub changes: Vec<ZoneChange>,
+    /// The offset up to which all changes are known after the read.
+    pub through: LogOffset,
+    /// Whether the newest records of all zones were read: zones that are not listed are open.
+    pub complete: bool,
+}
+
+/// An availability zone that is closed or was opened recently, as reported to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneReport {
+    /// The zone.
+    pub zone: ZoneName,
+    /// The offset of the record that has closed or opened the zone.
+    pub offset: LogOffset,
+    /// Whether the zone is closed.
+    pub closed: bool,
+    /// The time since the first VM has read the record, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// The tasks of one step of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StepSpec {
@@ -222,6 +262,8 @@
     TimedOut,
     /// The process is shutting down and the job has not started.
     Stopping,
+    /// Only targets of closed availability zones can run one of the tasks.
+    ZoneClosed,
 }
 
 impl RejectReason {
@@ -236,6 +278,7 @@
             Self::Overloaded => "overloaded",
             Self::TimedOut => "timed_out",
             Self::Stopping => "stopping",
+            Self::ZoneClosed => "zone_closed",
         }
     }
 }
@@ -528,6 +571,8 @@
     OldRun,
     /// The start was requested, and the target has certainly not carried it out.
     NeverStarted,
+    /// The availability zone of the target is closed.
+    ZoneClosed,
 }
 
 /// Tells a coordinator how a run has ended.
@@ -672,6 +717,8 @@
     /// The capacity of each held target, in the order of the holdings.
     #[serde(rename = "rooms")]
     pub capacities: Vec<CapacityReport>,
+    /// The availability zones that are closed or were opened recently, as far as the sender knows.
+    pub zones: Vec<ZoneReport>,
 }
 
 /// Acknowledges an envelope.
