Read the closed zones again after a long pause; tests of closed zones

Cause: a VM that awakes from a pause of more than 3 s may place what has waited before it can know that its zone was closed meanwhile.

Change: after such a pause nothing starts until a read of the operator's records that was requested since, or for 1.5 s without one. A read after 2 s without a successful one does not wait for a change.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -26,6 +26,10 @@
 /// noticed after this time and the margin of a read.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
+/// The age of the latest read of the configuration from which the next one does not wait for a change: a
+/// wait and the margin of a read.
+const STALE_READ_AGE: Duration = Duration::from_secs(2);
+
 /// The time between reads of the list of targets. Targets write every second or two, so that a
 /// read that waits for a change would return at once nearly always.
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,10 +102,19 @@
     pub(super) async fn follow_configuration(self: Rc<Self>) {
         let mut state = TopicState::new(OPERATOR_TOPIC);
         loop {
+            let requested_at = self.driver().now().time;
             match self.store().newest(OPERATOR_TOPIC).await {
                 Ok(newest) => {
                     state.note(&self, None);
-                    self.apply_zones(&newest.records, newest.next, true);
+                    self.apply_zones(
+                        &newest.records,
+                        ZoneRead {
+                            through: newest.next,
+                            complete: true,
+                            requested_at,
+                            ..ZoneRead::default()
+                        },
+                    );
                     self.apply_configuration(&newest.records);
                     self.read_configurations(&mut state, newest.next).await;
                 }
@@ -115,14 +128,26 @@
 
     /// Reads changes until some were missed.
     async fn read_configurations(&self, state: &mut TopicState, mut next: LogOffset) {
+        let mut read_at = self.driver().now().time;
         loop {
-            let read = self.store().read(OPERATOR_TOPIC, next, CONFIGURATION_WAIT);
-            match read.await {
+            let requested_at = self.driver().now().time;
+            // After a pause or an outage, the response must not wait for a change: starts may wait for it.
+            let wait = match requested_at.since(read_at) < STALE_READ_AGE {
+                true => CONFIGURATION_WAIT,
+                false => Duration::ZERO,
+            };
+            match self.store().read(OPERATOR_TOPIC, next, wait).await {
                 Ok(ReadResult::Records { records, next: end }) => {
                     state.note(self, None);
-                    if end > next {
-                        self.apply_zones(&records, end, false);
-                    }
+                    read_at = requested_at;
+                    self.apply_zones(
+                        &records,
+                        ZoneRead {
+                            through: end,
+                            requested_at,
+                            ..ZoneRead::default()
+                        },
+                    );
                     self.apply_configuration(&records);
                     next = end;
                 }
@@ -135,14 +160,14 @@
         }
     }
 
-    /// Applies the records of closed zones of a read up to `through`. The caller applies the configuration
-    /// of the same read afterwards, so that a VM that starts takes no jobs before it knows the zones.
-    fn apply_zones(&self, records: &[KeyedRecord], through: LogOffset, complete: bool) {
-        let mut changes = Vec::new();
+    /// Applies the records of closed zones of a read; `read` gets the changes. The caller applies the
+    /// configuration of the same read afterwards, so that a VM that starts takes no jobs before it knows
+    /// the zones.
+    fn apply_zones(&self, records: &[KeyedRecord], mut read: ZoneRead) {
         for record in records {
             match read_zone_change(record) {
                 None => {}
-                Some(Ok(change)) => changes.push(change),
+                Some(Ok(change)) => read.changes.push(change),
                 Some(Err(error)) => {
                     let text = error.to_string();
                     self.log().record(
@@ -152,11 +177,7 @@
                 }
             }
         }
-        self.driver().feed(FleetEvent::ZonesChanged(ZoneRead {
-            changes,
-            through,
-            complete,
-        }));
+        self.driver().feed(FleetEvent::ZonesRead(read));
     }
 
     fn apply_configuration(&self, records: &[KeyedRecord]) {
--- a/crates/fleet/src/closed_zones.rs
+++ b/crates/fleet/src/closed_zones.rs
@@ -18,6 +18,14 @@
 /// answered again.
 const OPENED_REPORT_TIME: Duration = Duration::from_secs(60);
 
+/// The length of a pause of the process after which the closed zones must be read again before anything
+/// starts: with a read that takes 2 s, a task would start more than 5 s after its zone was closed.
+const STALE_AFTER: Duration = Duration::from_secs(3);
+
+/// How long starts wait for that read: longer than a read that gets no response, so that a VM that reaches
+/// the store never starts anything on old knowledge, and one that does not goes on serving.
+const READ_WAIT: Duration = Duration::from_millis(1500);
+
 /// The latest known change of a zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ZoneState {
@@ -58,6 +66,8 @@
     closed: usize,
     /// The offset up to which this VM has read all records itself.
     read_through: LogOffset,
+    /// When the process awoke from a long pause, until the records are read again.
+    stale_since: Option<TimePoint>,
 }
 
 impl ClosedZones {
@@ -78,7 +88,26 @@
 
     /// Whether a target may start something now: it is listed, does not drain, and its zone is open.
     pub fn may_start(&self, registry: &TargetRegistry, target: TargetIndex) -> bool {
-        registry.is_ready(target) && self.is_in_open_zone(registry, target)
+        registry.is_ready(target) && self.may_repeat_start(registry, target)
+    }
+
+    /// Whether a start request may be sent to a target again.
+    pub fn may_repeat_start(&self, registry: &TargetRegistry, target: TargetIndex) -> bool {
+        self.stale_since.is_none() && self.is_in_open_zone(registry, target)
+    }
+
+    /// Records that the process was paused for `gap`. After a long pause nothing starts until the records
+    /// are read again.
+    pub fn resume_from_pause(&mut self, now: TimePoint, gap: Duration) {
+        if gap >= STALE_AFTER {
+            self.stale_since = Some(now);
+        }
+    }
+
+    /// Ends the wait for a read that takes too long. Returns whether starts have waited until now.
+    pub fn advance(&mut self, now: TimePoint) -> bool {
+        let waited_long = |since: &mut TimePoint| now.since(*since) >= READ_WAIT;
+        self.stale_since.take_if(waited_long).is_some()
     }
 
     /// Whether the zone of a target is open; true for a target that is not listed.
@@ -100,6 +129,8 @@
             transitions.extend(self.apply(now, change, now));
         }
         self.read_through = self.read_through.max(read.through);
+        self.stale_since
+            .take_if(|since| *since <= read.requested_at);
         transitions
     }
 
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -24,7 +24,7 @@
     /// A version of the operator's configuration was read.
     Configured(Rc<FleetConfiguration>),
     /// The operator's records of closed availability zones were read.
-    ZonesChanged(ZoneRead),
+    ZonesRead(ZoneRead),
     /// Changes of the platform's list of targets.
     TargetsChanged(Vec<TargetChange>),
     /// The list of targets was read to its end for the first time.
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -197,7 +197,7 @@
     fn apply_event(&mut self, event: FleetEvent) {
         match event {
             FleetEvent::Configured(configuration) => self.configure(configuration),
-            FleetEvent::ZonesChanged(read) => self.read_zones(read),
+            FleetEvent::ZonesRead(read) => self.read_zones(read),
             FleetEvent::TargetsChanged(notices) => self.update_targets(notices),
             FleetEvent::TargetsListed => self.finish_listing(),
             FleetEvent::PeersFound(peers) => self.update_peers(peers),
@@ -256,6 +256,7 @@
             wall: clock.wall,
         };
         let gap = self.clock.time.since(former);
+        self.placement_due |= self.closed_zones.advance(self.clock.time);
         if gap >= self.settings.pause_threshold {
             self.resume_from_pause(gap);
         }
@@ -355,6 +356,7 @@
     fn resume_from_pause(&mut self, gap: std::time::Duration) {
         self.notice(FleetNotice::ProcessPaused(gap));
         let now = self.now();
+        self.closed_zones.resume_from_pause(now, gap);
         for held in self.held.values_mut() {
             held.reconfirm(now);
         }
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -245,7 +245,7 @@
             .get(&name.task)
             .and_then(|run| run.coordinator);
         if answer == StartAnswer::TimedOut
-            && !self.closed_zones.is_in_open_zone(&self.registry, target)
+            && !self.closed_zones.may_repeat_start(&self.registry, target)
         {
             held.stop_repeating(&name.task);
         }
--- a/crates/fleet/src/engine/zones.rs
+++ b/crates/fleet/src/engine/zones.rs
@@ -23,6 +23,7 @@
     /// Applies the operator's records.
     pub(super) fn read_zones(&mut self, read: ZoneRead) {
         let transitions = self.closed_zones.apply_read(self.now(), read);
+        self.placement_due |= self.jobs.waiting_len() > 0;
         self.apply_transitions(transitions, &ZoneSource::Store);
     }
 
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -70,6 +70,8 @@
     ended: Vec<EndedEntry>,
     next_end: u64,
     pub starts: u64,
+    /// The start requests that have arrived, with repetitions.
+    pub start_requests: usize,
     pub max_lease_ms: u64,
     /// Its speed, as a percentage of the usual speed.
     pub speed_percent: u64,
@@ -98,6 +100,7 @@
             ended: Vec::new(),
             next_end: 1,
             starts: 0,
+            start_requests: 0,
             max_lease_ms: 1000,
             speed_percent: 100,
             reports_to_former_holder: false,
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -35,6 +35,8 @@
 /// The longest time between reads of the operator's records: that of a read which waits for a change and
 /// gets no response.
 const OPERATOR_INTERVAL: u64 = 2_000_000;
+/// The duration of such a read if the store responds.
+const OPERATOR_DELAY: u64 = 3_000;
 /// How long after the operator has closed a zone tasks may still start there.
 const CLOSURE_LIMIT: u64 = 5_000_000;
 /// The delay after which a client sends an unanswered job again.
@@ -126,6 +128,12 @@
     Listing(usize, u64),
     Store(usize, u64),
     Operator(usize, u64),
+    OperatorRead {
+        vm: usize,
+        generation: u64,
+        end: usize,
+        requested_at: u64,
+    },
     Envelope {
         call: u64,
         from: usize,
@@ -799,7 +807,13 @@
             }
             SimEvent::Listing(vm, generation) => self.list_targets(vm, generation),
             SimEvent::Store(vm, generation) => self.visit_store(vm, generation),
-            SimEvent::Operator(vm, generation) => self.read_operator(vm, generation),
+            SimEvent::Operator(vm, generation) => self.request_operator(vm, generation),
+            SimEvent::OperatorRead {
+                vm,
+                generation,
+                end,
+                requested_at,
+            } => self.read_operator(vm, generation, end, requested_at),
             SimEvent::Envelope {
                 call,
                 from,
@@ -1016,37 +1030,52 @@
             changes: changes.collect(),
             through: LogOffset(self.operator_log.len() as u64),
             complete: true,
+            requested_at: TimePoint(self.now),
         };
         self.vms[vm].operator_next = self.operator_log.len();
-        self.feed(vm, FleetEvent::ZonesChanged(read));
+        self.feed(vm, FleetEvent::ZonesRead(read));
     }
 
-    /// Reads the operator's records since the last read, if the VM reaches the store.
-    fn read_operator(&mut self, vm: usize, generation: u64) {
+    /// Requests the operator's records since the last read, if the VM reaches the store.
+    fn request_operator(&mut self, vm: usize, generation: u64) {
         if self.vms[vm].generation != generation || self.vms[vm].engine.is_none() {
             return;
         }
-        let next = self.vms[vm].operator_next;
-        let end = self.operator_log.len();
-        if !self.store_cuts.contains(&vm) && end > next {
-            let records = self.operator_log.iter().enumerate().skip(next);
-            let changes = records.map(|(offset, record)| ZoneChange {
-                zone: record.zone.clone(),
-                offset: LogOffset(offset as u64),
-                closed: record.closed,
-            });
-            let read = ZoneRead {
-                changes: changes.collect(),
-                through: LogOffset(end as u64),
-                complete: false,
+        if !self.store_cuts.contains(&vm) {
+            let read = SimEvent::OperatorRead {
+                vm,
+                generation,
+                end: self.operator_log.len(),
+                requested_at: self.now,
             };
-            self.vms[vm].operator_next = end;
-            self.feed(vm, FleetEvent::ZonesChanged(read));
+            self.schedule(self.now + OPERATOR_DELAY, read);
         }
         let at = self.now + OPERATOR_INTERVAL;
         self.schedule(at, SimEvent::Operator(vm, generation));
     }
 
+    /// Applies the operator's records up to `end`.
+    fn read_operator(&mut self, vm: usize, generation: u64, end: usize, requested_at: u64) {
+        if self.vms[vm].generation != generation || self.vms[vm].engine.is_none() {
+            return;
+        }
+        let next = self.vms[vm].operator_next;
+        let records = self.operator_log[..end].iter().enumerate().skip(next);
+        let changes = records.map(|(offset, record)| ZoneChange {
+            zone: record.zone.clone(),
+            offset: LogOffset(offset as u64),
+            closed: record.closed,
+        });
+        let read = ZoneRead {
+            changes: changes.collect(),
+            through: LogOffset(end as u64),
+            complete: false,
+            requested_at: TimePoint(requested_at),
+        };
+        self.vms[vm].operator_next = end;
+        self.feed(vm, FleetEvent::ZonesRead(read));
+    }
+
     /// Since when a VM has been able to learn of the operator's records without interruption, from the
     /// store or from another VM that reads it; `None` while it cannot.
     fn informed_since(&self, vm: usize) -> Option<u64> {
@@ -1419,6 +1448,7 @@
             false => job.shape.work.as_micros() as u64,
         };
         let before = self.targets[target].runs.contains_key(&task);
+        self.targets[target].start_requests += 1;
         let answer = self.targets[target].start(self.now, &request, resources, work);
         self.record_history(
             target,
@@ -1850,6 +1880,7 @@
         | SimEvent::Listing(vm, _)
         | SimEvent::Store(vm, _)
         | SimEvent::Operator(vm, _) => Some(*vm),
+        SimEvent::OperatorRead { vm, .. } => Some(*vm),
         SimEvent::Envelope { to, .. } => Some(*to),
         SimEvent::Ack { from, .. } | SimEvent::EnvelopeLost { from, .. } => Some(*from),
         SimEvent::Answer { vm, .. } => Some(*vm),
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -156,6 +156,8 @@
     pub through: LogOffset,
     /// Whether the newest records of all zones were read: zones that are not listed are open.
     pub complete: bool,
+    /// When the read was requested.
+    pub requested_at: TimePoint,
 }
 
 /// An availability zone that is closed or was opened recently, as reported to peers.
