--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -257,6 +257,12 @@
     910 TaskSuspected "task_suspected" Warning
         "A target has crashed while it had a task; the task is tried alone, or its job is given up."
         "If `given_up`, tell the owner of the job: the task crashes the targets that start it.";
+    914 JobForwarded "job_forwarded" Info
+        "This VM handles its events late and has forwarded a new job to a VM of its zone; `lateness_ms` says how late."
+        "Raise the processor time of the VM if this lasts for longer than a burst.";
+    915 ForwardingFailed "forwarding_failed" Info
+        "The receiver of a forwarded job has given no answer; `end` says whether this VM coordinates the job (`not_taken`, `not_sent`) or the client was told that the outcome is unknown (`broken`)."
+        "None; check the receiver if this repeats.";
 }
 
 impl EventSpec {
--- a/crates/filbertpitch/src/fleet/callers.rs
+++ b/crates/filbertpitch/src/fleet/callers.rs
@@ -1,17 +1,20 @@
 //! The requests of clients, and the balancer's question whether this VM takes connections.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use filbertpitch_dispatch::entity::KindIndex;
+use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_platform::callers::{self, CallerRequest, JobOperation};
-use filbertpitch_types::fleet::PeerState;
+use filbertpitch_types::fleet::{JobSpec, PeerState};
 use filbertpitch_types::prelude::*;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::server::RequestHandler;
 use http::StatusCode;
 
 use super::driver::FleetDriver;
+use super::forwarding::{self, ForwardOutcome};
 
 /// How long a request waits for a VM that is starting. A start takes a few hundred milliseconds on a small
 /// VM, and a client that is refused does not return sooner.
@@ -40,48 +43,57 @@
         }
     }
 
-    async fn submit(&self, call: &CallerRequest, request: &ServerRequest) -> ServerResponse {
-        let found = self.driver.inspect(|engine| {
+    /// Submits a job to this VM, or forwards it to another one. `arrived` is when the request was read.
+    async fn submit(
+        &self,
+        call: &CallerRequest,
+        request: &ServerRequest,
+        arrived: Instant,
+    ) -> ServerResponse {
+        let job = match self.driver.inspect(|engine| {
             let found = engine.catalog().match_request(&call.host, request.path())?;
-            Some((found.queue, found.rest.parse::<JobId>()))
-        });
-        let (queue, id) = match found {
+            Some(found.rest.parse::<JobId>())
+        }) {
             None => return callers::unknown_queue_response(),
-            Some((_, Err(error))) => return callers::invalid_response(&error.to_string()),
-            Some((queue, Ok(id))) => (queue, id),
+            Some(Err(error)) => return callers::invalid_response(&error.to_string()),
+            Some(Ok(job)) => job,
         };
-        let order = match callers::read_job(id, request) {
-            Ok(order) => order,
-            Err(error) => return callers::invalid_response(&error.to_string()),
+        let outcome = forwarding::forward(&self.driver, job, call, request, arrived).await;
+        let client_timeout = match outcome {
+            None => call.client_timeout,
+            Some(ForwardOutcome::Relayed(response)) => return response,
+            Some(ForwardOutcome::Replied(reply)) => return callers::job_response(reply),
+            Some(ForwardOutcome::TakenBack) => {
+                call.client_timeout.saturating_sub(arrived.elapsed())
+            }
         };
-        let patience = call.client_timeout;
-        let reply = self.driver.submit(|caller| FleetEvent::JobSubmitted {
-            caller,
-            queue,
-            spec: order,
-            client_timeout: patience,
-        });
-        match reply.await {
-            Some(reply) => callers::job_response(reply),
-            None => ServerResponse::empty(StatusCode::BAD_GATEWAY),
-        }
+        let call = CallerRequest {
+            client_timeout,
+            ..call.clone()
+        };
+        let submitted = submit_job(
+            &self.driver,
+            &call,
+            request.path(),
+            request,
+            |caller, job| FleetEvent::JobSubmitted {
+                caller,
+                queue: job.queue,
+                spec: job.spec,
+                client_timeout: job.client_timeout,
+            },
+        );
+        submitted
+            .await
+            .unwrap_or_else(callers::unknown_queue_response)
     }
 
     /// Answers about a job or, without an id, about a queue.
-    fn look(&self, call: &CallerRequest, path: &str) -> ServerResponse {
-        self.driver.inspect(|engine| {
-            let Some(found) = engine.catalog().match_request(&call.host, path) else {
-                return callers::unknown_queue_response();
-            };
-            if found.rest.is_empty() {
-                return callers::pending_jobs_response(engine.waiting_jobs(found.queue));
-            }
-            let job = found.rest.parse::<JobId>().ok();
-            match job.and_then(|id| engine.job_started(id)) {
-                Some(started) => callers::active_job_response(started),
-                None => callers::unknown_job_response(),
-            }
-        })
+    async fn look(&self, call: &CallerRequest, path: &str) -> ServerResponse {
+        match forwarding::look(&self.driver, call, path).await {
+            Some(response) => response,
+            None => look(&self.driver, &call.host, path),
+        }
     }
 
     fn cancel(&self, call: &CallerRequest, path: &str) -> ServerResponse {
@@ -92,6 +104,9 @@
         let Some(id) = id else {
             return callers::unknown_queue_response();
         };
+        if id.is_some_and(|id| self.driver.forwarder().cancel(id)) {
+            return callers::cancelled_response();
+        }
         let live = id.filter(|id| {
             self.driver
                 .inspect(|engine| engine.job_started(*id).is_some())
@@ -106,8 +121,66 @@
     }
 }
 
+/// A decoded job, to be submitted to the engine.
+pub(super) struct DecodedJob {
+    pub(super) queue: KindIndex,
+    pub(super) spec: JobSpec,
+    pub(super) client_timeout: Duration,
+}
+
+/// Submits the job in the body of `request` to the engine and waits for the reply. `path` is the path of
+/// the client's request. Returns `None` if no queue has this host and path.
+pub(super) async fn submit_job<F>(
+    driver: &Rc<FleetDriver>,
+    call: &CallerRequest,
+    path: &str,
+    request: &ServerRequest,
+    event: F,
+) -> Option<ServerResponse>
+where
+    F: FnOnce(CallerToken, DecodedJob) -> FleetEvent,
+{
+    let (queue, id) = driver.inspect(|engine| {
+        let found = engine.catalog().match_request(&call.host, path)?;
+        Some((found.queue, found.rest.parse::<JobId>()))
+    })?;
+    let spec = match id.map(|id| callers::read_job(id, request)) {
+        Ok(Ok(spec)) => spec,
+        Ok(Err(error)) => return Some(callers::invalid_response(&error.to_string())),
+        Err(error) => return Some(callers::invalid_response(&error.to_string())),
+    };
+    let job = DecodedJob {
+        queue,
+        spec,
+        client_timeout: call.client_timeout,
+    };
+    let reply = driver.submit(|caller| event(caller, job)).await;
+    Some(match reply {
+        Some(reply) => callers::job_response(reply),
+        None => ServerResponse::empty(StatusCode::BAD_GATEWAY),
+    })
+}
+
+/// Answers about a job of this VM or, without an id, about a queue.
+pub(super) fn look(driver: &FleetDriver, host: &str, path: &str) -> ServerResponse {
+    driver.inspect(|engine| {
+        let Some(found) = engine.catalog().match_request(host, path) else {
+            return callers::unknown_queue_response();
+        };
+        if found.rest.is_empty() {
+            return callers::pending_jobs_response(engine.waiting_jobs(found.queue));
+        }
+        let job = found.rest.parse::<JobId>().ok();
+        match job.and_then(|id| engine.job_started(id)) {
+            Some(started) => callers::active_job_response(started),
+            None => callers::unknown_job_response(),
+        }
+    })
+}
+
 impl RequestHandler for CallerHandler {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        let arrived = Instant::now();
         self.await_start().await;
         let configured = self
             .driver
@@ -119,8 +192,8 @@
             return ServerResponse::empty(StatusCode::METHOD_NOT_ALLOWED);
         };
         match call.operation {
-            JobOperation::Submit => self.submit(&call, &request).await,
-            JobOperation::Query => self.look(&call, request.path()),
+            JobOperation::Submit => self.submit(&call, &request, arrived).await,
+            JobOperation::Query => self.look(&call, request.path()).await,
             JobOperation::Cancel => self.cancel(&call, request.path()),
         }
     }
--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_fleet::engine::{FleetAction, FleetEngine, FleetEvent};
+use filbertpitch_fleet::engine::{FleetAction, FleetEngine, FleetEvent, JobRoute};
 use filbertpitch_types::fleet::{EnvelopeAck, JobReply, PeerEnvelope};
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
@@ -16,6 +16,7 @@
 use monoio::time::Instant;
 
 use super::clock::FleetClock;
+use super::forwarding::JobForwarder;
 use super::metrics::FleetMetrics;
 use super::notices::record_notice;
 use super::peers::PeerPools;
@@ -29,9 +30,12 @@
     engine: RefCell<FleetEngine>,
     targets: TargetPools,
     peers: PeerPools,
+    forwarder: JobForwarder,
     replies: RefCell<HashMap<CallerToken, oneshot::Sender<JobReply>>>,
     next_caller: Cell<u64>,
     timer: EngineTimer,
+    /// When the timer fires if nothing delays it.
+    expected_expiry: Cell<Option<TimePoint>>,
     log: EventLog,
     metrics: Rc<FleetMetrics>,
 }
@@ -67,9 +71,11 @@
             engine: RefCell::new(engine),
             targets: TargetPools::default(),
             peers: PeerPools::default(),
+            forwarder: JobForwarder::default(),
             replies: RefCell::default(),
             next_caller: Cell::new(0),
             timer,
+            expected_expiry: Cell::new(None),
             log,
             metrics,
         };
@@ -85,17 +91,35 @@
     pub(super) fn feed(self: &Rc<Self>, event: FleetEvent) {
         let now = self.clock.read();
         self.engine.borrow_mut().handle(now, event);
-        self.perform_actions();
+        self.perform_actions(now.time);
     }
 
     /// Takes over an envelope of a peer.
     pub(super) fn receive(self: &Rc<Self>, envelope: PeerEnvelope) -> EnvelopeAck {
         let now = self.clock.read();
         let receipt = self.engine.borrow_mut().receive_envelope(now, envelope);
-        self.perform_actions();
+        self.perform_actions(now.time);
         receipt
     }
 
+    /// Decides whether a new job of a client is forwarded.
+    pub(super) fn route(self: &Rc<Self>, job: JobId) -> Option<JobRoute> {
+        let now = self.clock.read();
+        let (route, advanced) = {
+            let mut engine = self.engine.borrow_mut();
+            (engine.route_job(now, job), engine.forwards_jobs())
+        };
+        if advanced {
+            self.perform_actions(now.time);
+        }
+        route
+    }
+
+    /// The exchanges in which jobs of this VM's clients are forwarded.
+    pub(super) fn forwarder(&self) -> &JobForwarder {
+        &self.forwarder
+    }
+
     /// Looks at the engine between events.
     pub(super) fn inspect<T, F>(&self, look: F) -> T
     where
@@ -124,7 +148,8 @@
         reply
     }
 
-    fn perform_actions(self: &Rc<Self>) {
+    /// Carries out the engine's actions and sets its timer. `now` is the time of the event.
+    fn perform_actions(self: &Rc<Self>, now: TimePoint) {
         let (actions, due) = {
             let mut engine = self.engine.borrow_mut();
             (engine.take_actions(), engine.next_due())
@@ -133,6 +158,11 @@
             self.perform(action);
         }
         self.timer.arm(due);
+        if let Some(due) = due.map(|due| due.max(now)) {
+            let expected = self.expected_expiry.get();
+            let earliest = expected.map_or(due, |expected| expected.min(due));
+            self.expected_expiry.set(Some(earliest));
+        }
     }
 
     fn perform(self: &Rc<Self>, action: FleetAction) {
@@ -148,6 +178,7 @@
                 address,
                 envelope,
             } => self.peers.send(self, peer, address, *envelope),
+            FleetAction::EndForwarding(job) => self.forwarder.end(job),
             FleetAction::Disconnect(address) => self.targets.disconnect(address),
             FleetAction::Notice(notice) => {
                 self.metrics.see_notice(&notice);
@@ -164,7 +195,17 @@
     pub(super) async fn run_timer(self: Rc<Self>, mut events: TimerEvents) {
         let instant = |due: TimePoint| Instant::now() + due.since(self.clock.read().time);
         while self.timer.expired(&mut events, instant).await {
+            self.measure_lateness();
             self.feed(FleetEvent::TimeAdvanced);
         }
     }
+
+    /// Tells the engine how late its timer has fired.
+    fn measure_lateness(&self) {
+        let now = self.clock.read();
+        if let Some(expected) = self.expected_expiry.take() {
+            let lateness = now.time.since(expected);
+            self.engine.borrow_mut().record_lateness(now, lateness);
+        }
+    }
 }
--- /dev/null
+++ b/crates/filbertpitch/src/fleet/forwarding.rs
@@ -0,0 +1,436 @@
+//! Jobs that one entry VM forwards to another: the exchange at the first VM, and the receiver's answer.
+//!
+//! The request of the client is sent on unchanged, with its host, its path and the time that the client
+//! still waits in headers. Closing the connection cancels the job at the receiver.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use filbertpitch_fleet::engine::{FleetEvent, ForwardOrigin, JobRoute};
+use filbertpitch_fleet::job_routing::ForwardingEnd;
+use filbertpitch_platform::callers::{self, CallerRequest, JobOperation};
+use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::prelude::*;
+use filbertpitch_wire::client::{
+    ClientError, ConnectionPool, PoolLimits, RequestOptions, SentState,
+};
+use filbertpitch_wire::message::{ClientRequest, ClientResponse, ServerRequest, ServerResponse};
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, Shared, WeakShared, select};
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Method, StatusCode, Uri};
+
+use super::callers::{look as look_here, submit_job};
+use super::driver::FleetDriver;
+
+/// Where jobs are forwarded. The number changes with the headers.
+pub(super) const JOB_PATH: &str = "/peer/job/1";
+
+/// The host of the client's request.
+const HOST_HEADER: &str = "filbertpitch-job-host";
+/// The path of the client's request.
+const PATH_HEADER: &str = "filbertpitch-job-path";
+/// How long the client still waits, in milliseconds.
+const TIMEOUT_HEADER: &str = "filbertpitch-job-timeout";
+/// The VM that forwards the job: incarnation, time of sending, loss count and name, separated by spaces.
+const ORIGIN_HEADER: &str = "filbertpitch-job-origin";
+
+/// The receiver does not coordinate the job and has started nothing. Clients never get this status.
+const NOT_TAKEN: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+
+/// The time for a new connection to a VM of the same zone. Later, the first VM coordinates the job.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// The most connections to one VM, each with one job.
+const CONNECTIONS: usize = 64;
+
+/// The time in which an answer at the client's deadline is passed on.
+const RELAY_TIME: Duration = Duration::from_millis(5);
+
+/// The longest time for an answer, which is that of a job coordinated by this VM.
+const MAX_EXCHANGE_TIME: Duration = Duration::from_secs(60);
+
+/// The time for the answer to a question about a forwarded job.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What has become of a forwarded job.
+#[derive(Clone, Debug)]
+pub(super) enum ForwardOutcome {
+    /// The receiver has answered.
+    Relayed(ServerResponse),
+    /// This VM answers, because the outcome is unknown or the job was cancelled.
+    Replied(JobReply),
+    /// The receiver has certainly not started the job; this VM coordinates it.
+    TakenBack,
+}
+
+/// An open exchange. Each client that waits for the job holds a clone; the connection closes when the
+/// last one leaves.
+type JobExchange = Shared<LocalBoxFuture<'static, ForwardOutcome>>;
+
+struct OpenExchange {
+    exchange: WeakShared<LocalBoxFuture<'static, ForwardOutcome>>,
+    receiver: SocketAddr,
+    /// Ends the exchange with a reply, once.
+    end: Option<oneshot::Sender<JobReply>>,
+}
+
+/// The open exchanges of this VM, and the connections for them.
+#[derive(Default)]
+pub(super) struct JobForwarder {
+    pools: RefCell<HashMap<SocketAddr, Rc<ConnectionPool>>>,
+    exchanges: RefCell<HashMap<JobId, OpenExchange>>,
+    /// The number of requests of other VMs that wait for their response.
+    received: Cell<usize>,
+}
+
+impl JobForwarder {
+    /// The number of requests of other VMs that wait for their response.
+    pub(super) fn received_requests(&self) -> usize {
+        self.received.get()
+    }
+
+    fn pool(&self, address: SocketAddr) -> Rc<ConnectionPool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(address).or_insert_with(|| {
+            let limits = PoolLimits {
+                connections: CONNECTIONS,
+                connect_timeout: CONNECT_TIMEOUT,
+                ..PoolLimits::default()
+            };
+            Rc::new(ConnectionPool::new(address, limits))
+        });
+        Rc::clone(pool)
+    }
+
+    /// The open exchange of a job.
+    fn find(&self, job: JobId) -> Option<JobExchange> {
+        let exchanges = self.exchanges.borrow();
+        exchanges.get(&job)?.exchange.upgrade()
+    }
+
+    /// The receiver of a job whose exchange is open.
+    fn receiver(&self, job: JobId) -> Option<SocketAddr> {
+        let exchanges = self.exchanges.borrow();
+        Some(exchanges.get(&job)?.receiver)
+    }
+
+    /// Ends an exchange whose receiver is lost: the outcome of the job is unknown.
+    pub(super) fn end(&self, job: JobId) {
+        self.close(job, JobReply::Unknown);
+    }
+
+    /// Cancels a forwarded job. Returns false if no exchange of the job is open.
+    pub(super) fn cancel(&self, job: JobId) -> bool {
+        self.close(job, JobReply::Cancelled)
+    }
+
+    fn close(&self, job: JobId, reply: JobReply) -> bool {
+        let mut exchanges = self.exchanges.borrow_mut();
+        let end = exchanges.get_mut(&job).and_then(|open| open.end.take());
+        // The exchange may have ended in the same moment.
+        end.is_some_and(|end| end.send(reply).is_ok())
+    }
+}
+
+/// Reports the end of an exchange to the engine, also if its clients leave.
+struct ExchangeGuard {
+    driver: Rc<FleetDriver>,
+    job: JobId,
+    end: ForwardingEnd,
+}
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        let forwarder = self.driver.forwarder();
+        forwarder.exchanges.borrow_mut().remove(&self.job);
+        self.driver.feed(FleetEvent::ForwardingEnded {
+            job: self.job,
+            end: self.end,
+        });
+    }
+}
+
+/// Counts a request of another VM until its response is written or its connection is closed.
+struct ReceivedGuard(Rc<FleetDriver>);
+
+impl ReceivedGuard {
+    fn new(driver: &Rc<FleetDriver>) -> Self {
+        let received = &driver.forwarder().received;
+        received.set(received.get() + 1);
+        Self(Rc::clone(driver))
+    }
+}
+
+impl Drop for ReceivedGuard {
+    fn drop(&mut self) {
+        let received = &self.0.forwarder().received;
+        received.set(received.get() - 1);
+    }
+}
+
+/// Forwards a new job if this VM is short of processor time, or joins the open exchange of the job.
+/// Returns `None` if this VM coordinates the job.
+pub(super) async fn forward(
+    driver: &Rc<FleetDriver>,
+    job: JobId,
+    call: &CallerRequest,
+    request: &ServerRequest,
+    arrived: Instant,
+) -> Option<ForwardOutcome> {
+    if let Some(exchange) = driver.forwarder().find(job) {
+        return Some(exchange.await);
+    }
+    let route = driver.route(job)?;
+    let exchange = open_exchange(driver, job, &route, call, request, arrived);
+    Some(exchange.await)
+}
+
+fn open_exchange(
+    driver: &Rc<FleetDriver>,
+    job: JobId,
+    route: &JobRoute,
+    call: &CallerRequest,
+    request: &ServerRequest,
+    arrived: Instant,
+) -> JobExchange {
+    let guard = ExchangeGuard {
+        driver: Rc::clone(driver),
+        job,
+        end: ForwardingEnd::Abandoned,
+    };
+    let remaining = call.client_timeout.saturating_sub(arrived.elapsed());
+    let remaining = remaining.min(MAX_EXCHANGE_TIME);
+    let forwarded = forwarded_request(call, request, &route.origin, remaining);
+    let pool = driver.forwarder().pool(route.address);
+    let (end, ended) = oneshot::channel();
+    let exchange = run_exchange(guard, pool, forwarded, remaining, ended);
+    let exchange = exchange.boxed_local().shared();
+    if let Some(weak) = exchange.downgrade() {
+        let open = OpenExchange {
+            exchange: weak,
+            receiver: route.address,
+            end: Some(end),
+        };
+        let mut exchanges = driver.forwarder().exchanges.borrow_mut();
+        exchanges.insert(job, open);
+    }
+    exchange
+}
+
+async fn run_exchange(
+    mut guard: ExchangeGuard,
+    pool: Rc<ConnectionPool>,
+    request: Option<ClientRequest>,
+    timeout: Duration,
+    ended: oneshot::Receiver<JobReply>,
+) -> ForwardOutcome {
+    let Some(request) = request else {
+        guard.end = ForwardingEnd::NotSent;
+        return ForwardOutcome::TakenBack;
+    };
+    let options = RequestOptions {
+        timeout,
+        ..RequestOptions::default()
+    };
+    let response = pin!(pool.request(&request, &options));
+    let result = match select(response, ended).await {
+        Either::Left((result, _)) => result,
+        Either::Right((reply, _)) => {
+            let reply = reply.unwrap_or(JobReply::Unknown);
+            if reply == JobReply::Unknown {
+                guard.end = ForwardingEnd::Broken;
+                pool.close_idle();
+            }
+            return ForwardOutcome::Replied(reply);
+        }
+    };
+    guard.end = exchange_end(&result);
+    match result {
+        Ok(response) if !guard.end.is_taken_back() => ForwardOutcome::Relayed(relayed(response)),
+        Ok(_) => ForwardOutcome::TakenBack,
+        Err(_) => {
+            // Established connections may be silent although new ones work.
+            pool.close_idle();
+            match guard.end.is_taken_back() {
+                true => ForwardOutcome::TakenBack,
+                false => ForwardOutcome::Replied(JobReply::Unknown),
+            }
+        }
+    }
+}
+
+fn exchange_end(result: &Result<ClientResponse, ClientError>) -> ForwardingEnd {
+    match result {
+        Ok(response) if response.status == NOT_TAKEN => ForwardingEnd::NotTaken,
+        Ok(_) => ForwardingEnd::Answered,
+        Err(error) if error.sent == SentState::NotSent => ForwardingEnd::NotSent,
+        Err(_) => ForwardingEnd::Broken,
+    }
+}
+
+/// The request to the receiver; `None` if the client's request cannot be expressed in headers.
+fn forwarded_request(
+    call: &CallerRequest,
+    request: &ServerRequest,
+    origin: &ForwardOrigin,
+    remaining: Duration,
+) -> Option<ClientRequest> {
+    let timeout = remaining.saturating_sub(RELAY_TIME).as_millis();
+    let forwarded = peer_request(Method::POST, &call.host, request.path())?
+        .with_header(
+            HeaderName::from_static(TIMEOUT_HEADER),
+            HeaderValue::from(u64::try_from(timeout).unwrap_or(u64::MAX)),
+        )
+        .with_header(
+            HeaderName::from_static(ORIGIN_HEADER),
+            write_origin(origin)?,
+        );
+    let content_type = request.headers.get(CONTENT_TYPE).cloned();
+    Some(ClientRequest {
+        content_type,
+        body: request.body.clone(),
+        ..forwarded
+    })
+}
+
+fn peer_request(method: Method, host: &str, path: &str) -> Option<ClientRequest> {
+    let request = ClientRequest::new(method, Uri::from_static(JOB_PATH));
+    let host = HeaderValue::try_from(host).ok()?;
+    let path = HeaderValue::try_from(path).ok()?;
+    let request = request.with_header(HeaderName::from_static(HOST_HEADER), host);
+    Some(request.with_header(HeaderName::from_static(PATH_HEADER), path))
+}
+
+fn write_origin(origin: &ForwardOrigin) -> Option<HeaderValue> {
+    let ForwardOrigin {
+        vm,
+        incarnation,
+        sent_at,
+        losses,
+    } = origin;
+    let text = format!(
+        "{} {} {} {}",
+        incarnation.0,
+        sent_at.0,
+        losses.0,
+        vm.as_str()
+    );
+    HeaderValue::try_from(text).ok()
+}
+
+fn read_origin(text: &str) -> Option<ForwardOrigin> {
+    let mut parts = text.splitn(4, ' ');
+    Some(ForwardOrigin {
+        incarnation: IncarnationId(parts.next()?.parse().ok()?),
+        sent_at: TimePoint(parts.next()?.parse().ok()?),
+        losses: LossCount(parts.next()?.parse().ok()?),
+        vm: parts.next()?.parse().ok()?,
+    })
+}
+
+/// The response of the receiver as the response to the client.
+fn relayed(response: ClientResponse) -> ServerResponse {
+    let retry_after = response.headers.get(RETRY_AFTER).cloned();
+    ServerResponse {
+        status: response.status,
+        content_type: response.headers.get(CONTENT_TYPE).cloned(),
+        headers: retry_after
+            .map(|value| (RETRY_AFTER, value))
+            .into_iter()
+            .collect(),
+        body: response.body,
+    }
+}
+
+/// Asks the receiver of a forwarded job about it. Returns `None` if the job is not forwarded.
+pub(super) async fn look(
+    driver: &Rc<FleetDriver>,
+    call: &CallerRequest,
+    path: &str,
+) -> Option<ServerResponse> {
+    let job = driver.inspect(|engine| {
+        let found = engine.catalog().match_request(&call.host, path)?;
+        found.rest.parse::<JobId>().ok()
+    })?;
+    let forwarder = driver.forwarder();
+    let pool = forwarder.pool(forwarder.receiver(job)?);
+    let request = peer_request(Method::GET, &call.host, path)?;
+    let options = RequestOptions {
+        timeout: QUERY_TIMEOUT,
+        ..RequestOptions::default()
+    };
+    let response = pool.request(&request, &options).await;
+    Some(match response {
+        // The job is on its way to the receiver.
+        Ok(response)
+            if response.status == StatusCode::GONE && forwarder.receiver(job).is_some() =>
+        {
+            callers::active_job_response(false)
+        }
+        Ok(response) if response.status != NOT_TAKEN => relayed(response),
+        _ => ServerResponse::empty(StatusCode::BAD_GATEWAY),
+    })
+}
+
+/// Answers a VM that forwards a job, or asks about one.
+pub(super) async fn answer_peer(
+    driver: &Rc<FleetDriver>,
+    request: &ServerRequest,
+) -> ServerResponse {
+    let not_taken = || ServerResponse::empty(NOT_TAKEN);
+    let host = request.header(HOST_HEADER);
+    let (Some(host), Some(path)) = (host, request.header(PATH_HEADER)) else {
+        return not_taken();
+    };
+    match request.method {
+        Method::GET => look_here(driver, host, path),
+        Method::POST => {
+            let _guard = ReceivedGuard::new(driver);
+            let response = receive_job(driver, request, host, path).await;
+            response.unwrap_or_else(not_taken)
+        }
+        _ => not_taken(),
+    }
+}
+
+/// Coordinates a job that another VM has forwarded. Returns `None` if this VM does not take it.
+async fn receive_job(
+    driver: &Rc<FleetDriver>,
+    request: &ServerRequest,
+    host: &str,
+    path: &str,
+) -> Option<ServerResponse> {
+    let origin = read_origin(request.header(ORIGIN_HEADER)?)?;
+    let timeout = request.header(TIMEOUT_HEADER)?.parse::<u64>().ok()?;
+    let now = driver.now();
+    let origin = driver.inspect(|engine| engine.admit_origin(now, &origin))?;
+    let job = driver.inspect(|engine| {
+        let found = engine.catalog().match_request(host, path)?;
+        found.rest.parse::<JobId>().ok()
+    })?;
+    if driver.forwarder().receiver(job).is_some() {
+        // The job is coordinated by a third VM, and is forwarded only once.
+        return None;
+    }
+    let call = CallerRequest {
+        operation: JobOperation::Submit,
+        host: host.into(),
+        client_timeout: Duration::from_millis(timeout),
+    };
+    submit_job(driver, &call, path, request, |caller, job| {
+        FleetEvent::JobReceived {
+            origin,
+            caller,
+            queue: job.queue,
+            spec: job.spec,
+            client_timeout: job.client_timeout,
+        }
+    })
+    .await
+}
--- a/crates/filbertpitch/src/fleet/life.rs
+++ b/crates/filbertpitch/src/fleet/life.rs
@@ -15,6 +15,7 @@
     HttpServer, KeepAliveHandle, RequestHandler, ServerLimits, StopHandle,
 };
 use futures_channel::oneshot;
+use futures_util::future::FusedFuture;
 use slog::b;
 
 use super::callers::{CallerHandler, ReadyHandler};
@@ -160,17 +161,28 @@
         self.callers.stop.stop();
         let elapsed = self.node.driver().now().time.since(started);
         let left = limit.saturating_sub(elapsed);
-        let done = &mut self.callers.done;
-        let mut finished = monoio::time::timeout(left, &mut *done).await.is_ok();
+        let finishing = self.finish_jobs();
+        let mut finished = monoio::time::timeout(left, finishing).await.is_ok();
         if !finished {
             // Whoever still waits gets a response instead of a connection that ends.
             self.node.driver().feed(FleetEvent::DrainExpired);
-            let closing = monoio::time::timeout(CLOSE_TIME, done).await;
+            let closing = monoio::time::timeout(CLOSE_TIME, self.finish_jobs()).await;
             finished = closing.is_ok();
         }
         self.node.log().report_suppressed();
         finished
     }
+
+    /// Waits until the clients of this VM and the VMs that have forwarded jobs to it have their answers.
+    async fn finish_jobs(&mut self) {
+        if !self.callers.done.is_terminated() {
+            // An error means that the server has ended.
+            let _ = (&mut self.callers.done).await;
+        }
+        while self.node.driver().forwarder().received_requests() > 0 {
+            monoio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
 }
 
 /// Lets a server run until the process ends.
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -175,6 +175,21 @@
             "Jobs given up because a task crashes its targets",
             counters.jobs_given_up,
         ),
+        (
+            "jobs_forwarded",
+            "Jobs forwarded to another VM of the zone",
+            counters.jobs_forwarded,
+        ),
+        (
+            "jobs_received",
+            "Jobs that another VM of the zone has forwarded",
+            counters.jobs_received,
+        ),
+        (
+            "forwardings_failed",
+            "Forwarded jobs without an answer of the receiver",
+            counters.forwardings_failed,
+        ),
     ];
     for (name, help, value) in values {
         let counter = Counter::<u64>::default();
@@ -208,6 +223,11 @@
             "Targets in the platform's list",
             view.listed_targets,
         ),
+        (
+            "lateness_us",
+            "How late timers are handled, in microseconds",
+            usize::try_from(view.lateness.as_micros()).unwrap_or(usize::MAX),
+        ),
     ];
     for (name, help, value) in values {
         let gauge = Gauge::<i64>::default();
--- a/crates/filbertpitch/src/fleet/mod.rs
+++ b/crates/filbertpitch/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod driver;
 mod follow;
+mod forwarding;
 mod life;
 mod metrics;
 mod node;
--- a/crates/filbertpitch/src/fleet/node.rs
+++ b/crates/filbertpitch/src/fleet/node.rs
@@ -5,6 +5,7 @@
 
 use filbertpitch_fleet::engine::{FleetEngine, FleetSettings};
 use filbertpitch_fleet::held::HeldSettings;
+use filbertpitch_fleet::job_routing::RoutingSettings;
 use filbertpitch_fleet::lease_limits::LEASE_MARGIN;
 use filbertpitch_fleet::link::LinkSettings;
 use filbertpitch_platform::store::StoreClient;
@@ -101,6 +102,10 @@
             max_request_delay: started_by.min(links.max_request_delay),
             ..links
         },
+        routing: RoutingSettings {
+            enabled: settings.forward_jobs,
+            lateness: settings.forward_lateness,
+        },
         far_factor: settings.far_factor,
         ..FleetSettings::default()
     }
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -95,6 +95,22 @@
             LogEvent::JobAbandoned,
             b!("job" => %job, "took_ms" => millis(*took)),
         ),
+        FleetNotice::JobForwarded {
+            job,
+            receiver,
+            lateness,
+        } => log.record(
+            LogEvent::JobForwarded,
+            b!(
+                "job" => %job,
+                "receiver" => receiver.as_str(),
+                "lateness_ms" => millis(*lateness)
+            ),
+        ),
+        FleetNotice::ForwardingFailed { job, receiver, end } => log.record(
+            LogEvent::ForwardingFailed,
+            b!("job" => %job, "receiver" => receiver.as_str(), "end" => end.as_str()),
+        ),
         FleetNotice::TaskPlaced {
             run,
             holder,
--- a/crates/filbertpitch/src/fleet/peers.rs
+++ b/crates/filbertpitch/src/fleet/peers.rs
@@ -17,9 +17,10 @@
 use http::{Method, StatusCode, Uri};
 
 use super::driver::FleetDriver;
+use super::forwarding::{self, JOB_PATH};
 
 /// Where envelopes are sent. The number changes with the layout of envelopes.
-const ENVELOPE_PATH: &str = "/peer/envelope/4";
+const ENVELOPE_PATH: &str = "/peer/envelope/5";
 
 /// How envelopes and receipts are encoded.
 const ENVELOPE_FORMAT: BodyFormat = BodyFormat::PackedMessagePack;
@@ -110,6 +111,9 @@
 
 impl RequestHandler for PeerHandler {
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        if request.path() == JOB_PATH {
+            return forwarding::answer_peer(&self.driver, &request).await;
+        }
         if request.method != Method::POST || request.path() != ENVELOPE_PATH {
             return ServerResponse::error(
                 StatusCode::NOT_FOUND,
@@ -127,4 +131,10 @@
             }
         }
     }
+
+    /// A forwarded job is removed when the VM that has forwarded it closes the connection. Envelopes
+    /// are handled without waiting.
+    fn cancels_on_disconnect(&self) -> bool {
+        true
+    }
 }
--- a/crates/filbertpitch/src/settings/fleet.rs
+++ b/crates/filbertpitch/src/settings/fleet.rs
@@ -28,6 +28,9 @@
 const SMALLEST_SHARE: f64 = 0.001;
 const LARGEST_SHARE: f64 = 1024.0;
 
+/// A VM that is later than this is marked lost by its peers.
+const LONGEST_LATENESS: Duration = Duration::from_secs(1);
+
 /// Where an entry VM of a fleet listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetListen {
@@ -65,6 +68,11 @@
     pub far_factor: f64,
     /// The part of a core that the VM has; VMs with more hold more targets.
     pub processor_share: f64,
+    /// Whether jobs are forwarded to other VMs of the zone while this VM handles its events late.
+    pub forward_jobs: bool,
+    /// How late this VM must handle its events before it forwards jobs. With zero, it forwards all
+    /// jobs that another VM takes.
+    pub forward_lateness: Duration,
     /// The least severe events that are logged.
     pub log_level: LogLevel,
 }
@@ -88,6 +96,9 @@
     stop_grace: Duration,
     far_factor: f64,
     processor_share: f64,
+    forward_jobs: bool,
+    #[serde_as(as = "DurationText")]
+    forward_lateness: Duration,
     log_level: LogLevel,
 }
 
@@ -111,6 +122,8 @@
             stop_grace: Duration::from_secs(6),
             far_factor: 1.0,
             processor_share: 1.0,
+            forward_jobs: true,
+            forward_lateness: Duration::from_millis(8),
             log_level: LogLevel::default(),
         }
     }
@@ -163,6 +176,8 @@
     let share = file.processor_share;
     let valid = (SMALLEST_SHARE..=LARGEST_SHARE).contains(&share);
     check.require(valid, "processor_share", "it is not between 0.001 and 1024");
+    let valid = file.forward_lateness <= LONGEST_LATENESS;
+    check.require(valid, "forward_lateness", "it is longer than 1s");
 }
 
 fn complete(file: FleetFile, findings: &mut Vec<SettingsFinding>) -> Option<FleetNodeSettings> {
@@ -191,6 +206,8 @@
         stop_grace: file.stop_grace,
         far_factor: file.far_factor,
         processor_share: file.processor_share,
+        forward_jobs: file.forward_jobs,
+        forward_lateness: file.forward_lateness,
         log_level: file.log_level,
     })
 }
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -16,6 +16,7 @@
 use filbertpitch_types::prelude::*;
 
 use crate::held::{PollNumber, PollPlan};
+use crate::job_routing::ForwardingEnd;
 use crate::job_table::JobEstimate;
 
 /// An input of the engine.
@@ -60,6 +61,26 @@
         /// How long the client waits for the answer, from now on.
         client_timeout: Duration,
     },
+    /// Another VM has forwarded a job of one of its clients to this VM.
+    JobReceived {
+        /// The VM that has forwarded the job.
+        origin: VmIndex,
+        /// Identifies the request of that VM.
+        caller: CallerToken,
+        /// The queue of the job.
+        queue: KindIndex,
+        /// The job.
+        spec: JobSpec,
+        /// How long the client waits for the answer, from now on.
+        client_timeout: Duration,
+    },
+    /// The exchange in which a job was forwarded has ended.
+    ForwardingEnded {
+        /// The job.
+        job: JobId,
+        /// How the exchange has ended.
+        end: ForwardingEnd,
+    },
     /// A client has closed its connection and no longer waits for the answer.
     CallerDisconnected(CallerToken),
     /// A client has cancelled a job.
@@ -180,6 +201,8 @@
         /// The address at which the target takes requests.
         address: SocketAddr,
     },
+    /// End the exchange in which a job was forwarded: its outcome is unknown.
+    EndForwarding(JobId),
     /// Close the connections to a target that is no longer held.
     Disconnect(SocketAddr),
     /// Log a notice.
@@ -237,6 +260,24 @@
         /// The time from the job's arrival to the disconnection.
         took: Duration,
     },
+    /// A job of a client of this VM was forwarded to another VM.
+    JobForwarded {
+        /// The job.
+        job: JobId,
+        /// The VM that coordinates the job.
+        receiver: VmName,
+        /// How late this VM handles its timers.
+        lateness: Duration,
+    },
+    /// A forwarded job has got no answer from its receiver.
+    ForwardingFailed {
+        /// The job.
+        job: JobId,
+        /// The VM that was to coordinate the job.
+        receiver: VmName,
+        /// How the exchange has ended.
+        end: ForwardingEnd,
+    },
     /// A holder was asked to run a task.
     TaskPlaced {
         /// The run.
--- /dev/null
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -0,0 +1,170 @@
+//! Forwards jobs of this VM's clients to other VMs of the zone, and receives such jobs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::{KindIndex, VmIndex};
+use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_types::fleet::{JobReply, JobSpec, PeerState};
+use filbertpitch_types::prelude::*;
+use filbertpitch_types::time::ClockReading;
+
+use super::{FleetAction, FleetEngine, FleetNotice};
+use crate::job_routing::ForwardingEnd;
+
+/// The VM that has forwarded a job, and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardOrigin {
+    /// The name of the VM.
+    pub vm: VmName,
+    /// The process.
+    pub incarnation: IncarnationId,
+    /// When the job was forwarded, on the clock of that VM.
+    pub sent_at: TimePoint,
+    /// The losses of that VM that, as far as it knew, the receiver had declared.
+    pub losses: LossCount,
+}
+
+/// Where a job is forwarded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobRoute {
+    /// The address on which the receiver listens for other entry VMs.
+    pub address: SocketAddr,
+    /// What the receiver needs to know of this VM.
+    pub origin: ForwardOrigin,
+}
+
+impl FleetEngine {
+    /// Records how late a timer of the engine has fired.
+    pub fn record_lateness(&mut self, clock: ClockReading, lateness: Duration) {
+        self.router.record_lateness(clock.time, lateness);
+    }
+
+    /// Whether this VM may forward jobs, because it is late.
+    pub fn forwards_jobs(&self) -> bool {
+        self.router.forwards()
+    }
+
+    /// Decides whether a new job of a client is forwarded. If so, the caller must send the job and
+    /// report the end of the exchange with [`super::FleetEvent::ForwardingEnded`].
+    pub fn route_job(&mut self, clock: ClockReading, job: JobId) -> Option<JobRoute> {
+        self.router.record_arrival(clock.time);
+        let known = self.jobs.find(job).is_some();
+        if !self.router.forwards() || known || self.state != PeerState::Ready {
+            return None;
+        }
+        self.advance(clock);
+        let route = self.start_forwarding(job);
+        self.process_pending();
+        route
+    }
+
+    fn start_forwarding(&mut self, job: JobId) -> Option<JobRoute> {
+        let now = self.now();
+        let links = &self.links;
+        let accepts = |peer: VmIndex| {
+            links[peer]
+                .as_ref()
+                .is_some_and(|link| link.accepts_work() && link.state() == PeerState::Ready)
+        };
+        let receiver = self
+            .router
+            .choose_receiver(now, job, accepts, &mut self.rng)?;
+        self.router.start_exchange(job, receiver);
+        self.watch_closely(receiver);
+        self.counters.jobs_forwarded += 1;
+        self.notice(FleetNotice::JobForwarded {
+            job,
+            receiver: self.vms.name(receiver).clone(),
+            lateness: self.router.lateness(),
+        });
+        let link = self.links[receiver].as_ref()?;
+        Some(JobRoute {
+            address: link.identity().address,
+            origin: ForwardOrigin {
+                vm: self.identity.vm.clone(),
+                incarnation: self.identity.incarnation,
+                sent_at: now,
+                losses: link.peer_losses(),
+            },
+        })
+    }
+
+    /// Uses the short interval for a VM with which a forwarded job is shared: its loss must be
+    /// noticed before the client sends the job again.
+    fn watch_closely(&mut self, peer: VmIndex) {
+        let base_interval = self.settings.links.heartbeat.base_interval;
+        if let Some(link) = &mut self.links[peer] {
+            if link.heartbeat().own_interval() > base_interval {
+                // The peer learns of the shorter interval from the next envelope.
+                link.request_envelope();
+            }
+            link.heartbeat_mut().use_base_interval();
+        }
+    }
+
+    pub(super) fn finish_forwarding(&mut self, job: JobId, end: ForwardingEnd) {
+        let Some(receiver) = self.router.finish_exchange(self.clock.time, job, end) else {
+            return;
+        };
+        if matches!(end, ForwardingEnd::Answered | ForwardingEnd::Abandoned) {
+            return;
+        }
+        self.counters.forwardings_failed += 1;
+        self.notice(FleetNotice::ForwardingFailed {
+            job,
+            receiver: self.vms.name(receiver).clone(),
+            end,
+        });
+    }
+
+    /// Returns the VM that has forwarded a job if this VM may coordinate the job. A request that was
+    /// delayed, for example while this process was paused, is refused: the other VM may have given
+    /// the job up since, and its client may have sent it again elsewhere.
+    pub fn admit_origin(&self, clock: ClockReading, origin: &ForwardOrigin) -> Option<VmIndex> {
+        let peer = self.vms.get(&origin.vm)?;
+        let link = self.links[peer].as_ref()?;
+        let delay = link.excess_delay(origin.sent_at, clock.time);
+        let admitted = self.state == PeerState::Ready
+            && link.identity().incarnation == origin.incarnation
+            && link.admits_request(origin.losses)
+            && delay < self.settings.links.max_request_delay;
+        admitted.then_some(peer)
+    }
+
+    pub(super) fn receive_job(
+        &mut self,
+        origin: VmIndex,
+        caller: CallerToken,
+        queue: KindIndex,
+        spec: JobSpec,
+        client_timeout: Duration,
+    ) {
+        self.counters.jobs_received += 1;
+        self.router.start_received(caller, origin);
+        self.watch_closely(origin);
+        self.submit_job(caller, queue, spec, client_timeout);
+    }
+
+    /// Ends what this VM shares with a peer that was marked lost, or has marked this VM lost: jobs
+    /// that were forwarded to the peer have an unknown outcome, and jobs of the peer are removed.
+    pub(super) fn drop_forwarding_with(&mut self, peer: VmIndex) {
+        let sent = self.router.exchanges().filter(|(_, vm)| *vm == peer);
+        let sent = sent.map(|(job, _)| FleetAction::EndForwarding(job));
+        self.actions.extend(sent);
+        let received = self.router.received().filter(|(_, vm)| *vm == peer);
+        let received = received.map(|(caller, _)| caller).collect::<Vec<_>>();
+        for caller in received {
+            self.remove_caller(caller);
+            let reply = JobReply::Unknown;
+            self.actions.push(FleetAction::Reply { caller, reply });
+        }
+        self.router.forget_report(peer);
+    }
+
+    /// Ends all exchanges of forwarded jobs, because the process is about to exit.
+    pub(super) fn end_all_forwarding(&mut self) {
+        let jobs = self.router.exchanges().map(|(job, _)| job);
+        self.actions.extend(jobs.map(FleetAction::EndForwarding));
+    }
+}
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -31,6 +31,7 @@
             job.callers.push(caller);
             return;
         }
+        self.router.record_coordinated(self.clock.time);
         let plan = match self.plan_job(queue, &order, client_timeout) {
             Ok(plan) => plan,
             Err(rejection) => {
@@ -46,6 +47,7 @@
                     reason: rejection.reason,
                     retry_after: self.retry_hint(rejection.wait),
                 };
+                self.router.finish_received(caller);
                 self.actions.push(FleetAction::Reply { caller, reply });
                 return;
             }
@@ -80,6 +82,7 @@
     /// Removes a client that has disconnected. A job without clients is removed, and its tasks are
     /// withdrawn.
     pub(super) fn remove_caller(&mut self, caller: CallerToken) {
+        self.router.finish_received(caller);
         let found = self
             .jobs
             .iter()
@@ -136,6 +139,7 @@
             objective: job.objective,
         });
         for caller in job.callers {
+            self.router.finish_received(caller);
             self.actions.push(FleetAction::Reply { caller, reply });
         }
     }
@@ -193,6 +197,7 @@
         for key in keys {
             self.give_up_job(key);
         }
+        self.end_all_forwarding();
     }
 
     fn current_run(&self, task: TaskRef) -> RunName {
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod crashes;
 mod event;
+mod forwarding;
 mod holding;
 mod jobs;
 mod offers;
@@ -32,6 +33,7 @@
 use crate::catalog::QueueCatalog;
 use crate::crash_log::CrashLog;
 use crate::held::HeldTarget;
+use crate::job_routing::JobRouter;
 use crate::job_table::{JobTable, TaskRef};
 use crate::link::PeerLink;
 use crate::offers::{OfferTable, OfferedRates};
@@ -40,6 +42,7 @@
 use crate::zone_probe::ZoneProber;
 
 pub use self::event::{FleetAction, FleetEvent, FleetNotice};
+pub use self::forwarding::{ForwardOrigin, JobRoute};
 pub use self::settings::FleetSettings;
 pub use self::view::{EngineView, FleetCounters};
 
@@ -114,6 +117,8 @@
     /// The last token that this VM chose.
     last_token: FencingToken,
     jobs: JobTable,
+    /// Which VM coordinates new jobs, and the jobs that were forwarded from and to this VM.
+    router: JobRouter,
     /// The recent crashes of targets and the tasks that the targets had.
     crash_log: CrashLog,
     offered_rates: OfferedRates,
@@ -143,6 +148,7 @@
         let mut timers = TimerService::default();
         timers.subscribe(clock.time, TimerTopic::Reconcile);
         timers.subscribe(clock.time + settings.sample_interval, TimerTopic::Sample);
+        let router = JobRouter::new(settings.routing.clone(), identity.processor);
         Self {
             settings,
             identity,
@@ -170,6 +176,7 @@
             seen_tokens: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
+            router,
             crash_log: CrashLog::default(),
             offered_rates: OfferedRates::default(),
             placement_due: false,
@@ -211,6 +218,14 @@
                 spec: order,
                 client_timeout,
             } => self.submit_job(caller, queue, order, client_timeout),
+            FleetEvent::JobReceived {
+                origin,
+                caller,
+                queue,
+                spec,
+                client_timeout,
+            } => self.receive_job(origin, caller, queue, spec, client_timeout),
+            FleetEvent::ForwardingEnded { job, end } => self.finish_forwarding(job, end),
             FleetEvent::CallerDisconnected(caller) => self.remove_caller(caller),
             FleetEvent::JobCancelled(job) => self.cancel_job(job),
             FleetEvent::StartResult {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -57,7 +57,13 @@
             return refusal;
         }
         let was_candidate = link.is_holder_candidate();
+        let (sent_at, routing) = (envelope.sent_at, envelope.routing);
         let update = link.receive(now, envelope, |name| registry.intern(name));
+        if link.heartbeat().locality() == PeerLocality::SameZone {
+            let processor = link.identity().processor;
+            self.router
+                .record_report(now, peer, processor, sent_at, routing);
+        }
         let candidacy_changed = was_candidate != link.is_holder_candidate();
         let ack = link.ack(now, own);
         let quota = self.draw_offer_quota(peer);
@@ -234,6 +240,7 @@
         self.offers.drop_coordinator(peer);
         self.blocked_requests.drop_coordinator(peer);
         self.stop_runs_for(peer);
+        self.drop_forwarding_with(peer);
         self.orphan_tasks_on(peer, contact, reason);
         self.placement_due = true;
     }
@@ -339,7 +346,8 @@
     fn plan_heartbeats(&mut self) {
         let counts = self.peer_counts();
         let holders = self.jobs.placed().map(|placed| placed.holder);
-        let holders = holders.collect::<BTreeSet<_>>();
+        let mut holders = holders.collect::<BTreeSet<_>>();
+        holders.extend(self.router.partners());
         for (peer, link) in self.links.iter_mut_enumerated() {
             if let Some(link) = link {
                 link.heartbeat_mut()
@@ -413,6 +421,7 @@
             holdings_version: self.holdings_version,
             holdings: Some(holdings.collect()),
             capacities,
+            routing: self.router.report(now, self.state == PeerState::Ready),
         }
     }
 }
--- a/crates/fleet/src/engine/settings.rs
+++ b/crates/fleet/src/engine/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::held::HeldSettings;
+use crate::job_routing::RoutingSettings;
 use crate::link::LinkSettings;
 
 /// Limits and intervals of the engine.
@@ -12,6 +13,8 @@
     pub held: HeldSettings,
     /// Settings of the links to other entry VMs.
     pub links: LinkSettings,
+    /// When jobs are forwarded to other VMs of the zone.
+    pub routing: RoutingSettings,
     /// The interval of the periodic reconciliation.
     pub reconcile_interval: Duration,
     /// The interval between load samples in the log.
@@ -52,6 +55,7 @@
         Self {
             held: HeldSettings::default(),
             links: LinkSettings::default(),
+            routing: RoutingSettings::default(),
             reconcile_interval: Duration::from_millis(100),
             sample_interval: Duration::from_secs(1),
             settling_time: Duration::from_millis(1500),
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -1,5 +1,7 @@
 //! Counters and a snapshot of the engine, for status and metrics.
 
+use std::time::Duration;
+
 use filbertpitch_types::fleet::PeerState;
 use filbertpitch_types::prelude::*;
 
@@ -53,6 +55,12 @@
     pub targets_crashed: u64,
     /// Jobs given up because one of their tasks crashes the targets that start it.
     pub jobs_given_up: u64,
+    /// Jobs forwarded to another VM.
+    pub jobs_forwarded: u64,
+    /// Jobs that another VM has forwarded to this one.
+    pub jobs_received: u64,
+    /// Forwarded jobs without an answer of the receiver, those taken back included.
+    pub forwardings_failed: u64,
 }
 
 /// A snapshot of the engine's state.
@@ -76,6 +84,8 @@
     pub live_peers: usize,
     /// Targets in the platform's list.
     pub listed_targets: usize,
+    /// How late timers are handled.
+    pub lateness: Duration,
 }
 
 impl FleetEngine {
@@ -131,6 +141,7 @@
                 .filter(|link| link.is_live())
                 .count(),
             listed_targets: self.registry.listed().count(),
+            lateness: self.router.lateness(),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod heartbeat;
 pub mod held;
+pub mod job_routing;
 pub mod job_table;
 pub mod lease_limits;
 pub mod ledger;
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -11,7 +11,9 @@
 use filbertpitch_fleet::lease_limits::LeaseLimits;
 use filbertpitch_fleet::ledger::{RunPhase, TargetRun};
 use filbertpitch_fleet::link::{LinkSettings, PeerLink};
-use filbertpitch_types::fleet::{DemandReport, PeerEnvelope, PeerIdentity, PeerState};
+use filbertpitch_types::fleet::{
+    DemandReport, PeerEnvelope, PeerIdentity, PeerState, RoutingReport,
+};
 use filbertpitch_types::lease::{
     EndedEntry, PollReport, RunRequest, RunningEntry, StartAnswer, StartRefusal,
 };
@@ -41,6 +43,7 @@
         holdings_version: 0,
         holdings: None,
         capacities: Vec::new(),
+        routing: RoutingReport::default(),
     }
 }
 
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -7,7 +7,7 @@
 use filbertpitch_fleet::link::{LinkPhase, LinkSettings, LinkUpdate, LossReason, PeerLink};
 use filbertpitch_types::fleet::{
     CapacityReport, DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity,
-    PeerState, TaskTimeliness,
+    PeerState, RoutingReport, TaskTimeliness,
 };
 use filbertpitch_types::prelude::*;
 
@@ -68,6 +68,7 @@
             free: ResourceVector::from((8000, 64, 0)),
             slowdown_percent: 100,
         }],
+        routing: RoutingReport::default(),
     }
 }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1159,7 +1159,8 @@
                 };
                 self.schedule_answer(at, call, vm, event);
             }
-            FleetAction::Disconnect(_) => {}
+            // The VMs of this world are never late, so they forward no jobs.
+            FleetAction::Disconnect(_) | FleetAction::EndForwarding(_) => {}
             FleetAction::Notice(notice) => self.notices.push((self.now, vm, notice)),
         }
     }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -672,6 +672,19 @@
     /// The capacity of each held target, in the order of the holdings.
     #[serde(rename = "rooms")]
     pub capacities: Vec<CapacityReport>,
+    /// How busy the sender itself is.
+    pub routing: RoutingReport,
+}
+
+/// What VMs of a zone report to choose the VM that coordinates a new job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingReport {
+    /// Whether the sender takes jobs of other VMs: it is ready and not late.
+    pub open: bool,
+    /// How late the sender's timers are handled, in milliseconds.
+    pub lateness_ms: u16,
+    /// The jobs that the sender has begun to coordinate lately, in tenths of a job per second.
+    pub job_rate: u16,
 }
 
 /// Acknowledges an envelope.
