--- a/crates/filbertpitch/tests/fleet_settings.rs
+++ b/crates/filbertpitch/tests/fleet_settings.rs
@@ -37,6 +37,8 @@
     assert_eq!(settings.stop_grace, Duration::from_secs(6));
     assert_eq!(settings.far_factor, 1.0);
     assert_eq!(settings.processor(), MilliCores(1000));
+    assert!(settings.forward_jobs);
+    assert_eq!(settings.forward_lateness, Duration::from_millis(8));
     assert_eq!(settings.log_level, LogLevel::default());
 }
 
@@ -44,7 +46,8 @@
 fn all_settings_are_read() {
     let text = format!(
         "{}seed_peers: [127.0.0.1:7402, 127.0.0.1:7412]\nlease: 1500ms\nresend_delay: 2s\nstop_grace: 8s\n\
-         far_factor: 1.5\nprocessor_share: 0.125\nlog_level: warning\n",
+         far_factor: 1.5\nprocessor_share: 0.125\nforward_jobs: false\nforward_lateness: 20ms\n\
+         log_level: warning\n",
         MINIMAL.replace("store:", "  metrics: 127.0.0.1:7403\nstore:")
     );
     let settings = parse_fleet_settings("f", &text).unwrap();
@@ -55,6 +58,8 @@
     assert_eq!(settings.stop_grace, Duration::from_secs(8));
     assert_eq!(settings.far_factor, 1.5);
     assert_eq!(settings.processor(), MilliCores(125));
+    assert!(!settings.forward_jobs);
+    assert_eq!(settings.forward_lateness, Duration::from_millis(20));
 }
 
 /// Guards against a process that starts with values that it cannot work with.
@@ -69,6 +74,7 @@
 #[test_case("store:", "far_factor: 0.5\nstore:", "far_factor"; "far is nearer")]
 #[test_case("store:", "far_factor: .nan\nstore:", "far_factor"; "no number")]
 #[test_case("store:", "processor_share: 0\nstore:", "processor_share"; "no processor")]
+#[test_case("store:", "forward_lateness: 2s\nstore:", "forward_lateness"; "later than lost")]
 #[test_case("store:", "seeds: []\nstore:", "seeds"; "unknown field")]
 #[test_case("store:", "seed_peers: [nowhere]\nstore:", "seed_peers[0]"; "no address")]
 fn an_invalid_value_is_reported(from: &str, to: &str, field: &str) {
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -48,7 +48,7 @@
 
 fn shape(fleet: &mut SimFleet, kind: FleetKind) -> JobShape {
     let rng = &mut fleet.rng;
-    if let FleetKind::OneWay = kind {
+    if let FleetKind::OneWay | FleetKind::Forwarding = kind {
         // The run outlasts the time after which its coordinator counts it as ended.
         let work = Duration::from_millis(rng.random_range(1000..5000));
         return JobShape {
@@ -164,6 +164,8 @@
     Deadly,
     /// As the small fleet, with targets whose capacity shrinks and grows.
     Resizing,
+    /// As the large fleet, with links that heal one direction at a time and a VM that forwards jobs.
+    Forwarding,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -175,7 +177,7 @@
         ],
         ..SimOptions::default()
     };
-    if let FleetKind::Large = kind {
+    if let FleetKind::Large | FleetKind::Forwarding = kind {
         options.event_cost = Duration::from_micros(300);
         let pace = &mut options.settings.links.heartbeat;
         pace.same_zone_step = Duration::from_millis(200);
@@ -184,6 +186,10 @@
     if let FleetKind::Resizing = kind {
         options.target_heartbeat = Duration::from_micros(HEARTBEAT_US);
     }
+    if let FleetKind::Forwarding = kind {
+        options.vms = vec![3, 1];
+        options.forwarding = Some(vec![0]);
+    }
     options
 }
 
@@ -193,7 +199,7 @@
     for _ in 0..200 {
         match kind {
             FleetKind::Stepping => step_clocks(&mut fleet),
-            FleetKind::OneWay => cut_directions(&mut fleet),
+            FleetKind::OneWay | FleetKind::Forwarding => cut_directions(&mut fleet),
             FleetKind::Deadly => crash_targets(&mut fleet),
             FleetKind::Resizing => resize_targets(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
@@ -343,6 +349,14 @@
     }
 }
 
+/// Guards against a forwarded job that goes on at its receiver while its client sends it again.
+#[test]
+fn invariants_hold_while_jobs_are_forwarded() {
+    for seed in SEEDS {
+        check_invariants(seed, FleetKind::Forwarding);
+    }
+}
+
 #[test]
 fn regression_seeds_pass() {
     for seed in REGRESSION_SEEDS {
@@ -381,6 +395,7 @@
         FleetKind::OneWay,
         FleetKind::Deadly,
         FleetKind::Resizing,
+        FleetKind::Forwarding,
     ];
     let chosen = std::env::var("FLEET_KIND").ok();
     let chosen = |kind: &FleetKind| chosen.as_ref().is_none_or(|it| *it == format!("{kind:?}"));
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1,6 +1,8 @@
 //! Discrete-event simulation of a fleet: events, network, faults and invariant checks. Times are in
 //! microseconds of simulated time.
 
+mod forwarding;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -23,6 +25,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::forwarding::{ExchangeEvent, SimExchange};
 use super::client::{ClientJob, JobShape};
 use super::crash::{CrashStage, TaskCrash, TaskRecord, TaskStart};
 use super::target::{FORMER_CAPACITY_US, SimTarget, TargetFault};
@@ -70,6 +73,8 @@
     /// The time between heartbeats of a target, which show its capacity; zero if it shows each change
     /// at once.
     pub target_heartbeat: Duration,
+    /// Whether VMs forward jobs. Those listed are set to forward each job that another VM takes.
+    pub forwarding: Option<Vec<usize>>,
 }
 
 impl Default for SimOptions {
@@ -87,6 +92,7 @@
             restart_delay: Duration::from_secs(3),
             former_capacity: Duration::from_micros(FORMER_CAPACITY_US),
             target_heartbeat: Duration::ZERO,
+            forwarding: None,
         }
     }
 }
@@ -174,6 +180,7 @@
     },
     Submit(JobId),
     ClientDisconnects(JobId, u64),
+    Exchange(usize, ExchangeEvent),
 }
 
 struct ScheduledEvent {
@@ -245,6 +252,7 @@
     options: SimOptions,
     configuration: Rc<FleetConfiguration>,
     vms: Vec<SimVm>,
+    exchanges: Vec<SimExchange>,
     events: BinaryHeap<Reverse<ScheduledEvent>>,
     next_sequence: u64,
     next_call: u64,
@@ -333,6 +341,7 @@
             options,
             configuration,
             vms,
+            exchanges: Vec::new(),
             events: BinaryHeap::new(),
             next_sequence: 0,
             next_call: 0,
@@ -468,6 +477,7 @@
         for (id, send) in broken.into_values() {
             self.schedule_resend(id, send);
         }
+        self.break_exchanges(vm);
         let at = self.now + down_for.as_micros() as u64;
         self.schedule(at, SimEvent::Start(vm));
     }
@@ -751,7 +761,11 @@
 
     fn process_event(&mut self, event: SimEvent) {
         // A paused or busy process handles nothing; what arrives waits in its sockets.
-        if let Some(vm) = acting_vm(&event) {
+        let acting = match &event {
+            SimEvent::Exchange(exchange, event) => Some(self.exchange_vm(*exchange, event)),
+            event => acting_vm(event),
+        };
+        if let Some(vm) = acting {
             let state = &self.vms[vm];
             let until = state.frozen_until.max(state.busy_until);
             if until > self.now {
@@ -763,7 +777,8 @@
                 if self.vms[vm].generation == generation
                     && self.vms[vm].wake_at.is_some_and(|at| at <= self.now)
                 {
-                    self.vms[vm].wake_at = None;
+                    let due = self.vms[vm].wake_at.take();
+                    self.measure_lateness(vm, due.unwrap_or(self.now));
                     self.feed(vm, FleetEvent::TimeAdvanced);
                 }
             }
@@ -867,6 +882,7 @@
                 }
             }
             SimEvent::Submit(id) => self.deliver_job(id),
+            SimEvent::Exchange(exchange, event) => self.process_exchange(exchange, event),
             SimEvent::ClientDisconnects(id, send) => {
                 let vm = self.jobs[&id].vm;
                 let callers = self.vms[vm].callers.iter();
@@ -874,11 +890,22 @@
                 if let Some((&caller, _)) = found.next() {
                     self.vms[vm].callers.remove(&caller);
                     self.feed(vm, FleetEvent::CallerDisconnected(caller));
+                } else {
+                    self.abandon_exchange(vm, id, send);
                 }
             }
         }
     }
 
+    /// Tells a VM how late its timer has fired.
+    fn measure_lateness(&mut self, vm: usize, due: u64) {
+        let clock = self.clock_of(vm);
+        let lateness = Duration::from_micros(self.now - due);
+        if let (Some(_), Some(engine)) = (&self.options.forwarding, &mut self.vms[vm].engine) {
+            engine.record_lateness(clock, lateness);
+        }
+    }
+
     fn start_vm(&mut self, vm: usize) {
         if self.vms[vm].engine.is_some() {
             return;
@@ -891,12 +918,12 @@
         state.known_targets = vec![false; self.targets.len()];
         let incarnation = incarnation_of(vm, state.generation);
         let identity = identity_of(vm, state, incarnation);
-        state.engine = Some(FleetEngine::new(
-            self.options.settings.clone(),
-            identity,
-            clock,
-            incarnation.0,
-        ));
+        let mut settings = self.options.settings.clone();
+        let forced = self.options.forwarding.as_ref();
+        if forced.is_some_and(|vms| vms.contains(&vm)) {
+            settings.routing.lateness = Duration::ZERO;
+        }
+        state.engine = Some(FleetEngine::new(settings, identity, clock, incarnation.0));
         let generation = self.vms[vm].generation;
         self.visit_store(vm, generation);
         let configuration = Rc::clone(&self.configuration);
@@ -1159,8 +1186,8 @@
                 };
                 self.schedule_answer(at, call, vm, event);
             }
-            // The VMs of this world are never late, so they forward no jobs.
-            FleetAction::Disconnect(_) | FleetAction::EndForwarding(_) => {}
+            FleetAction::EndForwarding(job) => self.give_up_exchange(vm, job),
+            FleetAction::Disconnect(_) => {}
             FleetAction::Notice(notice) => self.notices.push((self.now, vm, notice)),
         }
     }
@@ -1567,6 +1594,13 @@
         if self.vms[vm].engine.is_none() {
             return self.schedule_resend(id, send);
         }
+        if self.options.forwarding.is_none() || !self.forward_job(vm, id, send) {
+            self.submit_here(vm, id, send);
+        }
+    }
+
+    /// Submits a job to a VM, which coordinates it.
+    fn submit_here(&mut self, vm: usize, id: JobId, send: u64) {
         let caller = CallerToken(self.next_caller);
         self.next_caller += 1;
         self.vms[vm].callers.insert(caller, (id, send));
@@ -1594,9 +1628,15 @@
     }
 
     fn reply(&mut self, vm: usize, caller: CallerToken, reply: JobReply) {
-        let Some((id, send)) = self.vms[vm].callers.remove(&caller) else {
-            return;
-        };
+        match self.vms[vm].callers.remove(&caller) {
+            Some((id, send)) => self.answer_client(id, send, reply),
+            None => {
+                self.reply_to_vm(vm, caller, reply);
+            }
+        }
+    }
+
+    fn answer_client(&mut self, id: JobId, send: u64, reply: JobReply) {
         let job = self.jobs.get_mut(&id).expect("the job was submitted");
         job.reply = Some(reply);
         job.answered_at = self.now + 3_000;
