--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod crashes;
 mod event;
+mod forwarding;
 mod holding;
 mod jobs;
 mod offers;
@@ -34,6 +35,7 @@
 use crate::closed_zones::ClosedZones;
 use crate::crash_log::CrashLog;
 use crate::held::HeldTarget;
+use crate::job_routing::JobRouter;
 use crate::job_table::{JobTable, TaskRef};
 use crate::link::PeerLink;
 use crate::offers::{OfferTable, OfferedRates};
@@ -42,6 +44,7 @@
 use crate::zone_probe::ZoneProber;
 
 pub use self::event::{FleetAction, FleetEvent, FleetNotice, ZoneSource};
+pub use self::forwarding::{ForwardOrigin, JobRoute};
 pub use self::settings::FleetSettings;
 pub use self::view::{EngineView, FleetCounters};
 
@@ -117,6 +120,8 @@
     /// The last token that this VM chose.
     last_token: FencingToken,
     jobs: JobTable,
+    /// Which VM coordinates new jobs, and the jobs that were forwarded from and to this VM.
+    router: JobRouter,
     /// The recent crashes of targets and the tasks that the targets had.
     crash_log: CrashLog,
     offered_rates: OfferedRates,
@@ -146,6 +151,7 @@
         let mut timers = TimerService::default();
         timers.subscribe(clock.time, TimerTopic::Reconcile);
         timers.subscribe(clock.time + settings.sample_interval, TimerTopic::Sample);
+        let router = JobRouter::new(settings.routing.clone(), identity.processor);
         Self {
             settings,
             identity,
@@ -174,6 +180,7 @@
             seen_tokens: BTreeMap::new(),
             last_token: FencingToken(0),
             jobs: JobTable::default(),
+            router,
             crash_log: CrashLog::default(),
             offered_rates: OfferedRates::default(),
             placement_due: false,
@@ -216,6 +223,14 @@
                 spec: order,
                 client_timeout,
             } => self.submit_job(caller, queue, order, client_timeout),
+            FleetEvent::JobReceived {
+                origin,
+                caller,
+                queue,
+                spec,
+                client_timeout,
+            } => self.receive_job(origin, caller, queue, spec, client_timeout),
+            FleetEvent::ForwardingEnded { job, end } => self.finish_forwarding(job, end),
             FleetEvent::CallerDisconnected(caller) => self.remove_caller(caller),
             FleetEvent::JobCancelled(job) => self.cancel_job(job),
             FleetEvent::StartResult {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -58,7 +58,13 @@
         }
         let was_candidate = link.is_holder_candidate();
         let zones = std::mem::take(&mut envelope.zones);
+        let (sent_at, routing) = (envelope.sent_at, envelope.routing);
         let update = link.receive(now, envelope, |name| registry.intern(name));
+        if link.heartbeat().locality() == PeerLocality::SameZone {
+            let processor = link.identity().processor;
+            self.router
+                .record_report(now, peer, processor, sent_at, routing);
+        }
         let candidacy_changed = was_candidate != link.is_holder_candidate();
         let ack = link.ack(now, own);
         let quota = self.draw_offer_quota(peer);
@@ -237,6 +243,7 @@
         self.offers.drop_coordinator(peer);
         self.blocked_requests.drop_coordinator(peer);
         self.stop_runs_for(peer);
+        self.drop_forwarding_with(peer);
         self.orphan_tasks_on(peer, contact, reason);
         self.placement_due = true;
     }
@@ -342,7 +349,8 @@
     fn plan_heartbeats(&mut self) {
         let counts = self.peer_counts();
         let holders = self.jobs.placed().map(|placed| placed.holder);
-        let holders = holders.collect::<BTreeSet<_>>();
+        let mut holders = holders.collect::<BTreeSet<_>>();
+        holders.extend(self.router.partners());
         for (peer, link) in self.links.iter_mut_enumerated() {
             if let Some(link) = link {
                 link.heartbeat_mut()
@@ -418,6 +426,7 @@
             holdings: Some(holdings.collect()),
             capacities,
             zones: self.closed_zones.reports(now),
+            routing: self.router.report(now, self.state == PeerState::Ready),
         }
     }
 }
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -1,5 +1,7 @@
 //! Counters and a snapshot of the engine, for status and metrics.
 
+use std::time::Duration;
+
 use filbertpitch_types::fleet::PeerState;
 use filbertpitch_types::prelude::*;
 
@@ -55,6 +57,12 @@
     pub targets_crashed: u64,
     /// Jobs given up because one of their tasks crashes the targets that start it.
     pub jobs_given_up: u64,
+    /// Jobs forwarded to another VM.
+    pub jobs_forwarded: u64,
+    /// Jobs that another VM has forwarded to this one.
+    pub jobs_received: u64,
+    /// Forwarded jobs without an answer of the receiver, those taken back included.
+    pub forwardings_failed: u64,
 }
 
 /// A snapshot of the engine's state.
@@ -80,6 +88,8 @@
     pub listed_targets: usize,
     /// Availability zones that the operator has closed.
     pub closed_zones: usize,
+    /// How late timers are handled.
+    pub lateness: Duration,
 }
 
 impl FleetEngine {
@@ -137,6 +147,7 @@
                 .count(),
             listed_targets: self.registry.listed().count(),
             closed_zones: self.closed_zones.len(),
+            lateness: self.router.lateness(),
         }
     }
 }
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -7,7 +7,7 @@
 use filbertpitch_fleet::link::{LinkPhase, LinkSettings, LinkUpdate, LossReason, PeerLink};
 use filbertpitch_types::fleet::{
     CapacityReport, DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity,
-    PeerState, TaskTimeliness,
+    PeerState, RoutingReport, TaskTimeliness,
 };
 use filbertpitch_types::prelude::*;
 
@@ -69,6 +69,7 @@
             slowdown_percent: 100,
         }],
         zones: Vec::new(),
+        routing: RoutingReport::default(),
     }
 }
 
