Predict run times as declared until runs have ended

Before the first run of a queue, the prediction was the geometric mean of the declared run time and DEFAULT_RUN_TIME (200 ms), so that tasks of 760 ms were predicted at 390 ms. The share of the declared run time is now a setting of the estimator: 0.5 as before by default, 1 for the fleet. DEFAULT_RUN_TIME remains for clients that declare nothing.

--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -65,6 +65,9 @@
     pub overdue_factor: f64,
     /// The shortest run time after which an attempt is overdue.
     pub overdue_floor: Duration,
+    /// The share of the declared run time in the prediction before the first measurement; the rest
+    /// is the configured run time of the kind. Both are combined on a logarithmic scale.
+    pub declared_share: f64,
 }
 
 impl Default for EstimateSettings {
@@ -73,6 +76,7 @@
             long_factor: 4.0,
             overdue_factor: 4.0,
             overdue_floor: Duration::from_millis(20),
+            declared_share: 0.5,
         }
     }
 }
@@ -147,8 +151,8 @@
 
     /// The median and the upper quantile of the run time, as weighted means of prior and
     /// measurements.
-    fn predict(&self, declared: Log2Value) -> (Log2Value, Log2Value) {
-        let prior = self.typical.weighted_mean(declared, 0.5);
+    fn predict(&self, declared: Log2Value, declared_share: f64) -> (Log2Value, Log2Value) {
+        let prior = self.typical.weighted_mean(declared, declared_share);
         let upper_factor = Log2Value::from_factor(UPPER_PRIOR);
         let (Some(median), Some(upper)) = self.learned(declared) else {
             return (prior, prior.times(upper_factor));
@@ -247,7 +251,9 @@
     pub fn predict(&self, kind: KindIndex, declared: Duration) -> RunPrediction {
         let declared = Log2Value::from_duration(declared);
         let model = self.kinds.get(kind).and_then(Option::as_ref);
-        let (expected, upper) = model.map_or((declared, declared), |model| model.predict(declared));
+        let (expected, upper) = model.map_or((declared, declared), |model| {
+            model.predict(declared, self.settings.declared_share)
+        });
         let expected = expected.to_duration();
         let size = match model {
             Some(model) if self.is_long(model.service, expected) => SizeClass::Long,
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -11,7 +11,8 @@
 
 use crate::run_time_model::RunTimeModel;
 
-/// The run time that is assumed before the first run of a queue, typical of sub-second tasks.
+/// The run time that is assumed before the first run of a queue if the client declares none, typical
+/// of sub-second tasks.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(200);
 
 /// The queue that a request addresses.
@@ -40,7 +41,12 @@
             configuration: None,
             queues: NameInterner::default(),
             services: NameInterner::default(),
-            estimator: RunEstimator::new(EstimateSettings::default()),
+            estimator: RunEstimator::new(EstimateSettings {
+                // Queues have no configured run time. With a share of `DEFAULT_RUN_TIME`, tasks of
+                // 760 ms were predicted at half of their run time until several had ended.
+                declared_share: 1.0,
+                ..EstimateSettings::default()
+            }),
             run_time_models: HashMap::new(),
         }
     }
@@ -102,22 +108,31 @@
         self.queues.get(name)
     }
 
-    /// Predicts the run time of a task from the run time that the client declares and from the
-    /// time-out of its request.
+    /// Predicts the run time of a task on a target of mean speed, from the run time that the client
+    /// declares and from the time-out of its request.
     pub fn predict_run_time(
         &self,
         queue: KindIndex,
         declared: Duration,
         client_timeout: Duration,
     ) -> Duration {
-        let baseline = self.estimator.predict(queue, declared).expected;
+        let baseline = self.baseline(queue, declared);
         let model = self.run_time_models.get(&queue);
         model
             .and_then(|model| model.predict(client_timeout))
             .unwrap_or(baseline)
     }
 
-    /// Learns from a completed job of one step whose longest task took `longest_run`.
+    fn baseline(&self, queue: KindIndex, declared: Duration) -> Duration {
+        let declared = match declared.is_zero() {
+            true => DEFAULT_RUN_TIME,
+            false => declared,
+        };
+        self.estimator.predict(queue, declared).expected
+    }
+
+    /// Learns from a completed job of one step whose longest task took `longest_run`, normalised as
+    /// for [`Self::observe`].
     pub fn observe_job(
         &mut self,
         queue: KindIndex,
@@ -125,12 +140,13 @@
         client_timeout: Duration,
         longest_run: Duration,
     ) {
-        let baseline = self.estimator.predict(queue, declared).expected;
+        let baseline = self.baseline(queue, declared);
         let model = self.run_time_models.entry(queue).or_default();
         model.observe(client_timeout, longest_run, baseline);
     }
 
-    /// Learns from a completed run.
+    /// Learns from a completed run. `took` is normalised: it has been divided by the factor of the
+    /// target's kind.
     pub fn observe(&mut self, queue: KindIndex, declared: Duration, took: Duration) {
         self.estimator.observe(queue, declared, took);
     }
