Learn the speed of each kind of targets and place tasks by their objective

Cause: run times were learned mixed over all kinds, and a slow target cost the same for every task, so that long jobs missed their objective on slow targets.

While kinds differ by a quarter or more, placement adds the weighted lateness to the cost, keeps scarce fast targets for tasks that need them, and lets a task wait for a fast target while it can still be in time there; holders refuse to move such a task to a slow target. Event 806, gauge kind_run_time_factor.

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -224,6 +224,9 @@
     805 TargetCrashed "target_crashed" Warning
         "Nothing listens at the address of a held target, or it has started anew; it had runs."
         "Look for `task_suspected` with the same target, and at the target if there is none.";
+    806 KindSpeedLearned "kind_speed_learned" Info
+        "The speed of a kind of targets is known, or has changed by a quarter; `factor_percent` is its run time relative to the mean."
+        "None; if it changes often, compare the targets of the kind.";
     900 JobAccepted "job_accepted" Info
         "A job was accepted."
         "None.";
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -2,14 +2,17 @@
 //! Prometheus.
 
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 
 use filbertpitch_fleet::engine::{FleetCounters, FleetEngine, FleetNotice};
 use filbertpitch_types::fleet::JobReply;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::server::RequestHandler;
 use http::{HeaderValue, StatusCode};
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
@@ -20,6 +23,12 @@
 const SMALLEST_BUCKET: f64 = 0.005;
 const BUCKETS: u16 = 12;
 
+/// The label of a metric that exists for each kind of targets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: String,
+}
+
 /// The histograms.
 #[derive(Debug)]
 pub struct FleetMetrics {
@@ -214,6 +223,16 @@
         gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
         registry.register(name, help, gauge);
     }
+    let speeds = Family::<KindLabels, Gauge<f64, AtomicU64>>::default();
+    for (kind, factor) in engine.kind_speeds().known() {
+        let kind = kind.to_owned();
+        speeds.get_or_create(&KindLabels { kind }).set(factor);
+    }
+    registry.register(
+        "kind_run_time_factor",
+        "The factor of a kind of targets on run times, as learned",
+        speeds,
+    );
     if let Some(version) = view.version {
         let gauge = Gauge::<i64>::default();
         gauge.set(i64::try_from(version.0).unwrap_or(i64::MAX));
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -250,6 +250,18 @@
                 "waiting" => waiting
             ),
         ),
+        FleetNotice::KindSpeedLearned {
+            kind,
+            factor,
+            weight,
+        } => log.record(
+            LogEvent::KindSpeedLearned,
+            b!(
+                "kind" => &**kind,
+                "factor_percent" => (factor * 100.0).round() as u32,
+                "runs" => weight.round() as u32
+            ),
+        ),
         FleetNotice::ProcessPaused(gap) => {
             log.record(LogEvent::ProcessPaused, b!("gap_ms" => millis(*gap)));
         }
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -127,6 +127,9 @@
             })
             .collect::<Vec<_>>();
         let run_time = expected.iter().sum::<Duration>();
+        // Run times are those on targets of mean speed, as the client expects them, whatever the job
+        // gets. A job that needs fast targets runs for a shorter time, but fewer targets are capacity
+        // for it: with the shorter time alone, overload makes more of the accepted jobs late.
         let estimate = JobEstimate {
             objective: run_time.mul_f64(spec.stretch.max(1.0)) + spec.allowance,
             run_time,
@@ -195,7 +198,7 @@
 
     /// The usable cores of all targets that a live VM holds. While the membership changes, all
     /// listed targets count, because those without a holder will soon have one.
-    fn usable_cores(&self) -> f64 {
+    pub(super) fn usable_cores(&self) -> f64 {
         let cores = |entry: &TargetEntry| u64::from(entry.capacity.cpu.0);
         let millis = if self.is_settling() {
             self.registry.listed().map(|(_, entry)| cores(entry)).sum()
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -381,6 +381,15 @@
         /// The number of tasks of this VM's jobs that wait for capacity.
         waiting: usize,
     },
+    /// The speed of a kind of targets is known for the first time, or has changed by a quarter.
+    KindSpeedLearned {
+        /// The kind.
+        kind: Box<str>,
+        /// The factor on run times; 1 is the mean speed.
+        factor: f64,
+        /// The weight of the estimate, in runs.
+        weight: f64,
+    },
     /// The process was not scheduled for this long.
     ProcessPaused(Duration),
 }
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -11,7 +11,7 @@
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{
     EndNotice, FleetConfiguration, FleetMessage, KeptRun, PeerState, PlaceRefusal, TargetChange,
-    TargetState,
+    TargetEntry, TargetState,
 };
 use filbertpitch_types::lease::PollResult;
 use filbertpitch_types::prelude::*;
@@ -84,6 +84,8 @@
             let listed = before.is_some_and(|target| self.registry.entry(target).is_some());
             let target = self.registry.apply(now, notice);
             let entry = self.registry.entry(target);
+            self.kind_speeds
+                .set_kind(target, entry.and_then(TargetEntry::kind));
             let draining = entry.is_some_and(|entry| entry.state == TargetState::Draining);
             if let Some(entry) = entry
                 && let Some(held) = self.held.get_mut(&target)
@@ -109,6 +111,7 @@
         self.timers.subscribe(due, TimerTopic::Reconcile);
         self.detect_lost_peers();
         self.repeat_stops();
+        self.update_kind_speeds();
         self.reconcile_due = true;
         self.placement_due |= self.jobs.waiting_len() > 0;
     }
@@ -529,11 +532,16 @@
     fn record_run_end(&mut self, target: TargetIndex, run: &TargetRun, end: RunEnd) -> Option<u32> {
         let now = self.now();
         let took = now.since(run.since);
+        self.kind_speeds.record_use(now, target);
+        if end == RunEnd::Done {
+            self.learn_as_holder(target, run, took);
+        }
         let held = self.held.get_mut(&target)?;
         match end {
             RunEnd::Done => {
                 self.counters.runs_done += 1;
-                held.health_mut().record_success(took, run.expected);
+                let expected = run.expected.mul_f64(self.kind_speeds.factor_of(target));
+                held.health_mut().record_success(took, expected);
             }
             RunEnd::Failed => {
                 self.counters.runs_not_done += 1;
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -13,6 +13,7 @@
 use crate::clock::max_lease_duration;
 use crate::held::HeldTarget;
 use crate::job_table::{ActiveJob, JobPlan, PlacedTask, TaskPhase, TaskRef};
+use crate::kind_speed::RunRole;
 use crate::lease_limits::LEASE_MARGIN;
 use crate::link::LostContact;
 
@@ -300,8 +301,15 @@
         let declared = job.step_of(task.position).declared;
         if let Some(took) = notice.took_ms {
             let took = Duration::from_millis(took.into());
-            job.longest_run = job.longest_run.max(took);
-            self.catalog.observe(queue, declared, took);
+            let target = self.registry.find(&notice.target);
+            let factor = target.map_or(1.0, |target| self.kind_speeds.factor_of(target));
+            let normalised = took.div_f64(factor);
+            job.longest_run = job.longest_run.max(normalised);
+            self.catalog.observe(queue, declared, normalised);
+            if let Some(target) = target {
+                let row = (queue, RunRole::Coordinator);
+                self.kind_speeds.observe(row, target, took, declared);
+            }
         }
         if self.jobs.finish_task(now, task) {
             self.record_job_duration(task.job);
--- /dev/null
+++ b/crates/fleet/src/engine/kinds.rs
@@ -0,0 +1,124 @@
+//! Targets of different speeds: learns the speed of each kind, and tells placement what a task can
+//! afford.
+
+use std::time::Duration;
+
+use filbertpitch_dispatch::entity::TargetIndex;
+use filbertpitch_types::fleet::{PlaceRequest, TaskPlacement};
+
+use super::{FleetEngine, FleetNotice, TimerTopic};
+use crate::job_table::TaskRef;
+use crate::kind_speed::{RunRole, SpeedContext, TaskBudget, is_late_only_on};
+use crate::ledger::TargetRun;
+
+/// The interval at which tasks that wait for a fast target are considered again if nothing else
+/// happens.
+const FAST_WAIT_INTERVAL: Duration = Duration::from_millis(15);
+
+impl FleetEngine {
+    /// Computes the speeds of the kinds of targets from the runs so far and from peers' reports.
+    pub(super) fn update_kind_speeds(&mut self) {
+        let now = self.now();
+        let links = self.links.iter().flatten().filter(|link| link.is_live());
+        let reports = links.map(|link| link.demand().kind_speeds);
+        let announced = self.kind_speeds.update(now, reports);
+        for (target, held) in &mut self.held {
+            let log_change = self.kind_speeds.log_change_of(*target);
+            held.health_mut().rebase(log_change);
+        }
+        for speed in announced {
+            self.notice(FleetNotice::KindSpeedLearned {
+                kind: speed.label,
+                factor: speed.factor,
+                weight: speed.weight,
+            });
+        }
+    }
+
+    /// Learns from a run on a held target whose job another VM coordinates. Runs of this VM's own
+    /// jobs are learned when the coordinator role gets their end.
+    pub(super) fn learn_as_holder(&mut self, target: TargetIndex, run: &TargetRun, took: Duration) {
+        if let Some(queue) = run.queue
+            && run.coordinator.is_some_and(|vm| vm != self.own_vm())
+        {
+            let row = (queue, RunRole::Holder);
+            self.kind_speeds.observe(row, target, took, run.expected);
+        }
+    }
+
+    /// What placement must know of targets of different speeds; `None` while all are about equally
+    /// fast.
+    pub(super) fn speed_context(&self) -> Option<SpeedContext> {
+        let now = self.now();
+        let mut context = SpeedContext::new(self.kind_speeds.spread()?);
+        for (target, held) in &self.held {
+            if self.registry.is_ready(*target) {
+                let ledger = held.ledger();
+                let factor = self.kind_speeds.factor_of(*target);
+                context.add_target(factor, &ledger.capacity(), &ledger.free());
+            }
+        }
+        let links = self.links.iter().flatten();
+        for link in links.filter(|link| link.accepts_work()) {
+            for holding in link.holdings() {
+                if let Some(entry) = self.registry.entry(holding.target) {
+                    let factor = self.kind_speeds.factor_of(holding.target);
+                    context.add_target(factor, &entry.capacity, &link.free_capacity(holding));
+                }
+            }
+        }
+        context.fast_free_up = self.kind_speeds.fast_targets_free_up(now);
+        context.overloaded = self.is_backlogged();
+        Some(context)
+    }
+
+    /// Whether more work waits at all VMs than the targets can start within `accept_all_backlog`.
+    fn is_backlogged(&self) -> bool {
+        let links = self.links.iter().flatten().filter(|link| link.is_live());
+        let peers = links.map(|link| link.demand().work.total()).sum::<u64>();
+        let waiting = self.work_waiting_for_capacity().total() + peers;
+        let limit = self.settings.accept_all_backlog.as_secs_f64() * 1000.0;
+        waiting as f64 > limit * self.usable_cores()
+    }
+
+    pub(super) fn task_budget(&self, task: TaskRef) -> TaskBudget {
+        let now = self.now();
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let finish_by = job.finish_by(task.position);
+        let left = finish_by.since(now).as_secs_f64() - now.since(finish_by).as_secs_f64();
+        TaskBudget {
+            left_ms: left * 1000.0,
+            nominal_ms: job.expected_of(task.position).as_secs_f64() * 1000.0,
+            waited: now.since(job.arrived),
+        }
+    }
+
+    /// Considers tasks that wait for a fast target again soon.
+    pub(super) fn schedule_fast_wait(&mut self) {
+        if !std::mem::replace(&mut self.fast_wait_set, true) {
+            let due = self.now() + FAST_WAIT_INTERVAL;
+            self.timers.subscribe(due, TimerTopic::FastWait);
+        }
+    }
+
+    /// Whether a task would miss its job's objective on a held target although it would meet it on
+    /// the suggested one.
+    pub(super) fn is_too_slow(
+        &self,
+        request: &PlaceRequest,
+        order: &TaskPlacement,
+        suggested: Option<TargetIndex>,
+        target: TargetIndex,
+    ) -> bool {
+        let queue = self.catalog.index(&request.queue);
+        let Some(spec) = queue.and_then(|queue| self.catalog.spec(queue)) else {
+            return false;
+        };
+        let expected = Duration::from_millis(order.expected_ms.into());
+        let objective = expected.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
+        let factor = |target| self.kind_speeds.factor_of(target);
+        suggested.is_some_and(|suggested| {
+            is_late_only_on(expected, objective, factor(target), factor(suggested))
+        })
+    }
+}
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod holding;
 mod jobs;
+mod kinds;
 mod offers;
 mod peers;
 mod placement;
@@ -33,6 +34,7 @@
 use crate::crash_log::CrashLog;
 use crate::held::HeldTarget;
 use crate::job_table::{JobTable, TaskRef};
+use crate::kind_speed::KindSpeeds;
 use crate::link::PeerLink;
 use crate::offers::{OfferTable, OfferedRates};
 use crate::registry::TargetRegistry;
@@ -59,6 +61,8 @@
     Reconcile,
     /// The load is sampled for the log.
     Sample,
+    /// Tasks that wait for a fast target are considered again.
+    FastWait,
 }
 
 /// A target's refusal of this VM's token, because it has seen a higher one.
@@ -86,6 +90,9 @@
     drain_ends_at: Option<TimePoint>,
     catalog: QueueCatalog,
     registry: TargetRegistry,
+    kind_speeds: KindSpeeds,
+    /// Whether a timer for tasks that wait for a fast target is set.
+    fast_wait_set: bool,
     targets_listed: bool,
     peers_listed: bool,
     vms: NameInterner<VmIndex, VmName>,
@@ -153,6 +160,8 @@
             drain_ends_at: None,
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
+            kind_speeds: KindSpeeds::default(),
+            fast_wait_set: false,
             targets_listed: false,
             peers_listed: false,
             vms,
@@ -261,6 +270,10 @@
                 TimerTopic::OrphanExpired(task) => self.requeue_orphan(task),
                 TimerTopic::Reconcile => self.reconcile(),
                 TimerTopic::Sample => self.sample_load(),
+                TimerTopic::FastWait => {
+                    self.fast_wait_set = false;
+                    self.placement_due = true;
+                }
             }
         }
         if self.offers.expire(self.clock.time) {
@@ -333,6 +346,11 @@
         &self.catalog
     }
 
+    /// The learned speeds of the kinds of targets.
+    pub fn kind_speeds(&self) -> &KindSpeeds {
+        &self.kind_speeds
+    }
+
     fn own_vm(&self) -> VmIndex {
         VmIndex::from(OWN_VM_INDEX)
     }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -389,7 +389,9 @@
             };
             capacities.push(CapacityReport {
                 free,
-                slowdown_percent: slowdown_percent(held.health().slowdown()),
+                slowdown_percent: slowdown_percent(
+                    held.health().slowdown() * self.kind_speeds.factor_of(*target),
+                ),
             });
         }
         let holdings = self.held.iter().map(|(target, held)| HoldingReport {
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -18,6 +18,7 @@
 use super::{FleetEngine, FleetNotice};
 use crate::heartbeat::PeerLocality;
 use crate::job_table::{TaskPhase, TaskRef};
+use crate::kind_speed::{SpeedContext, TargetSpeed};
 use crate::link::PeerLink;
 
 /// How many waiting tasks that fit nowhere are examined before the search ends.
@@ -43,6 +44,9 @@
 /// tasks.
 const FRAGMENTATION_COST_MS: f64 = 20.0;
 
+/// The lower limit of the slowdown of a target in its cost.
+const MIN_SLOWDOWN: f64 = 0.1;
+
 /// The cost of starting on an idle target, so that whole targets stay free for large tasks.
 const IDLE_TARGET_COST_MS: f64 = 2.0;
 
@@ -68,6 +72,17 @@
     }
 }
 
+/// The result of the search for a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CandidateChoice {
+    /// The candidate at this position is the best.
+    Place(usize),
+    /// The task waits for a fast target, because it would be late on those that are free.
+    AwaitFast,
+    /// No candidate suits the task.
+    None,
+}
+
 /// A task, and the target and holder that were chosen for it.
 #[derive(Clone, Copy, Debug)]
 struct TaskChoice {
@@ -90,11 +105,12 @@
         if candidates.is_empty() {
             return;
         }
+        let context = self.speed_context();
         let mut choices = Vec::new();
-        let mut unplaced = 0;
+        let (mut unplaced, mut awaiting) = (0, 0);
         for task in self.jobs.waiting() {
-            match self.choose_candidate(task, &candidates) {
-                Some(position) => {
+            match self.choose_candidate(task, &candidates, context.as_ref()) {
+                CandidateChoice::Place(position) => {
                     let candidate = &mut candidates[position];
                     candidate.free = self.capacity_beside(task, candidate.free);
                     let holder = candidate.holder;
@@ -108,8 +124,9 @@
                     same.for_each(|it| it.hop_cost_ms = 0.0);
                 }
                 // A task that waits for its trial says nothing about the others.
-                None if self.needs_trial(task) => {}
-                None => {
+                CandidateChoice::None if self.needs_trial(task) => {}
+                CandidateChoice::AwaitFast if awaiting < SEARCH_LIMIT => awaiting += 1,
+                CandidateChoice::None | CandidateChoice::AwaitFast => {
                     unplaced += 1;
                     if unplaced >= SEARCH_LIMIT {
                         break;
@@ -117,6 +134,9 @@
                 }
             }
         }
+        if awaiting > 0 {
+            self.schedule_fast_wait();
+        }
         self.request_places(choices, None);
     }
 
@@ -144,7 +164,7 @@
                     holder: own,
                     free,
                     capacity: entry.capacity,
-                    slowdown: held.health().slowdown(),
+                    slowdown: held.health().slowdown() * self.kind_speeds.factor_of(*target),
                     hop_cost_ms: hop_cost(entry.zone == *own_zone, true),
                     reserved,
                     competing_rank: competing
@@ -200,16 +220,25 @@
         (job.timeliness(now, task.position), job.priority, slack)
     }
 
-    /// The position of the candidate with the lowest cost that can run a task.
-    fn choose_candidate(&self, task: TaskRef, candidates: &[PlacementCandidate]) -> Option<usize> {
-        let job = self.jobs.get(task.job)?;
+    /// The candidate with the lowest cost that can run a task, unless the task waits for a faster
+    /// one. `context` is absent while all targets have about the same speed.
+    fn choose_candidate(
+        &self,
+        task: TaskRef,
+        candidates: &[PlacementCandidate],
+        context: Option<&SpeedContext>,
+    ) -> CandidateChoice {
+        let Some(job) = self.jobs.get(task.job) else {
+            return CandidateChoice::None;
+        };
         let step = job.step_of(task.position);
         let expected = job.expected_of(task.position);
         let rank = self.rank_of(task);
         let on_trial = self.needs_trial(task);
         if self.must_await_trial(task) {
-            return None;
+            return CandidateChoice::None;
         }
+        let budget = self.task_budget(task);
         let suits = |candidate: &&PlacementCandidate| {
             if candidate
                 .competing_rank
@@ -236,14 +265,25 @@
             });
             let far = if near { 1.0 } else { self.settings.far_factor };
             let expected = expected.mul_f64(far);
-            (
-                position,
-                placement_cost(candidate, &step.resources, expected),
-            )
+            let speed = TargetSpeed {
+                factor: candidate.slowdown,
+                run_ms: expected.as_secs_f64() * 1000.0 * candidate.slowdown.max(MIN_SLOWDOWN),
+                delay_ms: candidate.hop_cost_ms,
+            };
+            let extra = context.map_or(0.0, |context| context.extra_cost_ms(&budget, &speed));
+            let cost = placement_cost(candidate, &step.resources, expected) + extra;
+            (position, speed, cost)
         });
-        costs
-            .min_by(|(_, left), (_, right)| left.total_cmp(right))
-            .map(|(position, _)| position)
+        let best = costs.min_by(|(_, _, left), (_, _, right)| left.total_cmp(right));
+        match (best, context) {
+            (Some((_, speed, _)), Some(context))
+                if !on_trial && context.awaits_fast(&budget, &speed) =>
+            {
+                CandidateChoice::AwaitFast
+            }
+            (Some((position, _, _)), _) => CandidateChoice::Place(position),
+            (None, _) => CandidateChoice::None,
+        }
     }
 
     /// Whether a task may run on a target, apart from the capacity.
@@ -377,6 +417,7 @@
             run: state.run,
         };
         let waited = now.since(job.arrived);
+        self.kind_speeds.record_use(now, target);
         self.notice(FleetNotice::TaskPlaced {
             run,
             holder: self.vms.name(holder).clone(),
@@ -419,22 +460,32 @@
         let Some(capacity) = self.registry.entry(target).map(|entry| entry.capacity) else {
             return self.send(from, FleetMessage::Decline(offer));
         };
+        let kind_factor = self.kind_speeds.factor_of(target);
+        let reported = self.links[from].as_ref().and_then(|link| {
+            let mut holdings = link.holdings().iter();
+            holdings.find(|holding| holding.target == target)
+        });
+        let slowdown = reported.map_or(kind_factor, |holding| {
+            f64::from(holding.report.slowdown_percent) / 100.0
+        });
         let mut offered = [PlacementCandidate {
             target,
             holder: from,
             free: offered_capacity,
             capacity,
-            slowdown: 1.0,
+            slowdown,
             hop_cost_ms: 0.0,
             reserved: false,
             competing_rank: None,
         }];
         let now = self.now();
         self.jobs.requeue_late(now);
+        let context = self.speed_context();
         let mut choices = Vec::new();
         let mut unplaced = 0;
         for task in self.jobs.waiting() {
-            if self.choose_candidate(task, &offered).is_some() {
+            let choice = self.choose_candidate(task, &offered, context.as_ref());
+            if matches!(choice, CandidateChoice::Place(_)) {
                 offered[0].free = self.capacity_beside(task, offered[0].free);
                 choices.push(TaskChoice {
                     task,
@@ -464,9 +515,11 @@
             least = Some(least.map_or(resources, |least| least.component_min(resources)));
         }
         let offered = self.offered_rates.report(now);
+        let kind_speeds = self.kind_speeds.report();
         let Some(least) = least else {
             return DemandReport {
                 offered,
+                kind_speeds,
                 ..DemandReport::default()
             };
         };
@@ -481,6 +534,7 @@
             min_resources: least,
             work: self.work_waiting_for_capacity(),
             offered,
+            kind_speeds,
         }
     }
 }
@@ -518,7 +572,7 @@
     resources: &ResourceVector,
     expected: Duration,
 ) -> f64 {
-    let run_ms = expected.as_secs_f64() * 1000.0 * candidate.slowdown.max(0.1);
+    let run_ms = expected.as_secs_f64() * 1000.0 * candidate.slowdown.max(MIN_SLOWDOWN);
     let rest = (candidate.free - *resources).cpu.0;
     let unusable = rest % resources.cpu.0.max(1);
     let waste = f64::from(unusable) / f64::from(candidate.capacity.cpu.0.max(1));
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -1,6 +1,7 @@
 //! The role of the holder: runs tasks on held targets at the request of coordinators, by start and
 //! stop requests to the targets.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -119,7 +120,8 @@
     }
 
     /// The held target on which to run a task: the target that the coordinator suggests if it is
-    /// suitable, otherwise the suitable target with the least processor capacity left over.
+    /// suitable, otherwise the suitable target with the least processor capacity left over on which
+    /// the task is not late because of the target's speed.
     fn choose_held_target(
         &mut self,
         request: &PlaceRequest,
@@ -130,6 +132,10 @@
             return None;
         }
         let suggested = self.registry.find(&order.target);
+        let held = self.held.keys().copied();
+        let slow = held
+            .filter(|target| self.is_too_slow(request, order, suggested, *target))
+            .collect::<BTreeSet<_>>();
         let mut best = None;
         for (target, held) in &mut self.held {
             let Some(entry) = self.registry.entry(*target) else {
@@ -154,6 +160,9 @@
             if suggested == Some(*target) {
                 return suggested;
             }
+            if slow.contains(target) {
+                continue;
+            }
             let rest = (free - order.resources).cpu;
             if best.is_none_or(|(least, _)| rest < least) {
                 best = Some((rest, *target));
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -29,6 +29,10 @@
     }
 }
 
+/// The limit of the distance of one run from the slowdown so far, as a natural logarithm: three runs
+/// in a hundred take seven times as long.
+const MAX_RUN_DISTANCE: f64 = 1.0;
+
 /// The state of the circuit breaker of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakerState {
@@ -52,6 +56,8 @@
     backoff: Duration,
     /// Mean of the natural logarithm of run time over expected run time.
     slowdown: f64,
+    /// The total weight of the runs in `slowdown`, between 0 and 1.
+    learned: f64,
 }
 
 impl TargetHealth {
@@ -63,6 +69,7 @@
             breaker: BreakerState::Closed,
             failures: 0,
             slowdown: 0.0,
+            learned: 0.0,
         }
     }
 
@@ -75,7 +82,15 @@
             return;
         }
         let ratio = (took.as_secs_f64() / expected.as_secs_f64()).ln();
-        self.slowdown += (ratio - self.slowdown) * self.settings.slowdown_gain;
+        let distance = (ratio - self.slowdown).clamp(-MAX_RUN_DISTANCE, MAX_RUN_DISTANCE);
+        self.slowdown += distance * self.settings.slowdown_gain;
+        self.learned += (1.0 - self.learned) * self.settings.slowdown_gain;
+    }
+
+    /// Adapts the slowdown to expected run times that change by a factor, given by its natural
+    /// logarithm, so that the run times that were measured keep their effect.
+    pub fn rebase(&mut self, log_change: f64) {
+        self.slowdown -= log_change * self.learned;
     }
 
     /// Records a failed run, or a request that the target did not fulfil. Returns whether this
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -154,9 +154,9 @@
     pub client_timeout: Duration,
     /// When the client stops waiting for the answer.
     pub client_deadline: TimePoint,
-    /// The run time of the longest completed task.
+    /// The longest run time of a completed task, normalised by the speed of its target's kind.
     pub longest_run: Duration,
-    /// The expected run time of a task, for each step.
+    /// The expected run time of a task on a target of mean speed, for each step.
     pub expected: Vec<Duration>,
     /// The tasks, ordered by step.
     pub tasks: Vec<ActiveTask>,
@@ -187,6 +187,13 @@
         self.arrived + self.objective.saturating_sub(padded_run_time(rest))
     }
 
+    /// The latest time at which the task must end for the job to meet its objective.
+    pub fn finish_by(&self, position: usize) -> TimePoint {
+        let step = usize::from(self.tasks[position].name.step);
+        let later = self.expected[step + 1..].iter().sum::<Duration>();
+        self.arrived + self.objective.saturating_sub(later + ANSWER_MARGIN)
+    }
+
     /// Whether the job can still meet its objective, or be answered late, if the task starts now.
     /// The work on a job that is never finished is wasted, so a job that may have started counts as
     /// in time for another period of the length of its objective.
@@ -243,7 +250,7 @@
 pub struct JobEstimate {
     /// The target time from arrival to answer.
     pub objective: Duration,
-    /// The run time of the longest chain of steps.
+    /// The run time of the longest chain of steps, on targets of mean speed.
     pub run_time: Duration,
     /// The work of all tasks, in core-milliseconds.
     pub work: u64,
@@ -260,7 +267,7 @@
     pub estimate: JobEstimate,
     /// How long the client waits for the answer.
     pub client_timeout: Duration,
-    /// The expected run time of a task, for each step.
+    /// The expected run time of a task on a target of mean speed, for each step.
     pub expected: Vec<Duration>,
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod heartbeat;
 pub mod held;
 pub mod job_table;
+pub mod kind_speed;
 pub mod lease_limits;
 pub mod ledger;
 pub mod link;
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -73,6 +73,8 @@
     pub max_lease_ms: u64,
     /// Its speed, as a percentage of the usual speed.
     pub speed_percent: u64,
+    /// Its labels in the list of targets.
+    pub labels: Vec<Box<str>>,
     /// Whether the token of a poll is checked only when the poll arrives, so that a poll which waits
     /// is answered with a report although a later holder has claimed the target meanwhile.
     pub reports_to_former_holder: bool,
@@ -100,6 +102,7 @@
             starts: 0,
             max_lease_ms: 1000,
             speed_percent: 100,
+            labels: Vec::new(),
             reports_to_former_holder: false,
         }
     }
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1739,7 +1739,7 @@
             false => TargetState::Ready,
         },
         capacity: target.capacity,
-        labels: Vec::new(),
+        labels: target.labels.clone(),
         boot: Some(TargetBoot(target.instance)),
     }
 }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -94,12 +94,19 @@
     pub state: TargetState,
     /// The total resources of the target.
     pub capacity: ResourceVector,
-    /// Labels for the kind and the rack of the target.
+    /// Labels for the kind and the rack of the target, in this order.
     pub labels: Vec<Box<str>>,
     /// Identifies the instance of the target process, if the entry states it.
     pub boot: Option<TargetBoot>,
 }
 
+impl TargetEntry {
+    /// The kind of the target, which is its first label. Targets of one kind have the same speed.
+    pub fn kind(&self) -> Option<&str> {
+        self.labels.first().map(|label| &**label)
+    }
+}
+
 /// A change of the platform's list of targets.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TargetChange {
@@ -422,6 +429,101 @@
     TooLate,
 }
 
+/// The most kinds of targets whose speed is learned.
+pub const KIND_LIMIT: usize = 8;
+
+/// Identifies a kind of targets between VMs: a hash of its label.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u32);
+
+impl KindId {
+    /// The id of the kind with this label (32-bit FNV-1a).
+    pub fn of_label(label: &str) -> Self {
+        let hash = label.bytes().fold(0x811c_9dc5_u32, |hash, byte| {
+            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+        });
+        Self(hash)
+    }
+}
+
+/// The speed of a kind of targets as its sender has learned it from runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, i16, u8)", into = "(u32, i16, u8)")]
+pub struct KindSpeedReport {
+    /// The kind.
+    pub kind: KindId,
+    /// The natural logarithm of the factor on run times, in thousandths.
+    log_permille: i16,
+    /// The weight of the estimate, in runs.
+    pub weight: u8,
+}
+
+impl KindSpeedReport {
+    /// The report of a factor on run times, given by its natural logarithm.
+    pub fn new(kind: KindId, log_factor: f64, weight: u8) -> Self {
+        Self {
+            kind,
+            // The conversion saturates.
+            log_permille: (log_factor * 1000.0).round() as i16,
+            weight,
+        }
+    }
+
+    /// The natural logarithm of the factor on run times.
+    pub fn log_factor(&self) -> f64 {
+        f64::from(self.log_permille) / 1000.0
+    }
+}
+
+impl From<(u32, i16, u8)> for KindSpeedReport {
+    fn from((kind, log_permille, weight): (u32, i16, u8)) -> Self {
+        Self {
+            kind: KindId(kind),
+            log_permille,
+            weight,
+        }
+    }
+}
+
+impl From<KindSpeedReport> for (u32, i16, u8) {
+    fn from(report: KindSpeedReport) -> Self {
+        (report.kind.0, report.log_permille, report.weight)
+    }
+}
+
+/// The speeds of up to [`KIND_LIMIT`] kinds of targets. Reports without weight are left out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<KindSpeedReport>", into = "Vec<KindSpeedReport>")]
+pub struct KindSpeedTable([KindSpeedReport; KIND_LIMIT]);
+
+impl KindSpeedTable {
+    /// Whether no speed is reported.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// The reports.
+    pub fn into_reports(self) -> impl Iterator<Item = KindSpeedReport> {
+        self.0.into_iter().filter(|report| report.weight > 0)
+    }
+}
+
+impl From<Vec<KindSpeedReport>> for KindSpeedTable {
+    fn from(reports: Vec<KindSpeedReport>) -> Self {
+        let mut table = Self::default();
+        for (place, report) in table.0.iter_mut().zip(reports) {
+            *place = report;
+        }
+        table
+    }
+}
+
+impl From<KindSpeedTable> for Vec<KindSpeedReport> {
+    fn from(table: KindSpeedTable) -> Self {
+        table.into_reports().collect()
+    }
+}
+
 /// The tasks that are queued at the sender because no target has enough free capacity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandReport {
@@ -441,6 +543,9 @@
     pub work: WaitingWork,
     /// The recent offered load of the sender's clients.
     pub offered: OfferedLoad,
+    /// The speeds of kinds of targets that the sender has learned from runs.
+    #[serde(default, skip_serializing_if = "KindSpeedTable::is_empty")]
+    pub kind_speeds: KindSpeedTable,
 }
 
 /// The timeliness, the priority and the slack in milliseconds of a queued task. The queued tasks of
