Serve tasks first that are in time on a slow target

Cause: under overload the oldest waiting task took each target that became free, and was late on slow ones, while newer tasks would have been in time there.

Change: a placement pass first places tasks where they are in time; those that prefer a fast target and may not wait for it take what is left in the same pass. The same holds for offers.

--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -77,12 +77,23 @@
 enum CandidateChoice {
     /// The candidate at this position is the best.
     Place(usize),
-    /// The task waits for a fast target, because it would be late on those that are free.
-    AwaitFast,
+    /// The candidate at this position is the best, but the task would be late there and could still
+    /// be in time on a fast target.
+    PreferFast(usize),
     /// No candidate suits the task.
     None,
 }
 
+impl CandidateChoice {
+    /// The position of the best candidate, also if the task would be late there.
+    fn position(self) -> Option<usize> {
+        match self {
+            Self::Place(position) | Self::PreferFast(position) => Some(position),
+            Self::None => None,
+        }
+    }
+}
+
 /// A task, and the target and holder that were chosen for it.
 #[derive(Clone, Copy, Debug)]
 struct TaskChoice {
@@ -107,26 +118,19 @@
         }
         let context = self.speed_context();
         let mut choices = Vec::new();
-        let (mut unplaced, mut awaiting) = (0, 0);
+        let mut deferred = Vec::new();
+        let mut unplaced = 0;
         for task in self.jobs.waiting() {
             match self.choose_candidate(task, &candidates, context.as_ref()) {
                 CandidateChoice::Place(position) => {
-                    let candidate = &mut candidates[position];
-                    candidate.free = self.capacity_beside(task, candidate.free);
-                    let holder = candidate.holder;
-                    choices.push(TaskChoice {
-                        task,
-                        target: candidate.target,
-                        holder,
-                    });
-                    // Further tasks travel in the same envelope and add no delay.
-                    let same = candidates.iter_mut().filter(|it| it.holder == holder);
-                    same.for_each(|it| it.hop_cost_ms = 0.0);
+                    choices.push(self.use_candidate(task, &mut candidates, position));
                 }
                 // A task that waits for its trial says nothing about the others.
                 CandidateChoice::None if self.needs_trial(task) => {}
-                CandidateChoice::AwaitFast if awaiting < SEARCH_LIMIT => awaiting += 1,
-                CandidateChoice::None | CandidateChoice::AwaitFast => {
+                CandidateChoice::PreferFast(_) if deferred.len() < SEARCH_LIMIT => {
+                    deferred.push(task);
+                }
+                CandidateChoice::None | CandidateChoice::PreferFast(_) => {
                     unplaced += 1;
                     if unplaced >= SEARCH_LIMIT {
                         break;
@@ -134,12 +138,55 @@
                 }
             }
         }
-        if awaiting > 0 {
+        let deferred_len = deferred.len();
+        let ready = self.stop_waiting_for_fast(deferred, context.as_ref());
+        if ready.len() < deferred_len {
             self.schedule_fast_wait();
         }
+        for task in ready {
+            if let Some(position) = self
+                .choose_candidate(task, &candidates, context.as_ref())
+                .position()
+            {
+                choices.push(self.use_candidate(task, &mut candidates, position));
+            }
+        }
         self.request_places(choices, None);
     }
 
+    /// Takes the capacity for a task from a candidate.
+    fn use_candidate(
+        &self,
+        task: TaskRef,
+        candidates: &mut [PlacementCandidate],
+        position: usize,
+    ) -> TaskChoice {
+        let candidate = &mut candidates[position];
+        candidate.free = self.capacity_beside(task, candidate.free);
+        let (target, holder) = (candidate.target, candidate.holder);
+        // Further tasks travel in the same envelope and add no delay.
+        let same = candidates.iter_mut().filter(|it| it.holder == holder);
+        same.for_each(|it| it.hop_cost_ms = 0.0);
+        TaskChoice {
+            task,
+            target,
+            holder,
+        }
+    }
+
+    /// Of the tasks that prefer a fast target, those that take what there is.
+    fn stop_waiting_for_fast(
+        &self,
+        mut tasks: Vec<TaskRef>,
+        context: Option<&SpeedContext>,
+    ) -> Vec<TaskRef> {
+        tasks.retain(|task| {
+            let budget = self.task_budget(*task);
+            context.is_none_or(|context| !context.permits_waiting(&budget))
+        });
+        tasks
+    }
+
     /// All usable targets with free capacity: those held by this VM, then those held by peers.
     fn placement_candidates(&mut self) -> Vec<PlacementCandidate> {
         let now = self.now();
@@ -220,8 +267,7 @@
         (job.timeliness(now, task.position), job.priority, slack)
     }
 
-    /// The candidate with the lowest cost that can run a task, unless the task waits for a faster
-    /// one. `context` is absent while all targets have about the same speed.
+    /// The candidate with the lowest cost that can run a task. `context` is absent while all targets have about the same speed.
     fn choose_candidate(
         &self,
         task: TaskRef,
@@ -276,10 +322,10 @@
         });
         let best = costs.min_by(|(_, _, left), (_, _, right)| left.total_cmp(right));
         match (best, context) {
-            (Some((_, speed, _)), Some(context))
-                if !on_trial && context.awaits_fast(&budget, &speed) =>
+            (Some((position, speed, _)), Some(context))
+                if !on_trial && context.prefers_fast(&budget, &speed) =>
             {
-                CandidateChoice::AwaitFast
+                CandidateChoice::PreferFast(position)
             }
             (Some((position, _, _)), _) => CandidateChoice::Place(position),
             (None, _) => CandidateChoice::None,
@@ -482,21 +528,30 @@
         self.jobs.requeue_late(now);
         let context = self.speed_context();
         let mut choices = Vec::new();
+        let mut deferred = Vec::new();
         let mut unplaced = 0;
         for task in self.jobs.waiting() {
-            let choice = self.choose_candidate(task, &offered, context.as_ref());
-            if matches!(choice, CandidateChoice::Place(_)) {
-                offered[0].free = self.capacity_beside(task, offered[0].free);
-                choices.push(TaskChoice {
-                    task,
-                    target,
-                    holder: from,
-                });
-            } else {
-                unplaced += 1;
-                if unplaced >= SEARCH_LIMIT {
-                    break;
+            match self.choose_candidate(task, &offered, context.as_ref()) {
+                CandidateChoice::Place(position) => {
+                    choices.push(self.use_candidate(task, &mut offered, position));
+                }
+                CandidateChoice::PreferFast(_) if deferred.len() < SEARCH_LIMIT => {
+                    deferred.push(task);
                 }
+                CandidateChoice::None | CandidateChoice::PreferFast(_) => {
+                    unplaced += 1;
+                    if unplaced >= SEARCH_LIMIT {
+                        break;
+                    }
+                }
+            }
+        }
+        for task in self.stop_waiting_for_fast(deferred, context.as_ref()) {
+            if let Some(position) = self
+                .choose_candidate(task, &offered, context.as_ref())
+                .position()
+            {
+                choices.push(self.use_candidate(task, &mut offered, position));
             }
         }
         if choices.is_empty() {
--- a/crates/fleet/src/kind_speed.rs
+++ b/crates/fleet/src/kind_speed.rs
@@ -538,16 +538,18 @@
         LATENESS_WEIGHT * lateness + reserve
     }
 
-    /// Whether a task waits for a fast target instead of running late on this one, which is the best
-    /// of those with free capacity.
-    pub fn awaits_fast(&self, task: &TaskBudget, target: &TargetSpeed) -> bool {
+    /// Whether a task would run late on this target, the best of those with free capacity, and could
+    /// still be in time on a fast one. Tasks that are in time on this target go before it.
+    pub fn prefers_fast(&self, task: &TaskBudget, target: &TargetSpeed) -> bool {
         let late = task.lateness_ms(target.run_ms + target.delay_ms) > 0.0;
         let fast_run = task.nominal_ms * self.spread.fastest + REQUEST_MARGIN_MS;
-        let permitted = !self.overloaded || task.waited <= OVERLOAD_WAIT_LIMIT;
         late && !self.spread.is_fast(target.factor)
             && task.lateness_ms(fast_run) <= 0.0
             && self.fast_cores > 0.0
-            && self.fast_free_up
-            && permitted
+    }
+
+    /// Whether a task that prefers a fast target may wait for one although slow ones are free.
+    pub fn permits_waiting(&self, task: &TaskBudget) -> bool {
+        self.fast_free_up && (!self.overloaded || task.waited <= OVERLOAD_WAIT_LIMIT)
     }
 }
--- a/crates/fleet/tests/uneven_targets.rs
+++ b/crates/fleet/tests/uneven_targets.rs
@@ -125,7 +125,8 @@
     }
 }
 
-/// Guards against capacity that stands idle, under overload, because tasks wait for fast targets.
+/// Guards against capacity that stands idle under overload because tasks wait for fast targets, and
+/// against tasks that take fast targets from those that have waited.
 #[test]
 fn overload_uses_slow_targets() {
     let [before, after] = [false, true].map(|labelled| {
@@ -140,6 +141,10 @@
         after.value_share()
     );
     assert!(after.used >= before.used - 0.01, "{before:?} {after:?}");
+    assert!(
+        after.value_share() >= before.value_share() - 0.03,
+        "{before:?} {after:?}"
+    );
 }
 
 /// Guards against speeds that are learned too late for the first seconds after a start.
