--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod forwarding;
 mod holding;
 mod jobs;
+mod kinds;
 mod offers;
 mod peers;
 mod placement;
@@ -37,6 +38,7 @@
 use crate::held::HeldTarget;
 use crate::job_routing::JobRouter;
 use crate::job_table::{JobTable, TaskRef};
+use crate::kind_speed::KindSpeeds;
 use crate::link::PeerLink;
 use crate::offers::{OfferTable, OfferedRates};
 use crate::registry::TargetRegistry;
@@ -64,6 +66,8 @@
     Reconcile,
     /// The load is sampled for the log.
     Sample,
+    /// Tasks that wait for a fast target are considered again.
+    FastWait,
 }
 
 /// A target's refusal of this VM's token, because it has seen a higher one.
@@ -92,6 +96,9 @@
     catalog: QueueCatalog,
     registry: TargetRegistry,
     closed_zones: ClosedZones,
+    kind_speeds: KindSpeeds,
+    /// Whether a timer for tasks that wait for a fast target is set.
+    fast_wait_set: bool,
     targets_listed: bool,
     peers_listed: bool,
     vms: NameInterner<VmIndex, VmName>,
@@ -163,6 +170,8 @@
             catalog: QueueCatalog::default(),
             registry: TargetRegistry::default(),
             closed_zones: ClosedZones::default(),
+            kind_speeds: KindSpeeds::default(),
+            fast_wait_set: false,
             targets_listed: false,
             peers_listed: false,
             vms,
@@ -282,6 +291,10 @@
                 TimerTopic::OrphanExpired(task) => self.requeue_orphan(task),
                 TimerTopic::Reconcile => self.reconcile(),
                 TimerTopic::Sample => self.sample_load(),
+                TimerTopic::FastWait => {
+                    self.fast_wait_set = false;
+                    self.placement_due = true;
+                }
             }
         }
         if self.offers.expire(self.clock.time) {
@@ -354,6 +367,11 @@
         &self.catalog
     }
 
+    /// The learned speeds of the kinds of targets.
+    pub fn kind_speeds(&self) -> &KindSpeeds {
+        &self.kind_speeds
+    }
+
     fn own_vm(&self) -> VmIndex {
         VmIndex::from(OWN_VM_INDEX)
     }
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -29,6 +29,10 @@
     }
 }
 
+/// The limit of the distance of one run from the slowdown so far, as a natural logarithm: three runs
+/// in a hundred take seven times as long.
+const MAX_RUN_DISTANCE: f64 = 1.0;
+
 /// The state of the circuit breaker of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakerState {
@@ -56,6 +60,8 @@
     cold: Option<ColdPhase>,
     /// When the target was last slow for a while.
     cold_ended_at: Option<TimePoint>,
+    /// The total weight of the runs in `slowdown`, between 0 and 1.
+    learned: f64,
 }
 
 /// A time in which a target is slow, for example because its caches are empty.
@@ -77,6 +83,7 @@
             slowdown: 0.0,
             cold: None,
             cold_ended_at: None,
+            learned: 0.0,
         }
     }
 
@@ -119,9 +126,19 @@
         let ratio = (took.as_secs_f64() / expected.as_secs_f64()).ln();
         let slowdown = match &mut self.cold {
             Some(cold) => &mut cold.slowdown,
-            None => &mut self.slowdown,
+            None => {
+                self.learned += (1.0 - self.learned) * self.settings.slowdown_gain;
+                &mut self.slowdown
+            }
         };
-        *slowdown += (ratio - *slowdown) * self.settings.slowdown_gain;
+        let distance = (ratio - *slowdown).clamp(-MAX_RUN_DISTANCE, MAX_RUN_DISTANCE);
+        *slowdown += distance * self.settings.slowdown_gain;
+    }
+
+    /// Adapts the slowdown to expected run times that change by a factor, given by its natural
+    /// logarithm, so that the run times that were measured keep their effect.
+    pub fn rebase(&mut self, log_change: f64) {
+        self.slowdown -= log_change * self.learned;
     }
 
     /// Records a failed run, or a request that the target did not fulfil. Returns whether this
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod held;
 pub mod job_routing;
 pub mod job_table;
+pub mod kind_speed;
 pub mod lease_limits;
 pub mod ledger;
 pub mod link;
