--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -34,6 +34,7 @@
 pub struct FleetMetrics {
     answered: Histogram,
     placed: Histogram,
+    refused: Histogram,
 }
 
 impl Default for FleetMetrics {
@@ -42,6 +43,7 @@
         Self {
             answered: histogram(),
             placed: histogram(),
+            refused: histogram(),
         }
     }
 }
@@ -55,6 +57,12 @@
                 took,
                 ..
             } => self.answered.observe(took.as_secs_f64()),
+            FleetNotice::JobAnswered {
+                reply: JobReply::Rejected { .. },
+                took,
+                ..
+            } => self.refused.observe(took.as_secs_f64()),
+            FleetNotice::JobRejected { .. } => self.refused.observe(0.0),
             FleetNotice::TaskPlaced { waited, .. } => self.placed.observe(waited.as_secs_f64()),
             _ => {}
         }
@@ -77,6 +85,12 @@
             Unit::Seconds,
             self.placed.clone(),
         );
+        registry.register_with_unit(
+            "refused_time",
+            "From the arrival of a rejected job to its answer",
+            Unit::Seconds,
+            self.refused.clone(),
+        );
         let mut page = String::new();
         // Writing to a string cannot fail.
         let _ = encode(&mut page, &registry);
@@ -111,6 +125,16 @@
             "Rejected jobs that only targets of closed zones could run",
             counters.jobs_rejected_zone_closed,
         ),
+        (
+            "jobs_refused",
+            "Jobs refused on arrival because the capacity is insufficient",
+            counters.jobs_refused,
+        ),
+        (
+            "jobs_shed",
+            "Accepted jobs dropped, before anything of them has run, because the capacity is insufficient",
+            counters.jobs_shed,
+        ),
         (
             "jobs_unknown",
             "Jobs given up after parts may have run",
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -37,8 +37,12 @@
             Ok(plan) => plan,
             Err(rejection) => {
                 self.counters.jobs_rejected += 1;
-                if rejection.reason == RejectReason::ZoneClosed {
-                    self.counters.jobs_rejected_zone_closed += 1;
+                match rejection.reason {
+                    RejectReason::ZoneClosed => self.counters.jobs_rejected_zone_closed += 1,
+                    RejectReason::Overloaded | RejectReason::OverShare => {
+                        self.counters.jobs_refused += 1;
+                    }
+                    _ => {}
                 }
                 self.notice(FleetNotice::JobRejected {
                     job: order.id,
@@ -49,7 +53,7 @@
                 });
                 let reply = JobReply::Rejected {
                     reason: rejection.reason,
-                    retry_after: self.retry_hint(rejection.wait),
+                    retry_after: self.retry_hint(rejection.capacity_in),
                 };
                 self.router.finish_received(caller);
                 self.actions.push(FleetAction::Reply { caller, reply });
@@ -67,10 +71,10 @@
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.client_deadline, job.tasks.len());
-        let useful_until = job.useful_until();
+        let answerable_until = job.answerable_until(now);
         self.timers.subscribe(give_up, TimerTopic::JobDeadline(key));
         self.timers
-            .subscribe(useful_until, TimerTopic::JobTooLate(key));
+            .subscribe(answerable_until, TimerTopic::JobTooLate(key));
         self.notice(FleetNotice::JobAccepted {
             job: id,
             queue: self.catalog.name(queue).clone(),
@@ -183,15 +187,16 @@
         self.answer_job(key, reply);
     }
 
-    /// Rejects a job whose answer would come too late to be of use, unless one of its tasks may
-    /// have started.
-    pub(super) fn reject_too_late(&mut self, key: JobKey) {
-        if self
-            .jobs
-            .get(key)
-            .is_some_and(|job| job.possible_starts == 0)
-        {
-            self.give_up_job(key);
+    /// Ends a job whose answer would come too late to be of use even if its tasks ran fast.
+    pub(super) fn end_unanswerable(&mut self, key: JobKey) {
+        let now = self.now();
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        let until = job.answerable_until(now);
+        match until > now {
+            true => self.timers.subscribe(until, TimerTopic::JobTooLate(key)),
+            false => self.give_up_job(key),
         }
     }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -267,6 +267,11 @@
     NoCapableTarget,
     /// The response to the job would come too late.
     Overloaded,
+    /// The capacity is insufficient, and other jobs cost their callers more when they are refused.
+    OverShare,
+    /// The job was accepted, and dropped before any of its tasks was started, because the capacity
+    /// has become insufficient.
+    Shed,
     /// The job waited too long for free capacity.
     TimedOut,
     /// The process is shutting down and the job has not started.
@@ -285,6 +290,8 @@
             Self::Unsupported => "unsupported",
             Self::NoCapableTarget => "no_capable_target",
             Self::Overloaded => "overloaded",
+            Self::OverShare => "over_share",
+            Self::Shed => "shed",
             Self::TimedOut => "timed_out",
             Self::Stopping => "stopping",
             Self::ZoneClosed => "zone_closed",
@@ -382,7 +389,8 @@
 /// The number of priority classes; priorities above the last class are counted in it.
 pub const PRIORITY_CLASSES: usize = 4;
 
-fn priority_class(priority: u8) -> usize {
+/// The class in which a priority is counted.
+pub fn priority_class(priority: u8) -> usize {
     usize::from(priority).min(PRIORITY_CLASSES - 1)
 }
 
@@ -405,18 +413,27 @@
         self.0[priority_class(priority)][slack_class(slack)] += work;
     }
 
-    /// How far `cores` would be behind schedule if `work` core-milliseconds with this priority and
+    /// How far the targets would be behind schedule if `work` core-milliseconds with this priority and
     /// slack were added: the largest excess, in milliseconds, of the time that all work up to a
-    /// slack class takes over the time until that class must start. The result is negative while
-    /// everything can start in time. Work of the same priority with less slack is not delayed by the
-    /// added work, and work of a lower priority is not considered, so their start times are not checked.
-    pub fn excess_ms(&self, priority: u8, slack: Duration, work: u64, cores: f64) -> f64 {
+    /// slack class takes over the time until that class must start. `all_cores` do the work of higher
+    /// priorities that waits now; later they leave `cores` to this priority. The result is negative
+    /// while everything can start in time. Work of the same priority with less slack is not delayed by
+    /// the added work, and work of a lower priority is not considered, so their start times are not
+    /// checked.
+    pub fn excess_ms(
+        &self,
+        priority: u8,
+        slack: Duration,
+        work: u64,
+        cores: f64,
+        all_cores: f64,
+    ) -> f64 {
         let own_class = slack_class(slack);
         let slack_ms = slack.as_secs_f64() * 1000.0;
         let priority = priority_class(priority);
-        let higher_priority = self.0[..priority].iter().flatten().sum::<u64>();
+        let higher_ms = self.higher_work(priority) / all_cores;
         let mut excess = f64::MIN;
-        let mut sum = work + higher_priority;
+        let mut sum = work;
         for (class, queued) in self.0[priority].iter().enumerate() {
             sum += queued;
             if class >= own_class {
@@ -425,12 +442,29 @@
                     .copied()
                     .unwrap_or(u32::MAX);
                 let bound = f64::from(bound).max(slack_ms);
-                excess = excess.max(sum as f64 / cores - bound);
+                excess = excess.max(higher_ms + sum as f64 / cores - bound);
             }
         }
         excess
     }
 
+    fn higher_work(&self, class: usize) -> f64 {
+        self.0[..class].iter().flatten().sum::<u64>() as f64
+    }
+
+    /// How much of the queued work of a priority class, in core-milliseconds, cannot start until
+    /// `margin` after its latest start; `cores` and `all_cores` as for [`Self::excess_ms`].
+    pub fn unserved(&self, class: usize, margin: Duration, cores: f64, all_cores: f64) -> f64 {
+        let margin_ms = margin.as_secs_f64() * 1000.0 - self.higher_work(class) / all_cores;
+        let mut sum = 0.0;
+        let mut unserved = 0_f64;
+        for (queued, bound) in self.0[class].iter().zip(SLACK_CLASS_BOUNDS_MS) {
+            sum += *queued as f64;
+            unserved = unserved.max(sum - cores * (f64::from(bound) + margin_ms));
+        }
+        unserved
+    }
+
     /// Adds the queued work of another VM.
     pub fn merge(&mut self, other: &Self) {
         let pairs = self.0.iter_mut().flatten().zip(other.0.iter().flatten());
@@ -439,22 +473,62 @@
         }
     }
 
+    /// The total of a priority class and all higher ones, in core-milliseconds.
+    pub fn total_to(&self, class: usize) -> u64 {
+        self.0[..=class].iter().flatten().sum()
+    }
+
     /// The total over all priorities and slack classes, in core-milliseconds.
     pub fn total(&self) -> u64 {
         self.0.iter().flatten().sum()
     }
 }
 
-/// The recent offered load of each priority, in cores (core-milliseconds per millisecond).
+/// The number of density classes; work of the last class is the least dense.
+pub const DENSITY_CLASSES: usize = 6;
+
+/// Amounts of work or load by priority class and density class.
+///
+/// On the wire, the amounts follow each other without the zeros at the end, so that a table without
+/// work takes one byte.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct OfferedLoad(pub [u32; PRIORITY_CLASSES]);
+#[serde(from = "Vec<u32>", into = "Vec<u32>")]
+pub struct DensityTable(pub [[u32; DENSITY_CLASSES]; PRIORITY_CLASSES]);
 
-impl OfferedLoad {
-    /// The total offered load of all priorities higher than `priority`, in cores.
-    pub fn above(&self, priority: u8) -> f64 {
-        let above = &self.0[..priority_class(priority)];
-        above.iter().copied().map(f64::from).sum()
+impl From<Vec<u32>> for DensityTable {
+    fn from(amounts: Vec<u32>) -> Self {
+        let mut table = Self::default();
+        for (cell, amount) in table.0.iter_mut().flatten().zip(amounts) {
+            *cell = amount;
+        }
+        table
+    }
+}
+
+impl From<DensityTable> for Vec<u32> {
+    fn from(table: DensityTable) -> Self {
+        let mut amounts = table.0.concat();
+        while amounts.last() == Some(&0) {
+            amounts.pop();
+        }
+        amounts
+    }
+}
+
+impl DensityTable {
+    /// Adds an amount of a priority and a density class; the last density class takes all beyond it.
+    pub fn add(&mut self, priority: u8, density: usize, amount: u32) {
+        let row = &mut self.0[priority_class(priority)];
+        let cell = &mut row[density.min(DENSITY_CLASSES - 1)];
+        *cell = cell.saturating_add(amount);
+    }
+
+    /// Adds the amounts of another VM.
+    pub fn merge(&mut self, other: &Self) {
+        let pairs = self.0.iter_mut().flatten().zip(other.0.iter().flatten());
+        for (cell, amount) in pairs {
+            *cell = cell.saturating_add(*amount);
+        }
     }
 }
 
@@ -586,9 +660,12 @@
     pub min_resources: ResourceVector,
     /// The expected processor time of the queued tasks that are not late.
     pub work: WaitingWork,
-    /// The recent offered load of the sender's clients.
-    pub offered: OfferedLoad,
-    /// The speeds of kinds of targets that the sender has learned from runs.
+    /// The recent offered load of the sender's clients, in tenths of cores.
+    pub offered: DensityTable,
+    /// The work of the waiting jobs of which no task may have started, in core-milliseconds.
+    pub droppable: DensityTable,
+    /// The speeds of kinds of targets that the sender has learned from runs. The last field, because
+    /// it is left out while it is empty.
     #[serde(default, skip_serializing_if = "KindSpeedTable::is_empty")]
     pub kind_speeds: KindSpeedTable,
 }
