Check the ports of a test without listening on them

PortBlock listened on each port of a block for a moment to see whether it is free. A process that another test thread starts at this moment inherits the socket until it executes its program, so that the port stays in use after the check, longer on a busy machine. A link proxy of the test system then failed with "Address already in use". The check now binds without listening, which keeps no port in use. The block itself was never given to two test processes: its first port is held by a listener.

--- a/crates/standins/src/children/ports.rs
+++ b/crates/standins/src/children/ports.rs
@@ -2,6 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
+use socket2::{Domain, Socket, Type};
+
 use crate::declare::control_address;
 
 /// Blocks lie below the ports that Linux gives to outgoing connections, so that no connection
@@ -45,7 +47,7 @@
             let address = self.at(offset);
             [address, control_address(address)]
         });
-        addresses.all(|address| TcpListener::bind(address).is_ok())
+        addresses.all(can_bind)
     }
 
     /// The address at a place of the block, from 1 on.
@@ -74,6 +76,16 @@
     }
 }
 
+/// Whether an address can be bound. The socket does not listen: a process that another thread starts
+/// meanwhile inherits it until it executes its program, and a listening socket would keep the port in use
+/// for so long.
+pub fn can_bind(address: SocketAddr) -> bool {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None);
+    socket.is_ok_and(|socket| {
+        socket.set_reuse_address(true).is_ok() && socket.bind(&address.into()).is_ok()
+    })
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
