--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -47,6 +47,11 @@
 
     pub(super) fn finish_listing(&mut self) {
         self.targets_listed = true;
+        let was_current = self.capacity_watch.is_current(self.now());
+        self.capacity_watch.record_read(self.now());
+        if !was_current {
+            self.limit_capacities();
+        }
         self.update_readiness();
     }
 
@@ -87,12 +92,15 @@
             self.kind_speeds
                 .set_kind(target, entry.and_then(TargetEntry::kind));
             let draining = entry.is_some_and(|entry| entry.state == TargetState::Draining);
-            if let Some(entry) = entry
-                && let Some(held) = self.held.get_mut(&target)
-            {
-                held.ledger_mut().set_capacity(entry.capacity);
-                held.health_mut()
-                    .set_cold_until(now, self.registry.cold_until(target));
+            if let Some(entry) = entry {
+                let watch = &mut self.capacity_watch;
+                watch.record_listing(now, target, entry.capacity);
+                let usable = watch.usable(now, target, entry.capacity);
+                if let Some(held) = self.held.get_mut(&target) {
+                    held.ledger_mut().set_capacity(usable);
+                    held.health_mut()
+                        .set_cold_until(now, self.registry.cold_until(target));
+                }
             }
             let is_listed = self.registry.entry(target).is_some();
             if was_ready && !self.registry.is_ready(target) {
@@ -111,6 +119,7 @@
         let due = self.now() + self.settings.reconcile_interval;
         self.timers.subscribe(due, TimerTopic::Reconcile);
         self.detect_lost_peers();
+        self.check_capacities();
         self.repeat_stops();
         self.reject_unservable_jobs();
         self.update_kind_speeds();
@@ -278,7 +287,9 @@
         let Some(entry) = self.registry.entry(target) else {
             return;
         };
-        let capacity = entry.capacity;
+        let capacity = self
+            .capacity_watch
+            .usable(self.now(), target, entry.capacity);
         let token = self.next_token(target);
         let settings = self.settings.held.clone();
         let now = self.now();
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! same path as one between VMs, except for the network.
 
 mod admission;
+mod capacities;
 mod crashes;
 mod event;
 mod forwarding;
@@ -33,6 +34,7 @@
 use typed_index_collections::TiVec;
 
 use crate::blocked::BlockedRequests;
+use crate::capacity_watch::CapacityWatch;
 use crate::catalog::QueueCatalog;
 use crate::closed_zones::ClosedZones;
 use crate::crash_log::CrashLog;
@@ -101,6 +103,8 @@
     kind_speeds: KindSpeeds,
     /// Whether a timer for tasks that wait for a fast target is set.
     fast_wait_set: bool,
+    /// What is known of the capacities while the list of targets cannot be read.
+    capacity_watch: CapacityWatch,
     targets_listed: bool,
     peers_listed: bool,
     vms: NameInterner<VmIndex, VmName>,
@@ -175,6 +179,7 @@
             closed_zones: ClosedZones::default(),
             kind_speeds: KindSpeeds::default(),
             fast_wait_set: false,
+            capacity_watch: CapacityWatch::default(),
             targets_listed: false,
             peers_listed: false,
             vms,
@@ -400,6 +405,7 @@
         for held in self.held.values_mut() {
             held.reconfirm(now);
         }
+        self.limit_capacities();
         // Peers have timed this VM out in the same period: work for peers that have marked it lost
         // must not be renewed.
         self.detect_lost_peers();
