--- a/crates/fleet/tests/list_feed.rs
+++ b/crates/fleet/tests/list_feed.rs
@@ -1,9 +1,10 @@
 //! The feed of changes in the list of targets: the knowledge of VMs after gaps, races and restarts.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use filbertpitch_fleet::listing::{FeedGap, ListEntry, ListFollower};
-use filbertpitch_types::fleet::{FeedRecord, ListRecord, TargetChange};
+use filbertpitch_types::fleet::{FeedRecord, ListRecord, TargetChange, TargetEntry, TargetState};
 use filbertpitch_types::prelude::*;
 use proptest::prelude::*;
 
@@ -52,6 +53,38 @@
     assert_eq!((record.from, record.through), (LogOffset(2), LogOffset(4)));
 }
 
+/// Guards against a feed that carries each renewal of a target whose remaining time becomes shorter, and
+/// against a target that counts as cold for too long.
+#[test]
+fn renewals_of_cold_targets_are_not_published() {
+    let cold_entry = |offset, cold_ms| ListEntry {
+        change: Some(TargetChange::Listed(TargetEntry {
+            name: "a".parse().unwrap(),
+            service: "jobs".parse().unwrap(),
+            address: "127.0.0.1:9000".parse().unwrap(),
+            zone: "north".parse().unwrap(),
+            state: TargetState::Ready,
+            capacity: ResourceVector::default(),
+            labels: Vec::new(),
+            boot: None,
+            cold_remaining: Duration::from_millis(cold_ms),
+            remaining: None,
+        })),
+        ..entry(offset, "a", Some(1))
+    };
+    let mut follower = ListFollower::default();
+    follower.apply_list(vec![cold_entry(0, 4000)], LogOffset(1));
+    let mut changes = |offset, cold_ms| {
+        let entries = vec![cold_entry(offset, cold_ms)];
+        follower.apply_changes(entries, LogOffset(offset + 1)).len()
+    };
+    assert_eq!(changes(1, 2500), 0);
+    assert_eq!(changes(2, 1000), 0);
+    assert_eq!(changes(3, 3000), 1, "cold again");
+    assert_eq!(changes(4, 0), 1, "no longer cold");
+    assert_eq!(changes(5, 0), 0);
+}
+
 /// Guards against using a target that has been removed from the list.
 #[test]
 fn removal_is_applied_from_the_feed() {
--- a/crates/fleet/tests/target_health.rs
+++ b/crates/fleet/tests/target_health.rs
@@ -201,3 +201,50 @@
     );
     assert_eq!(ZoneProber::default().plan_probe(START, &[]), None);
 }
+
+/// Guards against the speed of a cold target that outlasts the cold time, and against the usual speed that
+/// is spoiled by runs in it.
+#[test]
+fn slowdown_of_a_cold_target_is_discarded() {
+    let mut health = TargetHealth::new(HealthSettings::default());
+    for _ in 0..40 {
+        health.record_success(ms(200), ms(100));
+    }
+    health.set_cold_until(START, Some(START + ms(3000)));
+    assert!(
+        (health.slowdown() - 2.0).abs() < 0.01,
+        "until it is learned"
+    );
+    for _ in 0..40 {
+        health.record_success(ms(400), ms(100));
+    }
+    assert!((health.slowdown() - 4.0).abs() < 0.01);
+    assert!(health.is_run_typical(START + ms(100)));
+    assert!(health.admits(START + ms(3000), 0));
+    assert!((health.slowdown() - 2.0).abs() < 0.01);
+    // The target was cold during a part of the run.
+    assert!(!health.is_run_typical(START + ms(2900)));
+    assert!(health.is_run_typical(START + ms(3000)));
+}
+
+/// Guards against a target that counts as cold although its entry says that it no longer is.
+#[test]
+fn cold_time_follows_the_entry() {
+    let mut registry = TargetRegistry::default();
+    let cold = TargetEntry {
+        cold_remaining: ms(3000),
+        ..entry(TargetState::Ready)
+    };
+    let index = registry.apply(START, TargetChange::Listed(cold));
+    assert_eq!(registry.cold_until(index), Some(START + ms(3000)));
+    let mut health = TargetHealth::new(HealthSettings::default());
+    health.set_cold_until(START, registry.cold_until(index));
+    health.record_success(ms(400), ms(100));
+    assert!(health.slowdown() > 1.1);
+    registry.apply(
+        START + ms(500),
+        TargetChange::Listed(entry(TargetState::Ready)),
+    );
+    health.set_cold_until(START + ms(500), registry.cold_until(index));
+    assert!((health.slowdown() - 1.0).abs() < 0.01);
+}
