--- a/crates/fleet/src/closed_zones.rs
+++ b/crates/fleet/src/closed_zones.rs
@@ -32,8 +32,10 @@
     /// The offset of the record, or of a read that has shown that there is none.
     offset: LogOffset,
     closed: bool,
-    /// When the first VM has read it, as far as known.
-    read_at: TimePoint,
+    learned_at: TimePoint,
+    /// The time from the first read of the change by any VM until this VM has learned of it. The clock of
+    /// this VM may have started since that read, so that the time of the read has no place on it.
+    age: Duration,
     /// Until when envelopes repeat it although the zone is open.
     reported_until: TimePoint,
 }
@@ -126,7 +128,7 @@
             if read.complete {
                 change.offset = self.confirmed_offset(&change, read.through);
             }
-            transitions.extend(self.apply(now, change, now));
+            transitions.extend(self.apply(now, change, Duration::ZERO));
         }
         self.read_through = self.read_through.max(read.through);
         self.stale_since
@@ -148,7 +150,7 @@
         });
         let gone = gone.collect::<Vec<_>>();
         gone.into_iter()
-            .filter_map(|change| self.replace(now, change, now))
+            .filter_map(|change| self.replace(now, change, Duration::ZERO))
             .collect()
     }
 
@@ -169,7 +171,7 @@
         let mut merge = ZoneMerge::default();
         for report in reports {
             let known = self.zones.get(&report.zone);
-            let read_at = now - Duration::from_millis(report.age_ms.into());
+            let age = Duration::from_millis(report.age_ms.into());
             if known.is_some_and(|known| known.offset >= report.offset) {
                 merge.sender_is_behind |= self.refresh_report(now, report);
             } else if report.offset < self.read_through {
@@ -180,7 +182,7 @@
                     offset: report.offset,
                     closed: report.closed,
                 };
-                merge.transitions.extend(self.apply(now, change, read_at));
+                merge.transitions.extend(self.apply(now, change, age));
             }
         }
         merge.sender_is_behind |= self.lacks_closed_zone(reports);
@@ -211,7 +213,7 @@
             offset: last_offset_before(self.read_through),
             closed: false,
         };
-        self.replace(now, change, now);
+        self.replace(now, change, Duration::ZERO);
         true
     }
 
@@ -229,7 +231,7 @@
             zone: zone.clone(),
             offset: state.offset,
             closed: state.closed,
-            age_ms: u32::try_from(now.since(state.read_at).as_millis()).unwrap_or(u32::MAX),
+            age_ms: report_age(state, now),
         });
         reports.collect()
     }
@@ -239,12 +241,12 @@
         &mut self,
         now: TimePoint,
         change: ZoneChange,
-        read_at: TimePoint,
+        age: Duration,
     ) -> Option<ZoneTransition> {
         let known = self.zones.get(&change.zone);
         match known.is_some_and(|known| known.offset >= change.offset) {
             true => None,
-            false => self.replace(now, change, read_at),
+            false => self.replace(now, change, age),
         }
     }
 
@@ -252,12 +254,13 @@
         &mut self,
         now: TimePoint,
         change: ZoneChange,
-        read_at: TimePoint,
+        age: Duration,
     ) -> Option<ZoneTransition> {
         let state = ZoneState {
             offset: change.offset,
             closed: change.closed,
-            read_at,
+            learned_at: now,
+            age,
             reported_until: now + OPENED_REPORT_TIME,
         };
         let former = self.zones.insert(change.zone.clone(), state);
@@ -269,11 +272,16 @@
             true => self.closed += 1,
             false => self.closed -= 1,
         }
-        let age = now.since(read_at);
         Some(ZoneTransition { change, age })
     }
 }
 
+/// The time since the first read of a change, in whole milliseconds.
+fn report_age(state: &ZoneState, now: TimePoint) -> u32 {
+    let age = state.age + now.since(state.learned_at);
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// The last offset that a read up to `through` covers.
 fn last_offset_before(through: LogOffset) -> LogOffset {
     LogOffset(through.0.saturating_sub(1))
--- a/crates/fleet/tests/closed_zones.rs
+++ b/crates/fleet/tests/closed_zones.rs
@@ -112,6 +112,11 @@
     let merge = zones.merge(START, &[report(90, true)]);
     assert_eq!(merge.transitions.len(), 1);
     assert_eq!(merge.transitions[0].age, ms(200));
+    // The clock of a VM that has just started is lower than the age.
+    let mut young = ClosedZones::default();
+    let later = START + ms(5000);
+    young.merge(TimePoint(1_000_000), &zones.reports(later));
+    assert_eq!(young.reports(TimePoint(1_000_000))[0].age_ms, 5200);
     assert!(zones.merge(START, &[report(80, false)]).sender_is_behind);
     assert!(is_closed(&zones));
     assert_eq!(
