--- a/crates/fleet/tests/closed_zones.rs
+++ b/crates/fleet/tests/closed_zones.rs
@@ -16,6 +16,8 @@
     ZoneRead, ZoneReport,
 };
 use filbertpitch_types::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use support::{JobShape, SimFleet, SimOptions};
 
 const START: TimePoint = TimePoint(60_000_000);
@@ -171,6 +173,97 @@
     );
 }
 
+/// A step of the exchange among VMs: the operator writes, or a VM reads or hears another one.
+#[derive(Clone, Copy, Debug)]
+enum ExchangeStep {
+    Write { zone: usize, closed: bool },
+    Read { vm: usize },
+    ReadNewest { vm: usize },
+    Hear { vm: usize, from: usize },
+}
+
+const ZONES: [&str; 2] = [FIRST_ZONE, SECOND_ZONE];
+const READERS: usize = 3;
+
+fn exchange_step() -> impl Strategy<Value = ExchangeStep> {
+    prop_oneof![
+        (0..ZONES.len(), any::<bool>())
+            .prop_map(|(zone, closed)| ExchangeStep::Write { zone, closed }),
+        (0..READERS).prop_map(|vm| ExchangeStep::Read { vm }),
+        (0..READERS).prop_map(|vm| ExchangeStep::ReadNewest { vm }),
+        (0..READERS, 0..READERS).prop_map(|(vm, from)| ExchangeStep::Hear { vm, from }),
+    ]
+}
+
+/// The records of the operator from an offset on; with `newest` only the last one of each zone, if it
+/// closes the zone.
+fn records(log: &[(usize, bool)], from: usize, newest: bool) -> ZoneRead {
+    let records = log.iter().enumerate().skip(from);
+    let kept = records.filter(|(offset, (zone, closed))| {
+        let mut later = log[offset + 1..].iter();
+        !newest || (*closed && later.all(|(other, _)| other != zone))
+    });
+    let changes = kept.map(|(offset, (index, closed))| ZoneChange {
+        zone: zone(ZONES[*index]),
+        offset: LogOffset(offset as u64),
+        closed: *closed,
+    });
+    ZoneRead {
+        complete: newest,
+        ..read(changes.collect(), log.len() as u64)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, rng_seed: RngSeed::Fixed(41), ..ProptestConfig::default() })]
+
+    /// Guards against VMs that disagree about a zone after they have heard a VM that has read all records,
+    /// and against a VM that has read all records itself and believes otherwise, in whichever order reads
+    /// and envelopes arrive.
+    #[test]
+    fn vms_agree_after_an_exchange(steps in prop::collection::vec(exchange_step(), 0..40)) {
+        let mut vms = vec![ClosedZones::default(); READERS];
+        let mut positions = [0; READERS];
+        let mut log = Vec::new();
+        let truth = |log: &[(usize, bool)], zone: usize| {
+            let latest = log.iter().rev().find(|(other, _)| *other == zone);
+            latest.is_some_and(|(_, closed)| *closed)
+        };
+        for step in steps {
+            match step {
+                ExchangeStep::Write { zone, closed } => log.push((zone, closed)),
+                ExchangeStep::Read { vm } => {
+                    vms[vm].apply_read(START, records(&log, positions[vm], false));
+                    positions[vm] = log.len();
+                }
+                ExchangeStep::ReadNewest { vm } => {
+                    vms[vm].apply_read(START, records(&log, 0, true));
+                    positions[vm] = log.len();
+                }
+                ExchangeStep::Hear { vm, from } => {
+                    let reports = vms[from].reports(START);
+                    vms[vm].merge(START, &reports);
+                }
+            }
+            for vm in (0..READERS).filter(|vm| positions[*vm] == log.len()) {
+                for (index, name) in ZONES.iter().enumerate() {
+                    prop_assert_eq!(vms[vm].is_closed(&zone(name)), truth(&log, index));
+                }
+            }
+        }
+        vms[0].apply_read(START, records(&log, positions[0], false));
+        for vm in 1..READERS {
+            let reports = vms[vm].reports(START);
+            vms[0].merge(START, &reports);
+            let reports = vms[0].reports(START);
+            vms[vm].merge(START, &reports);
+            for (index, name) in ZONES.iter().enumerate() {
+                prop_assert_eq!(vms[vm].is_closed(&zone(name)), truth(&log, index));
+            }
+        }
+    }
+}
+
 /// Guards against a VM that awakes from a pause and starts tasks before it can know that their zone was
 /// closed meanwhile, and against a VM without the store that never starts anything again.
 #[test]
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -171,7 +171,7 @@
     /// As the small fleet, with targets whose capacity shrinks and grows.
     Resizing,
     /// As the small fleet, with zones that the operator closes and opens.
-    Evacuating,
+    ClosedZones,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -204,7 +204,7 @@
             FleetKind::OneWay => cut_directions(&mut fleet),
             FleetKind::Deadly => crash_targets(&mut fleet),
             FleetKind::Resizing => resize_targets(&mut fleet),
-            FleetKind::Evacuating => close_zones(&mut fleet),
+            FleetKind::ClosedZones => close_zones(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
         }
         if fleet.rng.random_bool(0.25) {
@@ -373,7 +373,7 @@
 #[test]
 fn invariants_hold_while_zones_close() {
     for seed in SEEDS {
-        check_invariants(seed, FleetKind::Evacuating);
+        check_invariants(seed, FleetKind::ClosedZones);
     }
 }
 
@@ -415,7 +415,7 @@
         FleetKind::OneWay,
         FleetKind::Deadly,
         FleetKind::Resizing,
-        FleetKind::Evacuating,
+        FleetKind::ClosedZones,
     ];
     let chosen = std::env::var("FLEET_KIND").ok();
     let chosen = |kind: &FleetKind| chosen.as_ref().is_none_or(|it| *it == format!("{kind:?}"));
