--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -172,9 +172,9 @@
     /// As the small fleet, with targets whose capacity shrinks and grows.
     Resizing,
     /// As the small fleet, with zones that the operator closes and opens.
+    ClosedZones,
     /// As the large fleet, with links that heal one direction at a time and a VM that forwards jobs.
     Forwarding,
-    ClosedZones,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
