--- a/crates/fleet/tests/job_forwarding.rs
+++ b/crates/fleet/tests/job_forwarding.rs
@@ -147,8 +147,11 @@
     90, 90, 90, 120, 120, 120, 180, 180, 250, 250, 250, 350, 350, 500, 500,
 ];
 
-/// The processing time of an event on a whole core.
-const EVENT_COST: Duration = Duration::from_micros(130);
+/// The processing time of an event on a whole core. With 130 us the smallest VMs are rarely late.
+const EVENT_COST: Duration = Duration::from_micros(200);
+
+/// What forwarding gains at least. With this load and seed it has gained 0.075 of the value.
+const MIN_GAIN: f64 = 0.03;
 
 /// A fleet of 45 VMs with equal shares of the clients, under a load below the capacity of its targets.
 fn uneven_fleet(forwarding: Option<Vec<usize>>) -> (LoadResult, u64) {
@@ -183,5 +186,5 @@
     println!("forwarded {forwarded}, value {value:.3}, without forwarding {former:.3}");
     assert_eq!(none, 0);
     assert!(forwarded > 0);
-    assert!(value >= former, "{value} instead of {former}");
+    assert!(value >= former + MIN_GAIN, "{value} instead of {former}");
 }
