fleet: keep late lone jobs and suspects of crashes

Cause, found by the whole test run: capacity_changes failed because the last waiting job was dropped although nothing else waited; crash_limit failed because a job with a suspect was ended at three objectives, sent again by its client and crashed a fourth target.

Change: late jobs are moved in the queue before the backlog is judged; a job with more work than cannot be served is not dropped by the forecast; a job with a suspect is ended by the crash limit or its client's deadline only.

--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -178,13 +178,19 @@
         self.answer_job(key, reply);
     }
 
-    /// Ends a job whose answer would come too late to be of use even if its tasks ran fast.
+    /// Ends a job whose answer would come too late to be of use even if its tasks ran fast. A job with a
+    /// suspect of a crash is not ended: its client would send it again, and the task would crash more
+    /// targets before it is given up.
     pub(super) fn end_unanswerable(&mut self, key: JobKey) {
         let now = self.now();
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        let until = job.answerable_until(now);
+        let mut tasks = (0..job.tasks.len()).map(|position| TaskRef { job: key, position });
+        let until = match tasks.any(|task| self.needs_trial(task)) {
+            true => now + job.objective,
+            false => job.answerable_until(now),
+        };
         match until > now {
             true => self.timers.subscribe(until, TimerTopic::JobTooLate(key)),
             false => self.give_up_job(key),
--- a/crates/fleet/src/engine/shedding.rs
+++ b/crates/fleet/src/engine/shedding.rs
@@ -17,6 +17,9 @@
         if self.jobs.waiting_len() == 0 {
             return;
         }
+        // A job that is late does not delay others, and is no reason to drop it.
+        let now = self.now();
+        self.jobs.requeue_late(now);
         let forecast = self.fleet_load();
         if forecast.cores <= 0.0 || forecast.backlog() < self.settings.accept_all_backlog {
             return;
@@ -50,16 +53,16 @@
         {
             return;
         }
-        let Some(kept) = forecast.kept_shares(shares, class) else {
+        let Some(plan) = forecast.drop_plan(shares, class) else {
             return;
         };
         self.shedder.record_drop(class, now);
         let jobs = self.jobs.unstarted();
         let jobs = jobs.filter(|(_, job)| priority_class(job.priority) == class);
-        let jobs = jobs.map(|(key, job)| (key, job.density));
+        let jobs = jobs.map(|(key, job)| (key, job.density, job.work));
         let jobs = jobs.collect::<Vec<_>>();
-        for (key, density) in jobs {
-            if self.rng.random::<f64>() >= kept[density.index()] {
+        for (key, density, work) in jobs {
+            if plan.drops(density, work, self.rng.random()) {
                 self.shed_job(key, DropReason::Forecast, forecast, shares);
             }
         }
--- a/crates/fleet/src/shedding.rs
+++ b/crates/fleet/src/shedding.rs
@@ -277,6 +277,23 @@
     TooLate(Duration),
 }
 
+/// The part of the waiting jobs of a priority that is dropped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DropPlan {
+    /// The work that cannot start in time, in core-milliseconds.
+    unserved: f64,
+    /// The share of the jobs of each density class that is kept.
+    kept: [f64; DENSITY_CLASSES],
+}
+
+impl DropPlan {
+    /// Whether a job is dropped; `draw` is a random number from 0 to 1. The last job to start has its
+    /// own work still to do, so that a job with more work than cannot be served is not in the way.
+    pub fn drops(&self, density: DensityClass, work: u64, draw: f64) -> bool {
+        work as f64 <= self.unserved && draw >= self.kept[density.index()]
+    }
+}
+
 /// The load and the capacity of all live VMs.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadForecast {
@@ -323,19 +340,16 @@
         }
     }
 
-    /// The share of the waiting jobs of a priority class that is kept, by density class; `None` if all
-    /// can be served.
-    pub fn kept_shares(
-        &self,
-        shares: &CapacityShares,
-        class: usize,
-    ) -> Option<[f64; DENSITY_CLASSES]> {
+    /// Which waiting jobs of a priority class cannot be served; `None` if all can.
+    pub fn drop_plan(&self, shares: &CapacityShares, class: usize) -> Option<DropPlan> {
         let cores = shares.cores_for(class);
         let unserved = self.waiting.unserved(class, DROP_MARGIN, cores, self.cores);
         let droppable = &self.droppable.0[class];
         let total = droppable.iter().copied().map(f64::from).sum::<f64>();
-        (unserved > 0.0 && total > 0.0)
-            .then(|| served_shares(droppable, (total - unserved).max(0.0)))
+        (unserved > 0.0 && total > 0.0).then(|| DropPlan {
+            unserved,
+            kept: served_shares(droppable, (total - unserved).max(0.0)),
+        })
     }
 
     /// After which time a job of this priority may find capacity: the waiting work that is served
