Remove forwarded jobs after 600 ms of silence of their first VM

A run of FLEET_KIND=Forwarding over 400 seeds failed with 10219 and 10285: a task ran twice. The first VM was lost without closed connections; its loss moved targets to other holders, and the former holder released its target just before the receiver of the job withdrew the run, which went on for a lease. The receiver now removes the jobs before the VM is marked lost.

Both seeds pass and join the regression seeds.

--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwards jobs of this VM's clients to other VMs of the zone, and receives such jobs.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,11 @@
 use super::{FleetAction, FleetEngine, FleetNotice};
 use crate::job_routing::ForwardingEnd;
 
+/// The silence of a VM after which its forwarded jobs are removed: four short intervals. Once the VM is
+/// marked lost, after 900 ms, targets change their holders, and a run whose holder has released its target
+/// cannot be withdrawn any more.
+const ORIGIN_SILENCE: Duration = Duration::from_millis(600);
+
 /// The VM that has forwarded a job, and when.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardOrigin {
@@ -152,6 +158,27 @@
         let sent = self.router.exchanges().filter(|(_, vm)| *vm == peer);
         let sent = sent.map(|(job, _)| FleetAction::EndForwarding(job));
         self.actions.extend(sent);
+        self.drop_received_from(peer);
+        self.router.forget_report(peer);
+    }
+
+    /// Removes the jobs of VMs that have been silent for `ORIGIN_SILENCE`.
+    pub(super) fn drop_jobs_of_silent_origins(&mut self) {
+        let now = self.now();
+        let silent = |peer: VmIndex| {
+            let link = self.links[peer].as_ref();
+            link.is_some_and(|link| now.since(link.last_heard()) >= ORIGIN_SILENCE)
+        };
+        let origins = self.router.received().map(|(_, peer)| peer);
+        for peer in origins
+            .filter(|peer| silent(*peer))
+            .collect::<BTreeSet<_>>()
+        {
+            self.drop_received_from(peer);
+        }
+    }
+
+    fn drop_received_from(&mut self, peer: VmIndex) {
         let received = self.router.received().filter(|(_, vm)| *vm == peer);
         let received = received.map(|(caller, _)| caller).collect::<Vec<_>>();
         for caller in received {
@@ -159,7 +186,6 @@
             let reply = JobReply::Unknown;
             self.actions.push(FleetAction::Reply { caller, reply });
         }
-        self.router.forget_report(peer);
     }
 
     /// Ends all exchanges of forwarded jobs, because the process is about to exit.
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -198,6 +198,7 @@
         for (peer, contact) in lost {
             self.handle_peer_loss(peer, false, contact);
         }
+        self.drop_jobs_of_silent_origins();
         self.plan_heartbeats();
     }
 
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -41,6 +41,10 @@
 /// The same for fleets whose capacities change: as before, and one seed that was not traced (10_113).
 const RESIZING_REGRESSION_SEEDS: [u64; 2] = [10_113, 10_189];
 
+/// The same for fleets whose VMs forward jobs: the holder of a run released its target before the
+/// receiver of the job had noticed the loss of the first VM.
+const FORWARDING_REGRESSION_SEEDS: [u64; 2] = [10_219, 10_285];
+
 /// The share of the jobs with a deadly task in a fleet that has them.
 const DEADLY_SHARE: f64 = 0.08;
 /// The probability of a crash without a deadly task within 100 ms in such a fleet.
@@ -371,6 +375,9 @@
     for seed in RESIZING_REGRESSION_SEEDS {
         check_invariants(seed, FleetKind::Resizing);
     }
+    for seed in FORWARDING_REGRESSION_SEEDS {
+        check_invariants(seed, FleetKind::Forwarding);
+    }
 }
 
 /// To be run by hand: `cargo test --release -p filbertpitch-fleet -- --ignored long_run`.
