--- a/crates/fleet/tests/shedding_rules.rs
+++ b/crates/fleet/tests/shedding_rules.rs
@@ -196,7 +196,7 @@
                 let slack = start_by.saturating_sub(now);
                 own.add(1, Duration::from_millis(slack), *work);
             }
-            if (now + index as u64 * 500) % 5000 == 0 {
+            if (now + index as u64 * 500).is_multiple_of(5000) {
                 vms[index].reported = (own, load);
             }
             for _ in 0..2 * CORES * STEP_MS / WORK / VMS {
