Send the tables of kinds and racks in each report

Cause: the table of kinds was left out of DemandReport while it was empty, and the racks that followed it took its position. Envelopes are packed by position, so a VM that had learned no speeds and had a waiting task with a preferred rack sent envelopes that no peer could decode, and was marked lost.

Change: both tables are always sent, one byte each while they are empty.

Measured: demand_reports_keep_their_tables failed for racks without speeds (invalid type: integer, expected a tuple) and passes for all four combinations.

--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -712,12 +712,9 @@
     pub offered: DensityTable,
     /// The work of the waiting jobs of which no task may have started, in core-milliseconds.
     pub droppable: DensityTable,
-    /// The speeds of kinds of targets that the sender has learned from runs. The last field, because
-    /// it is left out while it is empty.
-    #[serde(default, skip_serializing_if = "KindSpeedTable::is_empty")]
+    /// The speeds of kinds of targets that the sender has learned from runs.
     pub kind_speeds: KindSpeedTable,
     /// The racks that the queued tasks prefer, those of the most urgent tasks first.
-    #[serde(default, skip_serializing_if = "RackTable::is_empty")]
     pub racks: RackTable,
 }
 
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use filbertpitch_types::caller::{ErrorAnswer, JobRequest, TaskAnswer, TaskSpec};
+use filbertpitch_types::fleet::{DemandReport, KindId, KindSpeedReport, RackId};
 use filbertpitch_types::outcome::{FailureReason, TaskOutcome};
 use filbertpitch_types::peer::{ForwardCommand, ForwardRequest};
 use filbertpitch_types::platform::AppendRequest;
@@ -140,3 +141,31 @@
     assert_eq!(&*answer.error, "bad_request");
     assert_eq!(&*answer.message, "tasks is empty");
 }
+
+/// Guards against a report of waiting tasks that cannot be decoded, or is decoded wrongly, because a
+/// table in it is empty: fields are identified by their position.
+#[test_case(false, false; "both tables empty")]
+#[test_case(true, false; "speeds only")]
+#[test_case(false, true; "racks only")]
+#[test_case(true, true; "both tables filled")]
+fn demand_reports_keep_their_tables(has_speeds: bool, has_racks: bool) {
+    let speeds = vec![KindSpeedReport::new(KindId::of_label("fast"), -0.4, 12)];
+    let racks = vec![RackId::of_label("rack-7")];
+    let report = DemandReport {
+        tasks: 3,
+        kind_speeds: if has_speeds {
+            speeds.into()
+        } else {
+            Default::default()
+        },
+        racks: if has_racks {
+            racks.into()
+        } else {
+            Default::default()
+        },
+        ..DemandReport::default()
+    };
+    let body = BodyFormat::PackedMessagePack.encode(&report).unwrap();
+    let decoded = BodyFormat::PackedMessagePack.decode::<DemandReport>(&body);
+    assert_eq!(decoded.unwrap(), report);
+}
