Count listed targets as capacity while a peer returns

Cause: after a partition heals, targets change their holders and have none for a moment, so that the capacity of the fleet looked smaller than its offered load and jobs were refused (over_share). Only the loss of a peer counted as a change of the membership.

Change: the appearance of a peer counts as well; for settling_time all listed targets are capacity.

--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -92,7 +92,7 @@
     identity: PeerIdentity,
     clock: ClockReading,
     started_at: TimePoint,
-    /// When this VM became ready or last lost a peer.
+    /// When this VM became ready, last lost a peer or last found one.
     membership_changed_at: TimePoint,
     state: PeerState,
     /// When a draining process answers the jobs that are not finished.
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -73,6 +73,8 @@
         }
         self.placement_due = true;
         if update.appeared {
+            // Targets change their holders, and have none in between.
+            self.membership_changed_at = now;
             self.notice(FleetNotice::PeerLive(self.vms.name(peer).clone()));
             self.share_crashes(peer);
         }
