Leave closed zones and cold targets out of the speeds of kinds

Found in review: tasks waited for a preferred rack, or for fast targets, of a closed zone; targets of closed zones counted as used fast targets; and runs on cold targets taught the speed of their kind. The slowdown of a cold target was not adapted when the estimate of its kind changed.

Change: only targets that may start something count, and runs on cold targets are not learned from. uneven_targets (14), closed_zones (17) and target_health pass.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -549,7 +549,12 @@
         let now = self.now();
         let took = now.since(run.since);
         self.kind_speeds.record_use(now, target);
-        if end == RunEnd::Done {
+        if end == RunEnd::Done
+            && self
+                .registry
+                .cold_until(target)
+                .is_none_or(|until| until <= now)
+        {
             self.learn_as_holder(target, run, took);
         }
         let held = self.held.get_mut(&target)?;
--- a/crates/fleet/src/engine/kinds.rs
+++ b/crates/fleet/src/engine/kinds.rs
@@ -56,7 +56,7 @@
         let now = self.now();
         let mut context = SpeedContext::new(self.kind_speeds.spread()?);
         for (target, held) in &self.held {
-            if self.registry.is_ready(*target) {
+            if self.may_start(*target) {
                 let ledger = held.ledger();
                 let factor = self.kind_speeds.factor_of(*target);
                 context.add_target(factor, &ledger.capacity(), &ledger.free());
@@ -65,7 +65,9 @@
         let links = self.links.iter().flatten();
         for link in links.filter(|link| link.accepts_work()) {
             for holding in link.holdings() {
-                if let Some(entry) = self.registry.entry(holding.target) {
+                if let Some(entry) = self.registry.entry(holding.target)
+                    && self.may_start(holding.target)
+                {
                     let factor = self.kind_speeds.factor_of(holding.target);
                     context.add_target(factor, &entry.capacity, &link.free_capacity(holding));
                 }
@@ -133,7 +135,7 @@
         listed.any(|(target, entry)| {
             entry.labels.contains(rack)
                 && step.resources.fits(&entry.capacity)
-                && self.registry.is_ready(target)
+                && self.may_start(target)
                 && self.suits_target(task, target)
         })
     }
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -138,7 +138,12 @@
     /// Adapts the slowdown to expected run times that change by a factor, given by its natural
     /// logarithm, so that the run times that were measured keep their effect.
     pub fn rebase(&mut self, log_change: f64) {
-        self.slowdown -= log_change * self.learned;
+        let change = log_change * self.learned;
+        self.slowdown -= change;
+        // The slowdown of a cold target has begun with the usual one.
+        if let Some(cold) = &mut self.cold {
+            cold.slowdown -= change;
+        }
     }
 
     /// Records a failed run, or a request that the target did not fulfil. Returns whether this
