Spread the returns of clients that a closed zone refuses

Found in review: all clients refused as zone_closed were told to return after exactly 250 ms, and clients with a long wait after exactly 5 s; each refusal of a holder examined all waiting jobs against the whole list of targets.

Change: 3 s for closed zones; the delay is limited before the random factor; a refusal examines its own job only. Runs on cold targets are left out on the coordinator's side as well.

--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -3,6 +3,7 @@
 //! A job that would be late is rejected at once: the client can go elsewhere, and the accepted jobs
 //! stay in time. Under overload, accepting every job would make all of them late.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use filbertpitch_dispatch::entity::KindIndex;
@@ -12,6 +13,7 @@
 use rand::Rng;
 
 use super::FleetEngine;
+use super::zones::CLOSED_ZONE_RETRY;
 use crate::job_table::{JobEstimate, JobPlan, padded_run_time, task_work};
 use crate::shedding::{Admission, ArrivingJob, LoadForecast};
 
@@ -19,6 +21,10 @@
 const RETRY_HINT_MIN: Duration = Duration::from_millis(250);
 const RETRY_HINT_MAX: Duration = Duration::from_secs(5);
 
+/// The range of the random factor of that delay. The delay is limited before, so that clients with the
+/// shortest or the longest delay do not return together.
+const RETRY_SPREAD: Range<f64> = 0.75..1.5;
+
 /// The expected work of a job, in core-milliseconds, from the expected run time of the tasks of each
 /// step.
 fn job_work(spec: &JobSpec, expected: &[Duration]) -> u64 {
@@ -75,7 +81,14 @@
             return Err(JobRejection::now(RejectReason::Unsupported));
         }
         if let Some(reason) = self.missing_target(spec, &order.steps) {
-            return Err(JobRejection::now(reason));
+            let capacity_in = match reason {
+                RejectReason::ZoneClosed => CLOSED_ZONE_RETRY,
+                _ => Duration::ZERO,
+            };
+            return Err(JobRejection {
+                capacity_in,
+                ..JobRejection::now(reason)
+            });
         }
         let mut plan = self.build_plan(queue, spec, order, client_timeout);
         plan.estimate.density = self.shedder.classify(queue, plan.estimate.work);
@@ -229,9 +242,9 @@
     /// The delay after which a rejected client may return, randomized so that clients that were
     /// rejected together do not return together.
     pub(super) fn retry_hint(&mut self, wait: Duration) -> Duration {
-        let spread = self.rng.random_range(0.75..1.5);
-        wait.min(RETRY_HINT_MAX)
-            .mul_f64(spread)
-            .clamp(RETRY_HINT_MIN, RETRY_HINT_MAX)
+        let shortest = RETRY_HINT_MIN.div_f64(RETRY_SPREAD.start);
+        let longest = RETRY_HINT_MAX.div_f64(RETRY_SPREAD.end);
+        let spread = self.rng.random_range(RETRY_SPREAD);
+        wait.clamp(shortest, longest).mul_f64(spread)
     }
 }
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -270,7 +270,7 @@
         }
         self.requeue_task(task);
         if refusal == PlaceRefusal::ZoneClosed {
-            self.reject_unservable_jobs();
+            self.reject_if_unservable(task.job);
         }
     }
 
@@ -331,7 +331,8 @@
             let normalised = took.div_f64(factor);
             job.longest_run = job.longest_run.max(normalised);
             self.catalog.observe(queue, declared, normalised);
-            if let Some(target) = target {
+            let cold = |target| self.registry.cold_until(target) > Some(now);
+            if let Some(target) = target.filter(|target| !cold(*target)) {
                 let row = (queue, RunRole::Coordinator);
                 self.kind_speeds.observe(row, target, took, declared);
             }
--- a/crates/fleet/src/engine/zones.rs
+++ b/crates/fleet/src/engine/zones.rs
@@ -5,14 +5,17 @@
 
 use std::time::Duration;
 
-use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
+use filbertpitch_dispatch::entity::{JobKey, TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{
     JobReply, PlaceRefusal, QueueSpec, RejectReason, StepSpec, TaskPlacement, ZoneRead, ZoneReport,
 };
 
 use super::{FleetEngine, FleetNotice, ZoneSource};
 use crate::closed_zones::ZoneTransition;
-use crate::job_table::ActiveJob;
+
+/// When a client may send a job again that only targets of closed zones could run, before the spread.
+/// Zones stay closed for many seconds.
+pub(super) const CLOSED_ZONE_RETRY: Duration = Duration::from_secs(3);
 
 impl FleetEngine {
     /// Whether a target may start something now.
@@ -89,21 +92,32 @@
         if self.closed_zones.is_empty() {
             return;
         }
-        let needs_closed_zone = |job: &ActiveJob| {
-            let spec = self.catalog.spec(job.queue);
-            let missing = spec.and_then(|spec| self.missing_target(spec, &job.spec.steps));
-            missing == Some(RejectReason::ZoneClosed)
-        };
-        let waiting = self.jobs.iter().filter(|(_, job)| job.possible_starts == 0);
-        let unservable = waiting.filter(|(_, job)| needs_closed_zone(job));
-        for key in unservable.map(|(key, _)| key).collect::<Vec<_>>() {
-            self.counters.jobs_rejected_zone_closed += 1;
-            let reply = JobReply::Rejected {
-                reason: RejectReason::ZoneClosed,
-                retry_after: self.retry_hint(Duration::ZERO),
-            };
-            self.answer_job(key, reply);
+        for key in self
+            .jobs
+            .unstarted()
+            .map(|(key, _)| key)
+            .collect::<Vec<_>>()
+        {
+            self.reject_if_unservable(key);
+        }
+    }
+
+    /// Rejects a job if nothing of it has started and only targets of closed zones could run it.
+    pub(super) fn reject_if_unservable(&mut self, key: JobKey) {
+        let job = self.jobs.get(key).filter(|job| job.possible_starts == 0);
+        let missing = job.and_then(|job| {
+            let spec = self.catalog.spec(job.queue)?;
+            self.missing_target(spec, &job.spec.steps)
+        });
+        if missing != Some(RejectReason::ZoneClosed) {
+            return;
         }
+        self.counters.jobs_rejected_zone_closed += 1;
+        let reply = JobReply::Rejected {
+            reason: RejectReason::ZoneClosed,
+            retry_after: self.retry_hint(CLOSED_ZONE_RETRY),
+        };
+        self.answer_job(key, reply);
     }
 
     /// Why no held target takes a task.
