--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -43,8 +43,13 @@
 const RESIZING_REGRESSION_SEEDS: [u64; 3] = [10_113, 10_189, 10_262];
 
 /// The same for fleets whose VMs forward jobs: the holder of a run released its target before the
-/// receiver of the job had noticed the loss of the first VM.
-const FORWARDING_REGRESSION_SEEDS: [u64; 2] = [10_219, 10_285];
+/// receiver of the job had noticed the loss of the first VM (10_219, 10_285), and a job that was answered
+/// as failed too early (10_288).
+const FORWARDING_REGRESSION_SEEDS: [u64; 3] = [10_219, 10_285, 10_288];
+
+/// The same for fleets whose zones close: a request that a target which was down had swallowed counted as
+/// a crash under its task.
+const CLOSED_ZONES_REGRESSION_SEEDS: [u64; 1] = [10_340];
 
 /// The share of the jobs with a deadly task in a fleet that has them.
 const DEADLY_SHARE: f64 = 0.08;
@@ -410,6 +415,9 @@
     for seed in RESIZING_REGRESSION_SEEDS {
         check_invariants(seed, FleetKind::Resizing);
     }
+    for seed in CLOSED_ZONES_REGRESSION_SEEDS {
+        check_invariants(seed, FleetKind::ClosedZones);
+    }
     for seed in FORWARDING_REGRESSION_SEEDS {
         check_invariants(seed, FleetKind::Forwarding);
     }
