Keep forwarded jobs whose VM was silent before, and cancellations that cross an answer

Found in review, by reading: - A receiver removed a job at once if the VM that had forwarded it had been silent for 600 ms by its former, longer interval: the client got 504. The arrival of the job now counts as a sign of life. - After a pause, a forwarded job was admitted before the pause was noticed. The engine now advances its clock first. - A cancellation that became ready together with the receiver's response was answered as cancelled, and the job was then taken back or reported as complete. The cancellation now comes first; a response that is there when the receiver is marked lost is still delivered. - Connections that receivers had closed were never dropped from the pools.

--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -7,8 +7,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use filbertpitch_dispatch::entity::VmIndex;
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_fleet::engine::{FleetAction, FleetEngine, FleetEvent, JobRoute};
+use filbertpitch_fleet::engine::{FleetAction, FleetEngine, FleetEvent, ForwardOrigin, JobRoute};
 use filbertpitch_types::fleet::{EnvelopeAck, JobReply, PeerEnvelope};
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
@@ -115,6 +116,14 @@
         route
     }
 
+    /// Returns the VM that has forwarded a job if this VM may coordinate the job.
+    pub(super) fn admit(self: &Rc<Self>, origin: &ForwardOrigin) -> Option<VmIndex> {
+        let now = self.clock.read();
+        let admitted = self.engine.borrow_mut().admit_origin(now, origin);
+        self.perform_actions(now.time);
+        admitted
+    }
+
     /// The exchanges in which jobs of this VM's clients are forwarded.
     pub(super) fn forwarder(&self) -> &JobForwarder {
         &self.forwarder
--- a/crates/filbertpitch/src/fleet/forwarding.rs
+++ b/crates/filbertpitch/src/fleet/forwarding.rs
@@ -239,17 +239,24 @@
         ..RequestOptions::default()
     };
     let response = pin!(pool.request(&request, &options));
-    let result = match select(response, ended).await {
-        Either::Left((result, _)) => result,
-        Either::Right((reply, _)) => {
-            let reply = reply.unwrap_or(JobReply::Unknown);
-            if reply == JobReply::Unknown {
+    // The end comes first: a client that was told that its job is cancelled must not learn that the job
+    // is complete, and the job must not be taken back.
+    let result = match select(ended, response).await {
+        Either::Right((result, _)) => result,
+        Either::Left((Ok(JobReply::Cancelled), _)) => {
+            return ForwardOutcome::Replied(JobReply::Cancelled);
+        }
+        Either::Left((_, response)) => match response.now_or_never() {
+            Some(result) => result,
+            None => {
                 guard.end = ForwardingEnd::Broken;
                 pool.close_idle();
+                return ForwardOutcome::Replied(JobReply::Unknown);
             }
-            return ForwardOutcome::Replied(reply);
-        }
+        },
     };
+    // Connections that their receiver has closed would otherwise use up descriptors.
+    pool.prune();
     guard.end = exchange_end(&result);
     match result {
         Ok(response) if !guard.end.is_taken_back() => ForwardOutcome::Relayed(relayed(response)),
@@ -408,8 +415,7 @@
 ) -> Option<ServerResponse> {
     let origin = read_origin(request.header(ORIGIN_HEADER)?)?;
     let timeout = request.header(TIMEOUT_HEADER)?.parse::<u64>().ok()?;
-    let now = driver.now();
-    let origin = driver.inspect(|engine| engine.admit_origin(now, &origin))?;
+    let origin = driver.admit(&origin)?;
     let job = driver.inspect(|engine| {
         let found = engine.catalog().match_request(host, path)?;
         found.rest.parse::<JobId>().ok()
--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -1,6 +1,5 @@
 //! Forwards jobs of this VM's clients to other VMs of the zone, and receives such jobs.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 use filbertpitch_types::time::ClockReading;
 
 use super::{FleetAction, FleetEngine, FleetNotice};
-use crate::job_routing::ForwardingEnd;
+use crate::job_routing::{ForwardingEnd, ReceivedJob};
 
 /// The silence of a VM after which its forwarded jobs are removed: four short intervals. Once the VM is
 /// marked lost, after 900 ms, targets change their holders, and a run whose holder has released its target
@@ -127,7 +126,15 @@
     /// Returns the VM that has forwarded a job if this VM may coordinate the job. A request that was
     /// delayed, for example while this process was paused, is refused: the other VM may have given
     /// the job up since, and its client may have sent it again elsewhere.
-    pub fn admit_origin(&self, clock: ClockReading, origin: &ForwardOrigin) -> Option<VmIndex> {
+    pub fn admit_origin(&mut self, clock: ClockReading, origin: &ForwardOrigin) -> Option<VmIndex> {
+        // A pause of this process must be noticed first: it changes which peers are live.
+        self.advance(clock);
+        let admitted = self.find_origin(clock, origin);
+        self.process_pending();
+        admitted
+    }
+
+    fn find_origin(&self, clock: ClockReading, origin: &ForwardOrigin) -> Option<VmIndex> {
         let peer = self.vms.get(&origin.vm)?;
         let link = self.links[peer].as_ref()?;
         let delay = link.excess_delay(origin.sent_at, clock.time);
@@ -147,7 +154,7 @@
         client_timeout: Duration,
     ) {
         self.counters.jobs_received += 1;
-        self.router.start_received(caller, origin);
+        self.router.start_received(self.clock.time, caller, origin);
         self.watch_closely(origin);
         self.submit_job(caller, queue, spec, client_timeout);
     }
@@ -162,26 +169,27 @@
         self.router.forget_report(peer);
     }
 
-    /// Removes the jobs of VMs that have been silent for `ORIGIN_SILENCE`.
+    /// Removes the jobs of VMs that have been silent for `ORIGIN_SILENCE`. The arrival of a job is a
+    /// sign of life too: the interval of the envelopes may have been longer before.
     pub(super) fn drop_jobs_of_silent_origins(&mut self) {
         let now = self.now();
-        let silent = |peer: VmIndex| {
-            let link = self.links[peer].as_ref();
-            link.is_some_and(|link| now.since(link.last_heard()) >= ORIGIN_SILENCE)
+        let is_silent = |job: &ReceivedJob| {
+            let link = self.links[job.origin].as_ref();
+            let heard = link.map(|link| link.last_heard().max(job.arrived));
+            heard.is_some_and(|heard| now.since(heard) >= ORIGIN_SILENCE)
         };
-        let origins = self.router.received().map(|(_, peer)| peer);
-        for peer in origins
-            .filter(|peer| silent(*peer))
-            .collect::<BTreeSet<_>>()
-        {
-            self.drop_received_from(peer);
-        }
+        let silent = self.router.received().filter(|(_, job)| is_silent(job));
+        self.drop_received(silent.map(|(caller, _)| caller).collect());
     }
 
     fn drop_received_from(&mut self, peer: VmIndex) {
-        let received = self.router.received().filter(|(_, vm)| *vm == peer);
-        let received = received.map(|(caller, _)| caller).collect::<Vec<_>>();
-        for caller in received {
+        let received = self.router.received();
+        let received = received.filter(|(_, job)| job.origin == peer);
+        self.drop_received(received.map(|(caller, _)| caller).collect());
+    }
+
+    fn drop_received(&mut self, callers: Vec<CallerToken>) {
+        for caller in callers {
             self.remove_caller(caller);
             let reply = JobReply::Unknown;
             self.actions.push(FleetAction::Reply { caller, reply });
--- a/crates/fleet/src/job_routing.rs
+++ b/crates/fleet/src/job_routing.rs
@@ -174,6 +174,15 @@
     (cores - CONTROL_COST).max(cores * MIN_JOB_SHARE)
 }
 
+/// A job that another VM has forwarded to this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReceivedJob {
+    /// The VM that has forwarded the job.
+    pub origin: VmIndex,
+    /// When the job arrived at this VM.
+    pub arrived: TimePoint,
+}
+
 /// Decides which new jobs are forwarded and to which VM, and remembers the jobs that were forwarded
 /// from and to this VM.
 #[derive(Clone, Debug)]
@@ -191,7 +200,7 @@
     /// The receivers of forwarded jobs whose exchange is open.
     exchanges: BTreeMap<JobId, VmIndex>,
     /// The VMs that have forwarded jobs to this one, until the job is answered.
-    received: BTreeMap<CallerToken, VmIndex>,
+    received: BTreeMap<CallerToken, ReceivedJob>,
     /// Jobs that their receiver has not taken.
     taken_back: VecDeque<(TimePoint, JobId)>,
 }
@@ -381,8 +390,12 @@
     }
 
     /// Records that a caller is another VM, which has forwarded a job.
-    pub fn start_received(&mut self, caller: CallerToken, origin: VmIndex) {
-        self.received.insert(caller, origin);
+    pub fn start_received(&mut self, now: TimePoint, caller: CallerToken, origin: VmIndex) {
+        let job = ReceivedJob {
+            origin,
+            arrived: now,
+        };
+        self.received.insert(caller, job);
     }
 
     /// Forgets a caller that was answered or has left.
@@ -390,16 +403,17 @@
         self.received.remove(&caller);
     }
 
-    /// The callers that are other VMs, with the VM.
-    pub fn received(&self) -> impl Iterator<Item = (CallerToken, VmIndex)> {
-        self.received.iter().map(|(caller, vm)| (*caller, *vm))
+    /// The callers that are other VMs.
+    pub fn received(&self) -> impl Iterator<Item = (CallerToken, ReceivedJob)> {
+        self.received.iter().map(|(caller, job)| (*caller, *job))
     }
 
     /// The VMs to which this VM has forwarded jobs, and those that have forwarded jobs to it. Their
     /// loss must be noticed soon.
     pub fn partners(&self) -> impl Iterator<Item = VmIndex> {
         let receivers = self.exchanges.values();
-        receivers.chain(self.received.values()).copied()
+        let origins = self.received.values().map(|job| job.origin);
+        receivers.copied().chain(origins)
     }
 
     /// Forgets the report of a VM that was marked lost or replaced.
--- a/crates/fleet/tests/support/world/forwarding.rs
+++ b/crates/fleet/tests/support/world/forwarding.rs
@@ -111,7 +111,11 @@
             let state = &self.exchanges[exchange];
             (state.receiver, state.job)
         };
-        let Some(peer) = self.engine(vm).admit_origin(self.clock_of(vm), origin) else {
+        let clock = self.clock_of(vm);
+        let engine = self.vms[vm].engine.as_mut();
+        let admitted = engine.and_then(|engine| engine.admit_origin(clock, origin));
+        self.perform_actions(vm);
+        let Some(peer) = admitted else {
             let refused = ExchangeEvent::Ends(ForwardingEnd::NotTaken, JobReply::Unknown);
             return self.send_exchange(exchange, refused);
         };
