--- a/crates/standins/tests/process/support/system.rs
+++ b/crates/standins/tests/process/support/system.rs
@@ -246,6 +246,12 @@
         self.entries[index].signal(signal);
     }
 
+    /// Sends a signal to the process of the targets.
+    pub fn signal_targets(&mut self, signal: Signal) {
+        let targets = self.platform.last_mut();
+        targets.expect("the targets were started").signal(signal);
+    }
+
     /// Waits until an entry VM is ready.
     pub async fn await_ready(&mut self, index: usize) {
         let client = self.client(index);
