Count only queued work as unserved when higher priorities have a backlog

Cause: `WaitingWork::unserved` subtracts the time that higher priorities take from the time until each slack class must start. Where the rest was negative, `sum - cores * rest` exceeded the queued work, also for slack classes without any work. As soon as higher priorities had a backlog of more than 125 ms, `drop_plan` dropped waiting jobs of lower priorities that had enough slack to start in time, and jobs larger than what was unserved.

Change: the time that is left is at least zero, so that no more than the queued work counts as unserved.

Test: `backlog_of_higher_priorities_drops_no_job_with_enough_slack` fails before the change (a drop plan for 10 core-s with 700 ms of slack behind a backlog of 200 ms) and passes after it.

--- a/crates/fleet/tests/shedding_rules.rs
+++ b/crates/fleet/tests/shedding_rules.rs
@@ -145,6 +145,32 @@
     assert!((450..550).contains(&accepted), "{accepted}");
 }
 
+/// Guards against dropping jobs that have ample time only because more important work waits: the targets
+/// finish that work after 200 ms, long before the jobs must start.
+#[test]
+fn backlog_of_higher_priorities_drops_no_job_with_enough_slack() {
+    let mut forecast = LoadForecast {
+        cores: 1000.0,
+        offered: usual_load([500, 0, 100]),
+        ..LoadForecast::default()
+    };
+    forecast.waiting.add(0, Duration::from_millis(300), 200_000);
+    forecast.waiting.add(2, Duration::from_millis(700), 10_000);
+    forecast.droppable.add(2, USUAL, 10_000);
+    assert_eq!(forecast.drop_plan(&forecast.shares(), 2), None);
+    // Nothing of a class without waiting work is unserved either.
+    forecast.waiting = WaitingWork::default();
+    forecast.waiting.add(0, Duration::from_millis(300), 200_000);
+    assert_eq!(forecast.drop_plan(&forecast.shares(), 2), None);
+    // What cannot start after the backlog is unserved, and no more than that.
+    forecast.waiting.add(0, Duration::from_millis(300), 800_000);
+    forecast.waiting.add(2, Duration::from_millis(700), 10_000);
+    let plan = forecast.drop_plan(&forecast.shares(), 2);
+    let plan = plan.expect("the backlog lasts longer than the slack");
+    assert!(plan.drops(class(USUAL), 10_000, 0.0));
+    assert!(!plan.drops(class(USUAL), 10_001, 0.0));
+}
+
 /// Guards against a margin that lets a VM drop a job right after it has accepted it.
 #[test]
 fn accepted_jobs_are_not_dropped_by_the_same_forecast() {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -460,7 +460,9 @@
         let mut unserved = 0_f64;
         for (queued, bound) in self.0[class].iter().zip(SLACK_CLASS_BOUNDS_MS) {
             sum += *queued as f64;
-            unserved = unserved.max(sum - cores * (f64::from(bound) + margin_ms));
+            // Higher priorities may leave no time at all, but no more than the queued work is unserved.
+            let available_ms = (f64::from(bound) + margin_ms).max(0.0);
+            unserved = unserved.max(sum - cores * available_ms);
         }
         unserved
     }
