Give a queue with few jobs its share by weight in the forecast

Cause: `CapacityShares::cores_for` gave a priority that asks for less than its share only the cores that it has asked for in the last second. One job per second asks for its work within a second but must start within its slack, so that the forecast refused it whenever a higher priority took the rest. A job that waited for more than a second had no cores at all.

Change: the forecast counts on at least the share by weight.

Test: `rare_job_is_served_in_a_flood_of_a_higher_priority` fails before the change (TooLate(700ms)) and passes after it. `load_shedding` (11 tests) and `load_patterns` (20 tests) pass.

--- a/crates/fleet/src/shedding.rs
+++ b/crates/fleet/src/shedding.rs
@@ -197,6 +197,8 @@
 pub struct CapacityShares {
     cores: f64,
     allotted: [f64; PRIORITY_CLASSES],
+    /// What each priority would get at least if it asked for more.
+    guaranteed: [f64; PRIORITY_CLASSES],
     served: [[f64; DENSITY_CLASSES]; PRIORITY_CLASSES],
 }
 
@@ -208,12 +210,16 @@
             .0
             .map(|densities| densities.iter().copied().map(f64::from).sum::<f64>() / 10.0);
         let mut allotted = [0.0; PRIORITY_CLASSES];
+        let mut guaranteed = [0.0; PRIORITY_CLASSES];
         let mut open = [true; PRIORITY_CLASSES];
         let mut rest = cores;
         loop {
             let weights = PRIORITY_WEIGHTS.iter().zip(&open);
             let total = weights.map(|(weight, open)| if *open { *weight } else { 0.0 });
             let per_weight = rest / total.sum::<f64>().max(f64::EPSILON);
+            for class in (0..PRIORITY_CLASSES).filter(|&class| open[class]) {
+                guaranteed[class] = per_weight * PRIORITY_WEIGHTS[class];
+            }
             let content = (0..PRIORITY_CLASSES).filter(|&class| {
                 open[class] && offered_cores[class] <= per_weight * PRIORITY_WEIGHTS[class]
             });
@@ -236,6 +242,7 @@
         Self {
             cores,
             allotted,
+            guaranteed,
             served,
         }
     }
@@ -245,10 +252,12 @@
         self.served[priority_class(priority)][density.index()]
     }
 
-    /// The cores that higher priorities leave to a priority class.
+    /// The cores that higher priorities leave to a priority class: at least its share by weight, also if
+    /// it has asked for less in the last second. The work of a rare job counts there as if it were spread
+    /// over that second, but must start sooner.
     pub fn cores_for(&self, class: usize) -> f64 {
         let above = self.allotted[..class].iter().sum::<f64>();
-        (self.cores - above).max(self.allotted[class])
+        (self.cores - above).max(self.guaranteed[class])
     }
 
     /// Whether some offered work cannot be served.
--- a/crates/fleet/tests/shedding_rules.rs
+++ b/crates/fleet/tests/shedding_rules.rs
@@ -103,6 +103,33 @@
     }
 }
 
+/// Guards against a queue with few jobs whose jobs are all refused in a flood of another one, because the
+/// forecast knows only the cores that the queue has asked for in the last second: one job per second asks
+/// for its work within a second, which is longer than its slack.
+#[test]
+fn rare_job_is_served_in_a_flood_of_a_higher_priority() {
+    let mut forecast = LoadForecast {
+        cores: 1000.0,
+        offered: usual_load([5000, 0, 4]),
+        ..LoadForecast::default()
+    };
+    forecast.waiting.add(0, Duration::from_millis(90), 100_000);
+    let rare = ArrivingJob {
+        work: 4000,
+        ..job(2, class(USUAL))
+    };
+    // The share of the queue by its weight is a ninth of the cores.
+    let admission = forecast.admit(&forecast.shares(), &rare, 0.99);
+    assert_eq!(admission, Admission::Accept);
+    // A second later the queue asks for nothing more, and the job still waits.
+    forecast.offered = usual_load([5000, 0, 0]);
+    forecast.waiting.add(2, Duration::from_millis(300), 4000);
+    forecast.droppable.add(2, USUAL, 4000);
+    let shares = forecast.shares();
+    assert_eq!(forecast.drop_plan(&shares, 2), None);
+    assert!(forecast.time_to_capacity(&shares, 2) < Duration::from_secs(6));
+}
+
 /// Many VMs decide on the same reports. Guards against VMs that together drop the whole of a class that
 /// can be served in part, or nothing of it.
 #[test]
