Do not count a stopped run as started if the target never confirmed it

Cause: a run whose start request got no response and that a later report does not list is stopped, to make certain that it does not start. While it is being stopped it counted as confirmed. If the target crashed then, the task counted as alone on the crashed target, so that one further crash was enough to answer its job as failed.

Change: the phase `Stopping` keeps whether the target had confirmed the run. `has_pending_start` is unchanged.

Test: `stopped_run_that_never_started_is_not_alone` (held_target) fails before the change and passes after it.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -782,6 +782,7 @@
         run.phase = RunPhase::Stopping {
             requested_at: now,
             accepted_at: None,
+            confirmed: run.has_started(),
         };
         self.pending_starts.remove(task);
         Some(StopRequest {
@@ -797,7 +798,7 @@
     pub fn overdue_stops(&self, now: TimePoint) -> Vec<TaskName> {
         let interval = self.settings.stop_retry_interval;
         let overdue = self.ledger.runs().filter(|(_, run)| {
-            matches!(run.phase, RunPhase::Stopping { requested_at, accepted_at: None }
+            matches!(run.phase, RunPhase::Stopping { requested_at, accepted_at: None, .. }
                 if now.since(requested_at) >= interval)
         });
         overdue.map(|(task, _)| *task).collect()
@@ -1089,7 +1090,7 @@
         let runs = self.ledger.runs().filter(|(_, run)| !run.target_restarted);
         let runs = runs.collect::<Vec<_>>();
         let tasks = runs.iter().map(|(task, _)| **task).collect::<Vec<_>>();
-        let unconfirmed = runs.iter().filter(|(_, run)| !run.is_confirmed());
+        let unconfirmed = runs.iter().filter(|(_, run)| !run.has_started());
         let unconfirmed = unconfirmed.map(|(task, _)| **task).collect();
         (!tasks.is_empty()).then(|| TargetCrash {
             boot: self.boot,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -38,6 +38,8 @@
         requested_at: TimePoint,
         /// When the target accepted a stop request, if it has.
         accepted_at: Option<TimePoint>,
+        /// Whether the target had confirmed the run before.
+        confirmed: bool,
     },
 }
 
@@ -75,6 +77,15 @@
             RunPhase::Requested { .. } | RunPhase::Uncertain { .. }
         )
     }
+
+    /// Whether the target has certainly started the run.
+    pub fn has_started(&self) -> bool {
+        match self.phase {
+            RunPhase::Requested { .. } | RunPhase::Uncertain { .. } => false,
+            RunPhase::Running { .. } => true,
+            RunPhase::Stopping { confirmed, .. } => confirmed,
+        }
+    }
 }
 
 /// The capacity of a target and its runs.
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -763,6 +763,20 @@
     assert_eq!((crash.tasks, crash.alone), (vec![task(0)], None));
 }
 
+/// Guards against a run that counts as confirmed because the holder has told the target to stop it: the
+/// target has not listed the run, so that its start request was lost.
+#[test]
+fn stopped_run_that_never_started_is_not_alone() {
+    let mut holder = Holder::confirmed();
+    holder.start(0, StartAnswer::ConnectionLost);
+    holder.now = holder.now + ms(5);
+    let outcome = holder.exchange(vec![], vec![]);
+    assert_eq!(outcome.missing_starts, [task(0)]);
+    holder.target.stop_run(holder.now, &task(0));
+    let crash = holder.target.notice_crash().expect("a crash");
+    assert_eq!((crash.tasks, crash.alone), (vec![task(0)], None));
+}
+
 /// Guards against a crash that counts for no task because the holder had requested the run before it
 /// learnt that another instance had started it.
 #[test]
