Do not blame unconfirmed runs for the crash of a silent target

Cause: a job was answered as failed although only one target had crashed with its task. A VM that cannot read the list of targets keeps starting tasks on a target that is down. When the leases had expired, the runs on the silent target were remembered as a possible crash, also those whose start request got no response. With the next instance of the target they counted as one crash; a later crash of another target with the task alone was the second one.

Change: if only silence and the next instance show a crash, tasks whose runs the target had not confirmed are left out. After a refused connection they are suspected as before. A confirmed task beside an unconfirmed one does not count as alone.

Test: `unconfirmed_run_is_not_suspected_of_a_silent_crash` (held_target) fails before the change and passes after it.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -177,6 +177,14 @@
         self.alone = sole_task(&self.tasks, &self.unconfirmed);
         (!self.tasks.is_empty()).then_some(self)
     }
+
+    /// The crash without the tasks whose runs the target had not confirmed; `None` if no other is left. A
+    /// silent target may have been down, or out of reach, when these runs were requested.
+    fn without_unconfirmed(mut self) -> Option<Self> {
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        self.tasks.retain(|task| !unconfirmed.contains(task));
+        (!self.tasks.is_empty()).then_some(self)
+    }
 }
 
 /// The task, if it is the only one and its run is confirmed.
@@ -855,11 +863,13 @@
             outcome.restarted = self.boot.is_some();
             let silent_crash = self.silent_crash.take();
             if outcome.restarted {
-                outcome.crash = self.notice_crash().or(silent_crash);
-                outcome.crash = outcome
-                    .crash
-                    .take()
-                    .and_then(|it| it.without_runs_of(report));
+                let crash = self.notice_crash();
+                let silent_crash = silent_crash.and_then(|it| it.without_runs_of(report));
+                let silent_crash = silent_crash.and_then(TargetCrash::without_unconfirmed);
+                outcome.crash = match crash {
+                    Some(crash) => crash.without_runs_of(report),
+                    None => silent_crash,
+                };
             }
             self.boot = report.boot;
             self.acked_through = 0;
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -777,6 +777,26 @@
     assert_eq!((crash.tasks, crash.alone), (vec![task(0)], None));
 }
 
+/// Guards against a task that is blamed for the crash of a target which was silent when the task was
+/// requested: the target has never confirmed the run, and may have been down or out of reach (fault run
+/// with lists of targets that cannot be read).
+#[test]
+fn unconfirmed_run_is_not_suspected_of_a_silent_crash() {
+    let mut holder = Holder::confirmed();
+    holder.start(0, StartAnswer::Accepted(None));
+    holder.start(1, StartAnswer::ConnectionLost);
+    while holder.target.is_reachable() {
+        holder.pause();
+        holder.lose_poll();
+    }
+    holder.now = holder.target.next_due().max(holder.now) + ms(3000);
+    assert_eq!(holder.target.advance(holder.now).len(), 2);
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 1, vec![]);
+    let crash = holder.answer(&plan, &report).crash.expect("a crash");
+    assert_eq!((crash.tasks, crash.alone), (vec![task(0)], None));
+}
+
 /// Guards against a crash that counts for no task because the holder had requested the run before it
 /// learnt that another instance had started it.
 #[test]
