Do not count draining targets as capacity

Cause: `usable_cores` counted the cores of draining targets, which start nothing more. A job was accepted although no target could start it, waited, and was refused only when it was too late; while some targets drain, the shares and the forecast were too large by their cores.

Change: only targets in the state `Ready` count.

Test: `draining_targets_are_no_capacity` fails before the change (no answer after 50 ms) and passes after it.

--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -8,7 +8,7 @@
 
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_types::fleet::{
-    JobSpec, PeerState, QueueSpec, RejectReason, StepSpec, TargetEntry, WaitingWork,
+    JobSpec, PeerState, QueueSpec, RejectReason, StepSpec, TargetEntry, TargetState, WaitingWork,
 };
 use rand::Rng;
 
@@ -216,12 +216,15 @@
         forecast
     }
 
-    /// The usable cores of all targets in open zones that a live VM holds. While the membership changes, all
+    /// The usable cores of all targets in open zones that a live VM holds and that do not drain. While the membership changes, all
     /// listed targets count, because those without a holder will soon have one.
     pub(super) fn usable_cores(&self) -> f64 {
-        let cores = |entry: &TargetEntry| match self.closed_zones.is_closed(&entry.zone) {
-            true => 0,
-            false => u64::from(entry.capacity.cpu.0),
+        let cores = |entry: &TargetEntry| {
+            let starts = entry.state == TargetState::Ready;
+            match starts && !self.closed_zones.is_closed(&entry.zone) {
+                true => u64::from(entry.capacity.cpu.0),
+                false => 0,
+            }
         };
         let millis = if self.is_settling() {
             self.registry.listed().map(|(_, entry)| cores(entry)).sum()
--- a/crates/fleet/tests/load_shedding.rs
+++ b/crates/fleet/tests/load_shedding.rs
@@ -345,6 +345,24 @@
     }
 }
 
+/// Guards against draining targets that count as capacity, so that a job is accepted that no target will
+/// start, and is refused only when it is too late.
+#[test]
+fn draining_targets_are_no_capacity() {
+    let mut fleet = learned_fleet(1, &FleetSettings::default());
+    for target in &mut fleet.targets {
+        target.draining = true;
+    }
+    fleet.run_for(Duration::from_secs(2));
+    let job = fleet.submit(0, JobShape::default());
+    fleet.run_for(Duration::from_millis(50));
+    let reply = fleet.jobs[&job].reply;
+    assert!(
+        matches!(reply, Some(JobReply::Rejected { .. })),
+        "{reply:?}"
+    );
+}
+
 /// Guards against a normal load in which jobs are refused or dropped.
 #[test]
 fn normal_load_sheds_nothing() {
