Do not drop a late job in favour of an arriving one

Cause: `replace_waiting` also chose jobs that can no longer start in time. They wait behind all jobs in time and are not part of the forecast, so that the arriving job was accepted although it still cannot start in time, and the late job was dropped for nothing.

Change: the choice is in `JobTable::find_replaceable` (pure) and leaves out late jobs.

Test: `late_job_is_not_replaced` (job_queue) fails without the new condition and passes with it.

--- a/crates/fleet/src/engine/shedding.rs
+++ b/crates/fleet/src/engine/shedding.rs
@@ -1,15 +1,12 @@
 //! Drops accepted jobs when the capacity has become insufficient.
 
 use filbertpitch_dispatch::entity::JobKey;
-use filbertpitch_types::fleet::{
-    JobReply, PRIORITY_CLASSES, RejectReason, TaskTimeliness, priority_class,
-};
+use filbertpitch_types::fleet::{JobReply, PRIORITY_CLASSES, RejectReason, priority_class};
 use filbertpitch_types::prelude::*;
 use rand::Rng;
 
 use super::{FleetEngine, FleetNotice};
-use crate::job_table::ActiveJob;
-use crate::shedding::{ArrivingJob, CapacityShares, DropReason, LoadForecast, is_replaceable};
+use crate::shedding::{ArrivingJob, CapacityShares, DropReason, LoadForecast};
 
 impl FleetEngine {
     /// Drops waiting jobs that the targets cannot serve, those of the lowest priority first.
@@ -37,7 +34,7 @@
     /// jobs that can.
     fn shed_late_jobs(&mut self, forecast: &LoadForecast, shares: &CapacityShares) {
         let now = self.now();
-        let late = self.jobs.unstarted().filter(|(_, job)| is_late(job, now));
+        let late = self.jobs.unstarted().filter(|(_, job)| job.is_late(now));
         let late = late.map(|(key, _)| key).collect::<Vec<_>>();
         for key in late {
             self.shed_job(key, DropReason::Late, forecast, shares);
@@ -80,15 +77,7 @@
     /// Drops a waiting job in favour of an arriving one of the same priority that is much denser and
     /// can only start after it. Returns whether there is one.
     pub(super) fn replace_waiting(&mut self, arriving: &ArrivingJob) -> bool {
-        let start_by = self.now() + arriving.slack;
-        let jobs = self.jobs.unstarted().filter(|(_, job)| {
-            job.priority == arriving.priority
-                && job.work >= arriving.work
-                && job.start_by(0) <= start_by
-                && is_replaceable(job.density, arriving.density)
-        });
-        let least_dense = jobs.max_by_key(|(_, job)| (job.density, job.arrived));
-        let Some((key, _)) = least_dense else {
+        let Some(key) = self.jobs.find_replaceable(self.now(), arriving) else {
             return false;
         };
         let forecast = self.fleet_load();
@@ -126,9 +115,3 @@
         self.answer_job(key, reply);
     }
 }
-
-fn is_late(job: &ActiveJob, now: TimePoint) -> bool {
-    let positions = 0..job.tasks.len();
-    let mut timeliness = positions.map(|position| job.timeliness(now, position));
-    timeliness.any(|timeliness| timeliness > TaskTimeliness::InTime)
-}
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -16,7 +16,7 @@
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
-use crate::shedding::DensityClass;
+use crate::shedding::{ArrivingJob, DensityClass, is_replaceable};
 
 /// How many run numbers are skipped when a target has already seen the number of a run: another
 /// coordinator may have used the same numbers for the task.
@@ -222,6 +222,13 @@
         }
     }
 
+    /// Whether one of the tasks can no longer start in time.
+    pub fn is_late(&self, now: TimePoint) -> bool {
+        let positions = 0..self.tasks.len();
+        let mut timeliness = positions.map(|position| self.timeliness(now, position));
+        timeliness.any(|timeliness| timeliness > TaskTimeliness::InTime)
+    }
+
     /// The latest useful start of the first task; after this time all tasks are too late unless one
     /// has started.
     pub fn useful_until(&self) -> TimePoint {
@@ -543,6 +550,22 @@
         self.jobs.iter().filter(|(_, job)| job.possible_starts == 0)
     }
 
+    /// The least dense job of which no task may have started and that an arriving job may replace: one of
+    /// the same priority that is no smaller, much less dense, and would start before it. A late job waits
+    /// behind those in time and delays none of them.
+    pub fn find_replaceable(&self, now: TimePoint, arriving: &ArrivingJob) -> Option<JobKey> {
+        let start_by = now + arriving.slack;
+        let jobs = self.unstarted().filter(|(_, job)| {
+            job.priority == arriving.priority
+                && job.work >= arriving.work
+                && job.start_by(0) <= start_by
+                && !job.is_late(now)
+                && is_replaceable(job.density, arriving.density)
+        });
+        let least_dense = jobs.max_by_key(|(_, job)| (job.density, job.arrived));
+        least_dense.map(|(key, _)| key)
+    }
+
     /// The work of the jobs of which no task may have started, in core-milliseconds.
     pub fn droppable_work(&self) -> DensityTable {
         let mut work = DensityTable::default();
--- a/crates/fleet/tests/job_queue.rs
+++ b/crates/fleet/tests/job_queue.rs
@@ -6,6 +6,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::job_table::{JobEstimate, JobPlan, JobTable, TaskPhase, TaskRef};
+use filbertpitch_fleet::shedding::{ArrivingJob, DensityClass};
 use filbertpitch_types::fleet::{JobSpec, StepSpec, TaskTimeliness};
 use filbertpitch_types::prelude::*;
 
@@ -197,6 +198,26 @@
     assert_eq!(total(&jobs), 0);
 }
 
+/// Guards against a late job that is dropped in favour of an arriving one: it waits behind all jobs in
+/// time, so that the arriving job gains nothing.
+#[test]
+fn late_job_is_not_replaced() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 1, ms(300), vec![step(1, &[])]);
+    let job = jobs.get_mut(key).unwrap();
+    job.work = 5600;
+    job.density = DensityClass::of(5600, 1400.0);
+    let arriving = ArrivingJob {
+        priority: 1,
+        density: DensityClass::of(1400, 1400.0),
+        slack: ms(200),
+        work: 1400,
+    };
+    assert_eq!(jobs.find_replaceable(START, &arriving), Some(key));
+    let late = jobs.get(key).unwrap().start_by(0) + ms(1);
+    assert_eq!(jobs.find_replaceable(late, &arriving), None);
+}
+
 /// Guards against a step that starts before the steps that it depends on are done.
 #[test]
 fn steps_wait_for_their_dependencies() {
