Answer questions about capacities also for lists older than a minute

Cause: a peer answered only if it knew all changes since the list of the VM that asks, at most 60 s. After a minute in which no VM could read the list, a VM that still could not read it got no answer for as long as that lasted, and started tasks beyond capacities that had shrunk since. A peer that had just started did not answer either.

Change: a peer with a current list that does not know all changes answers with the present capacities of all targets. The next question covers the time since that answer only.

Test: `a_vm_with_a_very_old_list_learns_lost_capacity_from_a_peer` fails before the change (27 cores on a target of 16) and passes after it.

--- a/crates/fleet/src/capacity_watch.rs
+++ b/crates/fleet/src/capacity_watch.rs
@@ -147,7 +147,8 @@
     }
 
     /// The age of the list, and the present capacities of the targets whose capacities have changed within
-    /// `age`; `None` if this VM does not know all of these changes.
+    /// `age`, or of all targets if this VM does not know all of these changes; `None` if its list is out of
+    /// date.
     pub fn answer(
         &self,
         now: TimePoint,
@@ -155,14 +156,15 @@
     ) -> Option<(Duration, Vec<(TargetIndex, ResourceVector)>)> {
         let period = age + ANSWER_OVERLAP;
         let known_for = now.since(self.first_read_at?);
-        if !self.is_current(now) || known_for < period || period > HISTORY_PERIOD {
+        if !self.is_current(now) {
             return None;
         }
-        let changed = self.histories.iter().filter(|(target, _)| {
+        let knows_changes = known_for >= period && period <= HISTORY_PERIOD;
+        let told = self.histories.iter().filter(|(target, _)| {
             let mut former = self.changes_since(now, **target, period);
-            former.next().is_some()
+            !knows_changes || former.next().is_some()
         });
-        let capacities = changed.map(|(target, history)| (*target, history.current));
+        let capacities = told.map(|(target, history)| (*target, history.current));
         Some((now.since(self.read_at), capacities.collect()))
     }
 
--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -264,6 +264,26 @@
     assert_eq!(held_targets(&fleet), held, "targets were released");
 }
 
+/// Guards against a VM that is never told of lost capacity because its list is older than what its peers
+/// remember: no VM could read the list for a minute, and now all others can.
+#[test]
+fn a_vm_with_a_very_old_list_learns_lost_capacity_from_a_peer() {
+    let mut fleet = cut_fleet(SimOptions::default(), &[0, 1, 2]);
+    fleet.run_for(Duration::from_secs(61));
+    for vm in [1, 2] {
+        fleet.cut_list(vm, false);
+    }
+    fleet.run_for(Duration::from_secs(3));
+    resize_all(&mut fleet, 25);
+    fleet.run_for(Duration::from_millis(4500));
+    // The simulation panics if the tasks of 27 cores are started.
+    fleet.submit(0, shape(4, 27, Duration::from_millis(100)));
+    fleet.run_for(Duration::from_secs(1));
+    let small = fleet.submit(0, shape(6, 16, Duration::from_millis(400)));
+    fleet.run_for(Duration::from_millis(900));
+    assert_eq!(fleet.jobs[&small].reply, Some(JobReply::Completed));
+}
+
 /// Guards against a VM that uses capacity which may be gone while no VM can read the list, although the
 /// target has had less shortly before.
 #[test]
