--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -177,6 +177,14 @@
         self.alone = sole_task(&self.tasks, &self.unconfirmed);
         (!self.tasks.is_empty()).then_some(self)
     }
+
+    /// The crash without the tasks whose runs the target had not confirmed; `None` if no other is left. A
+    /// silent target may have been down, or out of reach, when these runs were requested.
+    fn without_unconfirmed(mut self) -> Option<Self> {
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        self.tasks.retain(|task| !unconfirmed.contains(task));
+        (!self.tasks.is_empty()).then_some(self)
+    }
 }
 
 /// The task, if it is the only one and its run is confirmed.
@@ -782,6 +790,7 @@
         run.phase = RunPhase::Stopping {
             requested_at: now,
             accepted_at: None,
+            confirmed: run.has_started(),
         };
         self.pending_starts.remove(task);
         Some(StopRequest {
@@ -797,7 +806,7 @@
     pub fn overdue_stops(&self, now: TimePoint) -> Vec<TaskName> {
         let interval = self.settings.stop_retry_interval;
         let overdue = self.ledger.runs().filter(|(_, run)| {
-            matches!(run.phase, RunPhase::Stopping { requested_at, accepted_at: None }
+            matches!(run.phase, RunPhase::Stopping { requested_at, accepted_at: None, .. }
                 if now.since(requested_at) >= interval)
         });
         overdue.map(|(task, _)| *task).collect()
@@ -854,11 +863,13 @@
             outcome.restarted = self.boot.is_some();
             let silent_crash = self.silent_crash.take();
             if outcome.restarted {
-                outcome.crash = self.notice_crash().or(silent_crash);
-                outcome.crash = outcome
-                    .crash
-                    .take()
-                    .and_then(|it| it.without_runs_of(report));
+                let crash = self.notice_crash();
+                let silent_crash = silent_crash.and_then(|it| it.without_runs_of(report));
+                let silent_crash = silent_crash.and_then(TargetCrash::without_unconfirmed);
+                outcome.crash = match crash {
+                    Some(crash) => crash.without_runs_of(report),
+                    None => silent_crash,
+                };
             }
             self.boot = report.boot;
             self.acked_through = 0;
@@ -1089,7 +1100,7 @@
         let runs = self.ledger.runs().filter(|(_, run)| !run.target_restarted);
         let runs = runs.collect::<Vec<_>>();
         let tasks = runs.iter().map(|(task, _)| **task).collect::<Vec<_>>();
-        let unconfirmed = runs.iter().filter(|(_, run)| !run.is_confirmed());
+        let unconfirmed = runs.iter().filter(|(_, run)| !run.has_started());
         let unconfirmed = unconfirmed.map(|(task, _)| **task).collect();
         (!tasks.is_empty()).then(|| TargetCrash {
             boot: self.boot,
--- a/crates/fleet/tests/shedding_rules.rs
+++ b/crates/fleet/tests/shedding_rules.rs
@@ -103,6 +103,33 @@
     }
 }
 
+/// Guards against a queue with few jobs whose jobs are all refused in a flood of another one, because the
+/// forecast knows only the cores that the queue has asked for in the last second: one job per second asks
+/// for its work within a second, which is longer than its slack.
+#[test]
+fn rare_job_is_served_in_a_flood_of_a_higher_priority() {
+    let mut forecast = LoadForecast {
+        cores: 1000.0,
+        offered: usual_load([5000, 0, 4]),
+        ..LoadForecast::default()
+    };
+    forecast.waiting.add(0, Duration::from_millis(90), 100_000);
+    let rare = ArrivingJob {
+        work: 4000,
+        ..job(2, class(USUAL))
+    };
+    // The share of the queue by its weight is a ninth of the cores.
+    let admission = forecast.admit(&forecast.shares(), &rare, 0.99);
+    assert_eq!(admission, Admission::Accept);
+    // A second later the queue asks for nothing more, and the job still waits.
+    forecast.offered = usual_load([5000, 0, 0]);
+    forecast.waiting.add(2, Duration::from_millis(300), 4000);
+    forecast.droppable.add(2, USUAL, 4000);
+    let shares = forecast.shares();
+    assert_eq!(forecast.drop_plan(&shares, 2), None);
+    assert!(forecast.time_to_capacity(&shares, 2) < Duration::from_secs(6));
+}
+
 /// Many VMs decide on the same reports. Guards against VMs that together drop the whole of a class that
 /// can be served in part, or nothing of it.
 #[test]
@@ -145,6 +172,32 @@
     assert!((450..550).contains(&accepted), "{accepted}");
 }
 
+/// Guards against dropping jobs that have ample time only because more important work waits: the targets
+/// finish that work after 200 ms, long before the jobs must start.
+#[test]
+fn backlog_of_higher_priorities_drops_no_job_with_enough_slack() {
+    let mut forecast = LoadForecast {
+        cores: 1000.0,
+        offered: usual_load([500, 0, 100]),
+        ..LoadForecast::default()
+    };
+    forecast.waiting.add(0, Duration::from_millis(300), 200_000);
+    forecast.waiting.add(2, Duration::from_millis(700), 10_000);
+    forecast.droppable.add(2, USUAL, 10_000);
+    assert_eq!(forecast.drop_plan(&forecast.shares(), 2), None);
+    // Nothing of a class without waiting work is unserved either.
+    forecast.waiting = WaitingWork::default();
+    forecast.waiting.add(0, Duration::from_millis(300), 200_000);
+    assert_eq!(forecast.drop_plan(&forecast.shares(), 2), None);
+    // What cannot start after the backlog is unserved, and no more than that.
+    forecast.waiting.add(0, Duration::from_millis(300), 800_000);
+    forecast.waiting.add(2, Duration::from_millis(700), 10_000);
+    let plan = forecast.drop_plan(&forecast.shares(), 2);
+    let plan = plan.expect("the backlog lasts longer than the slack");
+    assert!(plan.drops(class(USUAL), 10_000, 0.0));
+    assert!(!plan.drops(class(USUAL), 10_001, 0.0));
+}
+
 /// Guards against a margin that lets a VM drop a job right after it has accepted it.
 #[test]
 fn accepted_jobs_are_not_dropped_by_the_same_forecast() {
