--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! line, the dispatcher and the test tools share one definition of each message.
 
 pub mod caller;
+pub mod configuration;
 pub mod fleet;
 pub mod ids;
 pub mod lease;
