Serve the configuration in force on the metrics port

Cause: no endpoint of a fleet VM showed which queues and limits are in force; only the gauge configuration_version named the version. A check of a configuration before it is published needs the content.

Change: GET /v1/configuration on listen.metrics returns the value of the record whose configuration is in force, unchanged, and 503 not_ready before the first one. A VM keeps a copy of this one value, replaced only when the engine activates a configuration.

Ruled out: the status interface of 'serve' (/v1/status), which fleet VMs do not have.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -188,7 +188,15 @@
             match read_configuration(value) {
                 Ok(configuration) => {
                     let configuration = Rc::new(configuration);
-                    self.driver().feed(FleetEvent::Configured(configuration));
+                    let event = FleetEvent::Configured(Rc::clone(&configuration));
+                    self.driver().feed(event);
+                    let in_force = self.driver().inspect(|engine| {
+                        let active = engine.catalog().configuration();
+                        active.is_some_and(|active| Rc::ptr_eq(active, &configuration))
+                    });
+                    if in_force {
+                        self.keep_published(value);
+                    }
                 }
                 Err(error) => {
                     let text = error.to_string();
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -19,6 +19,9 @@
 
 use super::node::FleetNode;
 
+/// The path of the configuration in force, in the form in which the operator publishes it.
+pub const CONFIGURATION_PATH: &str = "/v1/configuration";
+
 /// The smallest bucket of the histograms, in seconds; each further one is twice as large.
 const SMALLEST_BUCKET: f64 = 0.005;
 const BUCKETS: u16 = 12;
@@ -294,7 +297,7 @@
     }
 }
 
-/// Serves the metrics.
+/// Serves the metrics and the configuration in force.
 pub(super) struct MetricsHandler {
     node: Rc<FleetNode>,
 }
@@ -303,13 +306,8 @@
     pub(super) fn new(node: Rc<FleetNode>) -> Self {
         Self { node }
     }
-}
 
-impl RequestHandler for MetricsHandler {
-    async fn handle(&self, request: ServerRequest) -> ServerResponse {
-        if request.path() != "/metrics" {
-            return ServerResponse::empty(StatusCode::NOT_FOUND);
-        }
+    fn metrics(&self) -> ServerResponse {
         let metrics = self.node.metrics();
         let page = self.node.driver().inspect(|engine| metrics.page(engine));
         ServerResponse {
@@ -320,4 +318,29 @@
             ..ServerResponse::empty(StatusCode::OK)
         }
     }
+
+    fn configuration(&self) -> ServerResponse {
+        match self.node.published_configuration() {
+            Some(body) => ServerResponse {
+                content_type: Some(HeaderValue::from_static("application/json")),
+                body,
+                ..ServerResponse::empty(StatusCode::OK)
+            },
+            None => ServerResponse::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_ready",
+                "no configuration is in force yet",
+            ),
+        }
+    }
+}
+
+impl RequestHandler for MetricsHandler {
+    async fn handle(&self, request: ServerRequest) -> ServerResponse {
+        match request.path() {
+            "/metrics" => self.metrics(),
+            CONFIGURATION_PATH => self.configuration(),
+            _ => ServerResponse::empty(StatusCode::NOT_FOUND),
+        }
+    }
 }
--- a/crates/filbertpitch/src/fleet/mod.rs
+++ b/crates/filbertpitch/src/fleet/mod.rs
@@ -13,5 +13,5 @@
 mod targets;
 
 pub use life::{FleetLife, Ready, Starting};
-pub use metrics::FleetMetrics;
+pub use metrics::{CONFIGURATION_PATH, FleetMetrics};
 pub use node::FleetNode;
--- a/crates/filbertpitch/src/fleet/node.rs
+++ b/crates/filbertpitch/src/fleet/node.rs
@@ -1,8 +1,10 @@
 //! The state of one entry VM of a fleet that its tasks share.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertpitch_fleet::engine::{FleetEngine, FleetSettings};
 use filbertpitch_fleet::held::HeldSettings;
 use filbertpitch_fleet::job_routing::RoutingSettings;
@@ -26,6 +28,8 @@
     store: StoreClient,
     log: EventLog,
     metrics: Rc<FleetMetrics>,
+    /// The configuration in force as the operator has published it.
+    published: RefCell<Option<Bytes>>,
 }
 
 impl FleetNode {
@@ -58,6 +62,7 @@
             store: StoreClient::new(settings.store),
             log,
             metrics,
+            published: RefCell::default(),
         };
         (Rc::new(node), timer_events)
     }
@@ -81,6 +86,17 @@
     pub(super) fn metrics(&self) -> &FleetMetrics {
         &self.metrics
     }
+
+    /// The value of the record whose configuration is in force; `None` before the first one.
+    pub(super) fn published_configuration(&self) -> Option<Bytes> {
+        self.published.borrow().clone()
+    }
+
+    /// Keeps the value of the record whose configuration has come into force.
+    pub(super) fn keep_published(&self, value: &Bytes) {
+        // `value` is a slice of a page of records, which a clone would keep in memory.
+        *self.published.borrow_mut() = Some(Bytes::copy_from_slice(value));
+    }
 }
 
 /// With a shorter delay, runs would end with each interruption that is too short to be noticed as a
