Check a fleet configuration before it is published

Cause: VMs accept a configuration with queues that no job reaches, services without queues, and limits that contradict each other, and ignore one with a version that is not higher; the operator learned of it from refused jobs.

Not built: a required label without a target; labels are stated by jobs, not by the configuration. A time-out below the shortest run has no counterpart; an objective without slack is reported instead.

--- a/crates/filbertpitch/src/cli/arguments.rs
+++ b/crates/filbertpitch/src/cli/arguments.rs
@@ -1,5 +1,6 @@
 //! The arguments of every command.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -33,7 +34,7 @@
     Serve(ServeCommand),
     /// Runs an entry VM of a fleet whose targets run tasks under leases.
     Fleet(FleetCommand),
-    /// Checks a settings file.
+    /// Checks a settings file or a configuration.
     Check(CheckCommand),
     /// Applies and shows tickets.
     Ticket(TicketCommand),
@@ -63,21 +64,58 @@
     pub settings: PathBuf,
 }
 
-/// Check a settings file and report everything that is wrong with it.
+/// Check a settings file, or a configuration of a fleet before it is published, and report
+/// everything that is wrong with it.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
-    /// the file is for `fleet`, not for `serve`
+    /// the configuration of a fleet: the value of its record as JSON
+    #[argh(positional, arg_name = "FILE")]
+    pub file: Option<PathBuf>,
+    /// the settings file is for `fleet`, not for `serve`
     #[argh(switch)]
     pub fleet: bool,
-    /// the settings file
+    /// check this settings file instead of a configuration
     #[argh(option, arg_name = "FILE")]
-    pub settings: PathBuf,
+    pub settings: Option<PathBuf>,
+    /// compare with the configuration in force: its version, which is read from the VM named by
+    /// `--vm`, or a file; write `./7` for a file with the name `7`
+    #[argh(option, arg_name = "VERSION-OR-FILE")]
+    pub against: Option<ConfigurationBase>,
+    /// the metrics address of a VM of the fleet
+    #[argh(option, arg_name = "ADDRESS", from_str_fn(parse_address))]
+    pub vm: Option<SocketAddr>,
+    /// a list of targets: a JSON object with the entry of each target under its name
+    #[argh(option, arg_name = "FILE")]
+    pub targets: Option<PathBuf>,
+    /// treat warnings as errors
+    #[argh(switch)]
+    pub strict: bool,
     /// print the result as JSON
     #[argh(switch)]
     pub json: bool,
 }
 
+/// What a configuration is compared with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigurationBase {
+    /// The configuration with this version, which a VM has in force.
+    Version(ConfigVersion),
+    /// The configuration in this file.
+    File(PathBuf),
+}
+
+impl FromStr for ConfigurationBase {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(match text.parse() {
+            Ok(version) => Self::Version(ConfigVersion(version)),
+            Err(_) => Self::File(text.into()),
+        })
+    }
+}
+
 /// Apply and show the numbered tickets that configure services, targets, teams and limits.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "ticket")]
--- a/crates/filbertpitch/src/cli/mod.rs
+++ b/crates/filbertpitch/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod check;
+mod check_configuration;
 mod error;
 mod exit;
 mod fleet;
@@ -14,9 +15,9 @@
 mod trace;
 
 pub use arguments::{
-    AddressList, Arguments, CheckCommand, Command, FleetCommand, ServeCommand, StatusCommand,
-    SubmitCommand, TicketAction, TicketApplyCommand, TicketCommand, TicketListCommand,
-    TicketShowCommand, TraceCommand,
+    AddressList, Arguments, CheckCommand, Command, ConfigurationBase, FleetCommand, ServeCommand,
+    StatusCommand, SubmitCommand, TicketAction, TicketApplyCommand, TicketCommand,
+    TicketListCommand, TicketShowCommand, TraceCommand,
 };
 pub use error::CommandError;
 pub use exit::ExitStatus;
--- a/crates/filbertpitch/src/lib.rs
+++ b/crates/filbertpitch/src/lib.rs
@@ -4,6 +4,7 @@
 //! They are a library so that the tests reach them.
 
 pub mod cli;
+pub mod configuration;
 pub mod engine_timer;
 pub mod events;
 pub mod fleet;
--- a/crates/filbertpitch/tests/command.rs
+++ b/crates/filbertpitch/tests/command.rs
@@ -49,6 +49,7 @@
         }
         match request.path() {
             "/v1/prefix" => ServerResponse::json(StatusCode::OK, &self.prefix()),
+            "/v1/configuration" => ServerResponse::json(StatusCode::OK, &fleet_configuration(8)),
             "/v1/status" => ServerResponse::json(StatusCode::OK, &status(self.address)),
             "/v1/jobs" => {
                 *self.parent.lock().unwrap() = request.header("traceparent").map(str::to_owned);
@@ -150,6 +151,14 @@
     }
 }
 
+/// The example configuration with another version.
+fn fleet_configuration(version: u64) -> serde_json::Value {
+    let text = std::fs::read(example("configurations/glacis.json")).unwrap();
+    let mut value: serde_json::Value = serde_json::from_slice(&text).unwrap();
+    value["version"] = version.into();
+    value
+}
+
 fn status(address: SocketAddr) -> VmStatus {
     VmStatus {
         incarnation: IncarnationId(0xaa),
@@ -322,6 +331,13 @@
 #[test_case(&["submit", "Cargo.toml", "--via", "127.0.0.1:1"], 2; "not a job file")]
 #[test_case(&["status", "--via", "nowhere"], 2; "invalid address")]
 #[test_case(&["check", "--settings", "/nonexistent"], 2; "no settings file")]
+#[test_case(&["check"], 2; "check without a file")]
+#[test_case(&["check", "/nonexistent"], 2; "no configuration file")]
+#[test_case(&["check", "Cargo.toml", "--settings", "Cargo.toml"], 2; "two files to check")]
+#[test_case(&["check", "Cargo.toml", "--fleet"], 2; "check of a configuration with fleet")]
+#[test_case(&["check", "--settings", "Cargo.toml", "--strict"], 2; "check of settings with strict")]
+#[test_case(&["check", "Cargo.toml", "--against", "8"], 2; "version without a VM")]
+#[test_case(&["check", "Cargo.toml", "--against", "a.json", "--vm", "127.0.0.1:1"], 2; "file with a VM")]
 #[test_case(&["serve", "--settings", "/nonexistent"], 2; "serve without settings")]
 #[test_case(&["--help"], 0; "help")]
 #[test_case(&["serve", "--help"], 0; "help of serve")]
@@ -430,6 +446,85 @@
     assert!(report["findings"].as_array().unwrap().len() > 4);
 }
 
+/// Guards against a report that a script cannot use, warnings that fail a publication without
+/// `--strict`, and a comparison whose failure hides the other findings.
+#[test]
+fn check_of_a_configuration_reports_findings_and_differences() {
+    let (vm, _) = start(JobBehaviour::Invalid);
+    let down = nobody();
+    let file = |version: u64, priority: u8| {
+        let name = format!(
+            "filbertpitch-{}-{version}-{priority}.json",
+            std::process::id()
+        );
+        let mut value = fleet_configuration(version);
+        value["routes"][1]["priority"] = priority.into();
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, value.to_string()).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let (in_force, changed, warned) = (file(8, 1), file(9, 2), file(9, 7));
+    let run = |arguments: &[&str]| {
+        let output = filbertpitch(&[&["check", "--json"], arguments].concat());
+        let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+        (output.status.code(), report)
+    };
+    let targets = example("configurations/glacis-targets.json");
+    let targets = targets.to_str().unwrap();
+    let (code, report) = run(&[&in_force, "--strict", "--targets", targets]);
+    assert_eq!(
+        (code, &report["findings"]),
+        (Some(0), &serde_json::json!([])),
+        "example"
+    );
+    let field = serde_json::json!({ "field": "priority", "from": "1", "to": "2" });
+    for base in [
+        &["--against", &in_force][..],
+        &["--against", "8", "--vm", &vm],
+    ] {
+        let (code, report) = run(&[&[&*changed], base].concat());
+        assert_eq!(code, Some(0), "{report}");
+        assert_eq!(report["against"]["version"], 8);
+        assert_eq!(report["differences"][0]["name"], "middle");
+        assert_eq!(
+            report["differences"][0]["fields"],
+            serde_json::json!([field])
+        );
+    }
+    let (code, report) = run(&["Cargo.toml", "--against", "7", "--vm", &vm]);
+    assert_eq!(
+        (code, &report["version"]),
+        (Some(2), &serde_json::Value::Null)
+    );
+    let kinds = report["findings"].as_array().unwrap().iter();
+    let kinds = kinds.map(|found| found["kind"].as_str().unwrap());
+    assert_eq!(
+        kinds.collect::<Vec<_>>(),
+        ["invalid", "other_version_in_force"]
+    );
+    assert_eq!(run(&[&warned]).0, Some(0));
+    let (code, report) = run(&[&warned, "--strict"]);
+    assert_eq!((code, &report["valid"]), (Some(2), &false.into()));
+    assert_eq!(report["findings"][0]["kind"], "priority_without_weight");
+    let (code, report) = run(&[&in_force, "--against", "8", "--vm", &vm]);
+    assert_eq!(code, Some(2));
+    assert_eq!(report["findings"][0]["kind"], "version_not_newer");
+    let (code, report) = run(&[&changed, "--against", "7", "--vm", &vm]);
+    assert_eq!((code, &report["against"]["version"]), (Some(2), &8.into()));
+    assert_eq!(report["findings"][0]["kind"], "other_version_in_force");
+    let (code, report) = run(&[&warned, "--against", "8", "--vm", &down]);
+    assert_eq!(code, Some(3));
+    assert_eq!(report["findings"].as_array().unwrap().len(), 1);
+    assert!(report["against_error"].as_str().unwrap().contains(&down));
+    let table = filbertpitch(&["check", &changed, "--against", &in_force]);
+    assert!(text(&table.stdout).contains("changed  routes  middle  priority  1     2"));
+    let error = filbertpitch(&["check", &in_force, "--against", &changed]);
+    assert!(text(&error.stderr).contains("error: version: running VMs ignore version 8"));
+    for path in [in_force, changed, warned] {
+        std::fs::remove_file(path).unwrap();
+    }
+}
+
 /// Guards against a trace that the client announces and cannot show, and against a response whose
 /// fields move when it is traced.
 #[test]
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -52,6 +52,19 @@
     }
 }
 
+/// The queue that a request with this host and path addresses: the one with the longest matching path
+/// prefix, and the last of these if several have the same one.
+pub fn addressed_queue<'a>(
+    queues: &'a [QueueSpec],
+    host: &str,
+    path: &str,
+) -> Option<&'a QueueSpec> {
+    let matching = queues
+        .iter()
+        .filter(|queue| *queue.host == *host && path.starts_with(&*queue.path_prefix));
+    matching.max_by_key(|queue| queue.path_prefix.len())
+}
+
 impl QueueCatalog {
     /// Activates a configuration if it is newer than the active one. Returns whether it was
     /// activated.
@@ -80,11 +93,7 @@
 
     /// Finds the queue with the longest matching path prefix for a host and a path.
     pub fn match_request<'a>(&self, host: &str, path: &'a str) -> Option<QueueMatch<'a>> {
-        let queues = &self.configuration.as_ref()?.queues;
-        let matching = queues
-            .iter()
-            .filter(|queue| *queue.host == *host && path.starts_with(&*queue.path_prefix));
-        let queue = matching.max_by_key(|queue| queue.path_prefix.len())?;
+        let queue = addressed_queue(&self.configuration.as_ref()?.queues, host, path)?;
         Some(QueueMatch {
             queue: self.queues.get(&queue.name)?,
             rest: &path[queue.path_prefix.len()..],
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -61,7 +61,7 @@
 }
 
 /// An entry of a fleet configuration, identified by its name.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConfigurationEntry {
     /// A queue.
     Queue(QueueName),
