Divide run times away from the preferred rack before they are learned

Cause: a run away from the rack that its task prefers takes far_factor times as long. Coordinators and holders learned it as a slow target, as a slow kind and as a long run time of its queue.

Change: the coordinator divides the run time by far_factor; the expected run time of a holder's run contains the factor. The holder knows the rack from the new field PlaceRequest::preferred_rack (the last one), so that a task which the holder moves to another target is compared correctly. Ruled out: leaving these runs out, because in a burst of a hot rack most runs of a kind may be away from it.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -601,7 +601,7 @@
                 kept.push(KeptRun {
                     run: *run,
                     resources: job.step_of(task.position).resources,
-                    expected_ms: millis(job.expected_of(task.position)),
+                    expected_ms: millis(self.expected_on(task, index)),
                 });
             }
         }
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -321,14 +321,18 @@
 
     fn finish_task(&mut self, task: TaskRef, notice: &EndNotice) {
         let now = self.now();
-        let job = self.jobs.get_mut(task.job).expect("the job is live");
+        let job = self.jobs.get(task.job).expect("the job is live");
         let queue = job.queue;
-        let declared = job.step_of(task.position).declared;
+        let step = job.step_of(task.position);
+        let declared = step.declared;
+        let rack = step.rack();
         if let Some(took) = notice.took_ms {
-            let took = Duration::from_millis(took.into());
             let target = self.registry.find(&notice.target);
+            let rack_factor = target.map_or(1.0, |target| self.rack_factor(rack, target));
+            let took = Duration::from_millis(took.into()).div_f64(rack_factor);
             let factor = target.map_or(1.0, |target| self.kind_speeds.factor_of(target));
             let normalised = took.div_f64(factor);
+            let job = self.jobs.get_mut(task.job).expect("the job is live");
             job.longest_run = job.longest_run.max(normalised);
             self.catalog.observe(queue, declared, normalised);
             let cold = |target| self.registry.cold_until(target) > Some(now);
--- a/crates/fleet/src/engine/kinds.rs
+++ b/crates/fleet/src/engine/kinds.rs
@@ -99,13 +99,34 @@
         }
     }
 
+    /// The factor on the run time of a task on a target because of the rack that the task prefers.
+    pub(super) fn rack_factor(&self, preferred: Option<RackId>, target: TargetIndex) -> f64 {
+        let is_near = preferred.is_none_or(|rack| {
+            let labels = self.registry.entry(target).map(|entry| &entry.labels);
+            labels.is_none_or(|labels| {
+                let mut labels = labels.iter();
+                labels.any(|label| RackId::of_label(label) == rack)
+            })
+        });
+        match is_near {
+            true => 1.0,
+            false => self.settings.far_factor,
+        }
+    }
+
+    /// The expected run time of a task on a target, apart from the speed of the target.
+    pub(super) fn expected_on(&self, task: TaskRef, target: TargetIndex) -> Duration {
+        let job = self.jobs.get(task.job).expect("the job is live");
+        let factor = self.rack_factor(job.step_of(task.position).rack(), target);
+        job.expected_of(task.position).mul_f64(factor)
+    }
+
     /// The racks that this VM's most urgent waiting tasks prefer.
     pub(super) fn preferred_racks(&self) -> RackTable {
         let mut racks = Vec::new();
         for task in self.jobs.waiting().take(RACK_SEARCH_LIMIT) {
             let job = self.jobs.get(task.job).expect("the job is live");
-            let rack = job.step_of(task.position).preferred_rack.as_ref();
-            if let Some(rack) = rack.map(|rack| RackId::of_label(rack))
+            if let Some(rack) = job.step_of(task.position).rack()
                 && !racks.contains(&rack)
             {
                 racks.push(rack);
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -467,6 +467,7 @@
             issued_at: self.now(),
             tasks: vec![order],
             losses: self.losses_declared_by(holder),
+            preferred_rack: job.step_of(task.position).rack(),
         })
     }
 
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -83,7 +83,8 @@
             resources: Some(order.resources),
             coordinator: Some(coordinator),
             queue: self.catalog.index(&request.queue),
-            expected: Duration::from_millis(order.expected_ms.into()),
+            expected: Duration::from_millis(order.expected_ms.into())
+                .mul_f64(self.rack_factor(request.preferred_rack, target)),
             since: now,
             lease_limit: TimePoint(u64::MAX),
             target_restarted: false,
--- a/crates/fleet/tests/uneven_targets.rs
+++ b/crates/fleet/tests/uneven_targets.rs
@@ -373,6 +373,29 @@
     }
 }
 
+/// Guards against runs away from the preferred rack that are learned as slow targets of their kind, by
+/// coordinators and by holders.
+#[test]
+fn runs_away_from_the_rack_do_not_make_a_kind_slow() {
+    for seed in 0..3 {
+        let mut fleet = uneven_fleet(seed, true);
+        for (index, target) in fleet.targets.iter_mut().enumerate() {
+            // All targets of kind `b`, and none of kind `a`, are outside the rack.
+            target.labels = match index % 3 {
+                2 => vec!["b".into(), rack_label(1)],
+                _ => vec!["a".into(), rack_label(0)],
+            };
+        }
+        fleet.queue_racks.extend((0..3).map(|queue| (queue, 0)));
+        run_load(&mut fleet, 5.0, CORES, &WEIGHTS, |_| 130.0);
+        for vm in 0..fleet.vm_count() {
+            let ratio = ratio(fleet.engine(vm).kind_speeds()).expect("the speeds are known");
+            println!("seed {seed}, VM {vm}: {ratio:.2}");
+            assert!((1.9..3.1).contains(&ratio), "seed {seed}, VM {vm}: {ratio}");
+        }
+    }
+}
+
 /// Guards against tasks that wait for a rack whose targets are gone.
 #[test]
 fn no_task_waits_for_a_lost_rack() {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -201,6 +201,14 @@
     pub unsupported: Option<&'static str>,
 }
 
+impl StepSpec {
+    /// The id of the preferred rack.
+    pub fn rack(&self) -> Option<RackId> {
+        let label = self.preferred_rack.as_ref();
+        label.map(|label| RackId::of_label(label))
+    }
+}
+
 /// A job as submitted by a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobSpec {
@@ -782,6 +790,8 @@
     /// The losses of the coordinator that, as far as it knew, the holder had declared. A holder
     /// refuses a request from before its latest loss: the coordinator counts it as dropped.
     pub losses: LossCount,
+    /// The rack away from which the tasks run longer.
+    pub preferred_rack: Option<RackId>,
 }
 
 /// Why a holder does not run a task. The task has certainly not started and will not start.
