--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -261,7 +261,7 @@
                     run: task.run,
                 },
                 resources: job.step_of(placed.task.position).resources,
-                expected_ms: millis(job.expected_of(placed.task.position)),
+                expected_ms: millis(self.expected_on(placed.task, placed.target)),
                 origin,
             };
             let keep = FleetMessage::Keep {
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -472,6 +472,7 @@
             tasks: vec![order],
             losses: self.losses_declared_by(holder),
             origin: None,
+            preferred_rack: job.step_of(task.position).rack(),
         })
     }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -201,6 +201,14 @@
     pub unsupported: Option<&'static str>,
 }
 
+impl StepSpec {
+    /// The id of the preferred rack.
+    pub fn rack(&self) -> Option<RackId> {
+        let label = self.preferred_rack.as_ref();
+        label.map(|label| RackId::of_label(label))
+    }
+}
+
 /// A job as submitted by a client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobSpec {
@@ -787,6 +795,8 @@
     /// The process of the VM that has forwarded the job, if one has. The envelope states until when the
     /// coordinator has heard it.
     pub origin: Option<IncarnationId>,
+    /// The rack away from which the tasks run longer.
+    pub preferred_rack: Option<RackId>,
 }
 
 /// Why a holder does not run a task. The task has certainly not started and will not start.
