--- a/crates/fleet/tests/link_table.rs
+++ b/crates/fleet/tests/link_table.rs
@@ -49,6 +49,7 @@
         capacities: Vec::new(),
         zones: Vec::new(),
         routing: RoutingReport::default(),
+        origins: Vec::new(),
     }
 }
 
