Ignore runs that began before a cold phase of their target

Cause: is_run_typical took every run that ended in a cold phase as typical of it, also a run that began before and was cold in part only. The speed of a kind was learned from runs that ended after a cold phase but began in it.

Change: a cold phase has a start; runs from before it do not change the target's cold slowdown. Holders learn the speed of a kind from typical runs only, and coordinators from runs that were requested after the cold phase.

Test: runs_from_before_a_cold_phase_say_nothing failed before and passes. The learning of kinds has no test of its own.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -549,12 +549,10 @@
         let now = self.now();
         let took = now.since(run.since);
         self.kind_speeds.record_use(now, target);
-        if end == RunEnd::Done
-            && self
-                .registry
-                .cold_until(target)
-                .is_none_or(|until| until <= now)
-        {
+        let health = self.held.get_mut(&target)?.health_mut();
+        health.advance(now);
+        let typical = health.is_run_typical(run.since);
+        if end == RunEnd::Done && typical && !health.is_cold() {
             self.learn_as_holder(target, run, took);
         }
         let held = self.held.get_mut(&target)?;
@@ -562,8 +560,7 @@
             RunEnd::Done => {
                 self.counters.runs_done += 1;
                 let health = held.health_mut();
-                health.advance(now);
-                let expected = match health.is_run_typical(run.since) {
+                let expected = match typical {
                     true => run.expected.mul_f64(self.kind_speeds.factor_of(target)),
                     false => std::time::Duration::ZERO,
                 };
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -326,6 +326,10 @@
         let step = job.step_of(task.position);
         let declared = step.declared;
         let rack = step.rack();
+        let requested_at = match job.tasks[task.position].phase {
+            TaskPhase::Placed { requested_at, .. } => requested_at,
+            _ => job.arrived,
+        };
         if let Some(took) = notice.took_ms {
             let target = self.registry.find(&notice.target);
             let rack_factor = target.map_or(1.0, |target| self.rack_factor(rack, target));
@@ -335,7 +339,7 @@
             let job = self.jobs.get_mut(task.job).expect("the job is live");
             job.longest_run = job.longest_run.max(normalised);
             self.catalog.observe(queue, declared, normalised);
-            let cold = |target| self.registry.cold_until(target) > Some(now);
+            let cold = |target| self.registry.cold_until(target) > Some(requested_at);
             if let Some(target) = target.filter(|target| !cold(*target)) {
                 let row = (queue, RunRole::Coordinator);
                 self.kind_speeds.observe(row, target, took, declared);
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -67,6 +67,7 @@
 /// A time in which a target is slow, for example because its caches are empty.
 #[derive(Clone, Copy, Debug)]
 struct ColdPhase {
+    since: TimePoint,
     until: TimePoint,
     /// As in [`TargetHealth`].
     slowdown: f64,
@@ -94,7 +95,11 @@
             (Some(until), Some(cold)) => cold.until = until,
             (Some(until), None) => {
                 let slowdown = self.slowdown;
-                self.cold = Some(ColdPhase { until, slowdown });
+                self.cold = Some(ColdPhase {
+                    since: now,
+                    until,
+                    slowdown,
+                });
             }
             (None, Some(cold)) => cold.until = cold.until.min(now),
             (None, None) => {}
@@ -109,10 +114,16 @@
         }
     }
 
+    /// Whether the target is slow for a while.
+    pub fn is_cold(&self) -> bool {
+        self.cold.is_some()
+    }
+
     /// Whether a run that has started at `since` and ends now says something about the speed of the
     /// target: not if the target was slow during a part of it only.
     pub fn is_run_typical(&self, since: TimePoint) -> bool {
-        self.cold.is_some() || self.cold_ended_at.is_none_or(|ended| ended <= since)
+        let began_at = self.cold.map(|cold| cold.since).or(self.cold_ended_at);
+        began_at.is_none_or(|began| began <= since)
     }
 
     /// Records a completed run and compares its run time with the expected one.
--- a/crates/fleet/tests/target_health.rs
+++ b/crates/fleet/tests/target_health.rs
@@ -227,6 +227,20 @@
     assert!(health.is_run_typical(START + ms(3000)));
 }
 
+/// Guards against the speed of a cold target that is learned from runs which were cold in part.
+#[test]
+fn runs_from_before_a_cold_phase_say_nothing() {
+    let mut health = TargetHealth::new(HealthSettings::default());
+    health.set_cold_until(START + ms(200), Some(START + ms(3000)));
+    assert!(!health.is_run_typical(START));
+    assert!(health.is_run_typical(START + ms(200)));
+    // A renewed entry does not begin another cold phase.
+    health.set_cold_until(START + ms(900), Some(START + ms(3100)));
+    assert!(health.is_run_typical(START + ms(500)));
+    health.advance(START + ms(3100));
+    assert!(!health.is_run_typical(START + ms(500)));
+}
+
 /// Guards against a target that counts as cold although its entry says that it no longer is.
 #[test]
 fn cold_time_follows_the_entry() {
