Derive density classes from the cost of refusing a job; remove unused functions

Cause: refusal_cost was called by tests only, beside class bounds that repeated it as relative work. is_empty of KindSpeedTable and RackTable had no caller.

Change: DensityClass::of compares the cost per core-millisecond with that at the bounds of the classes, so that another exponent changes both. Classes are the same as before (classes_follow_the_density, random works).

--- a/crates/fleet/src/shedding.rs
+++ b/crates/fleet/src/shedding.rs
@@ -18,11 +18,14 @@
 /// ask for more than they get, they share the capacity in these proportions.
 const PRIORITY_WEIGHTS: [f64; PRIORITY_CLASSES] = [8.0, 4.0, 2.0, 1.0];
 
+/// A priority of the last class, whose weight is 1.
+const LOWEST_PRIORITY: u8 = u8::MAX;
+
 /// The cost of refusing a job grows with this power of its work.
 const COST_EXPONENT: f64 = 0.5;
 
-/// The upper bounds of the density classes but the last, as work relative to the usual work of the
-/// queue. A larger job is less dense.
+/// The least dense jobs of the density classes but the last, given by their work relative to the usual
+/// work of the queue.
 const CLASS_BOUNDS: [f64; DENSITY_CLASSES - 1] = [0.5, 0.8, 1.25, 2.0, 3.2];
 
 /// A typical relative work of each density class, to convert work into a number of jobs.
@@ -63,8 +66,8 @@
 impl DensityClass {
     /// The class of a job with this work in a queue with this usual work, both in core-milliseconds.
     pub fn of(work: u64, usual: f64) -> Self {
-        let relative = work as f64 / usual.max(1.0);
-        let class = CLASS_BOUNDS.partition_point(|bound| relative > *bound);
+        let density = refusal_cost(LOWEST_PRIORITY, work, usual) / work as f64;
+        let class = CLASS_BOUNDS.partition_point(|bound| density < relative_cost(*bound) / bound);
         Self(u8::try_from(class).unwrap_or(u8::MAX))
     }
 
@@ -84,7 +87,12 @@
 pub fn refusal_cost(priority: u8, work: u64, usual: f64) -> f64 {
     let usual = usual.max(1.0);
     let weight = PRIORITY_WEIGHTS[priority_class(priority)];
-    weight * usual * (work as f64 / usual).powf(COST_EXPONENT)
+    weight * usual * relative_cost(work as f64 / usual)
+}
+
+/// The cost of refusing a job with this relative work, relative to that of a job of usual size.
+fn relative_cost(work: f64) -> f64 {
+    work.powf(COST_EXPONENT)
 }
 
 /// Why an accepted job of which nothing has started is dropped.
--- a/crates/fleet/tests/shedding_rules.rs
+++ b/crates/fleet/tests/shedding_rules.rs
@@ -49,6 +49,22 @@
     assert_eq!(class(2), DensityClass::default());
 }
 
+proptest! {
+    /// Guards against classes in another order than the cost per core-millisecond, and against bounds that
+    /// move when the cost is computed in another way.
+    #[test]
+    fn classes_follow_the_density(works in prop::array::uniform2(0_u64..2_000_000), usual in 0.0_f64..300_000.0) {
+        let [lesser, greater] = [works[0].min(works[1]), works[0].max(works[1])];
+        prop_assert!(DensityClass::of(lesser, usual) <= DensityClass::of(greater, usual));
+        let relative = greater as f64 / usual.max(1.0);
+        let bounds = [0.5, 0.8, 1.25, 2.0, 3.2];
+        if bounds.iter().all(|bound| (relative / bound - 1.0).abs() > 1e-9) {
+            let index = bounds.iter().filter(|bound| relative > **bound).count();
+            prop_assert_eq!(DensityClass::of(greater, usual).index(), index);
+        }
+    }
+}
+
 /// Guards against a flood of one queue that takes what others ask for within their shares.
 #[test]
 fn flood_leaves_the_shares_of_other_priorities() {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -577,11 +577,6 @@
 pub struct RackTable([RackId; RACK_LIMIT]);
 
 impl RackTable {
-    /// Whether no rack is reported.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
-    }
-
     /// The racks.
     pub fn into_racks(self) -> impl Iterator<Item = RackId> {
         self.0.into_iter().filter(|rack| *rack != RackId::default())
@@ -672,11 +667,6 @@
 pub struct KindSpeedTable([KindSpeedReport; KIND_LIMIT]);
 
 impl KindSpeedTable {
-    /// Whether no speed is reported.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
-    }
-
     /// The reports.
     pub fn into_reports(self) -> impl Iterator<Item = KindSpeedReport> {
         self.0.into_iter().filter(|report| report.weight > 0)
