Send the stated time-out of the client with a forwarded job

Cause: the receiver knows only the remaining time of the client, and predicts and learns run times from it. The time-out that the client has stated is longer by the time at the first VM and by the time for the way back. A job that the first VM takes back has the same fault.

Change: ClientTimeout has the stated and the remaining time. Run times follow the former, deadlines the latter. Forwarded jobs carry both; the path is /peer/job/2.

Measured: receiver_learns_from_the_stated_timeout and deadline_follows_the_remaining_time fail if the job keeps the remaining time (5.995 s instead of 6 s; 5 s instead of 5.2 s), and pass.

--- a/crates/filbertpitch/src/fleet/callers.rs
+++ b/crates/filbertpitch/src/fleet/callers.rs
@@ -7,7 +7,7 @@
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_platform::callers::{self, CallerRequest, JobOperation};
-use filbertpitch_types::fleet::{JobSpec, PeerState};
+use filbertpitch_types::fleet::{ClientTimeout, JobSpec, PeerState};
 use filbertpitch_types::prelude::*;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::server::RequestHandler;
@@ -60,27 +60,24 @@
         };
         let outcome = forwarding::forward(&self.driver, job, call, request, arrived).await;
         let client_timeout = match outcome {
-            None => call.client_timeout,
+            None => ClientTimeout::from(call.client_timeout),
             Some(ForwardOutcome::Relayed(response)) => return response,
             Some(ForwardOutcome::Replied(reply)) => return callers::job_response(reply),
-            Some(ForwardOutcome::TakenBack) => {
-                call.client_timeout.saturating_sub(arrived.elapsed())
-            }
-        };
-        let call = CallerRequest {
-            client_timeout,
-            ..call.clone()
+            Some(ForwardOutcome::TakenBack) => ClientTimeout {
+                stated: call.client_timeout,
+                remaining: call.client_timeout.saturating_sub(arrived.elapsed()),
+            },
         };
         let submitted = submit_job(
             &self.driver,
-            &call,
+            &call.host,
             request.path(),
             request,
             |caller, job| FleetEvent::JobSubmitted {
                 caller,
                 queue: job.queue,
                 spec: job.spec,
-                client_timeout: job.client_timeout,
+                client_timeout,
             },
         );
         submitted
@@ -125,14 +122,13 @@
 pub(super) struct DecodedJob {
     pub(super) queue: KindIndex,
     pub(super) spec: JobSpec,
-    pub(super) client_timeout: Duration,
 }
 
 /// Submits the job in the body of `request` to the engine and waits for the reply. `path` is the path of
-/// the client's request. Returns `None` if no queue has this host and path.
+/// the client's request to `host`. Returns `None` if no queue has this host and path.
 pub(super) async fn submit_job<F>(
     driver: &Rc<FleetDriver>,
-    call: &CallerRequest,
+    host: &str,
     path: &str,
     request: &ServerRequest,
     event: F,
@@ -141,7 +137,7 @@
     F: FnOnce(CallerToken, DecodedJob) -> FleetEvent,
 {
     let (queue, id) = driver.inspect(|engine| {
-        let found = engine.catalog().match_request(&call.host, path)?;
+        let found = engine.catalog().match_request(host, path)?;
         Some((found.queue, found.rest.parse::<JobId>()))
     })?;
     let spec = match id.map(|id| callers::read_job(id, request)) {
@@ -149,11 +145,7 @@
         Ok(Err(error)) => return Some(callers::invalid_response(&error.to_string())),
         Err(error) => return Some(callers::invalid_response(&error.to_string())),
     };
-    let job = DecodedJob {
-        queue,
-        spec,
-        client_timeout: call.client_timeout,
-    };
+    let job = DecodedJob { queue, spec };
     let reply = driver.submit(|caller| event(caller, job)).await;
     Some(match reply {
         Some(reply) => callers::job_response(reply),
--- a/crates/filbertpitch/src/fleet/forwarding.rs
+++ b/crates/filbertpitch/src/fleet/forwarding.rs
@@ -12,8 +12,8 @@
 
 use filbertpitch_fleet::engine::{FleetEvent, ForwardOrigin, JobRoute};
 use filbertpitch_fleet::job_routing::ForwardingEnd;
-use filbertpitch_platform::callers::{self, CallerRequest, JobOperation};
-use filbertpitch_types::fleet::JobReply;
+use filbertpitch_platform::callers::{self, CallerRequest};
+use filbertpitch_types::fleet::{ClientTimeout, JobReply};
 use filbertpitch_types::prelude::*;
 use filbertpitch_wire::client::{
     ClientError, ConnectionPool, PoolLimits, RequestOptions, SentState,
@@ -29,12 +29,14 @@
 use super::driver::FleetDriver;
 
 /// Where jobs are forwarded. The number changes with the headers.
-pub(super) const JOB_PATH: &str = "/peer/job/1";
+pub(super) const JOB_PATH: &str = "/peer/job/2";
 
 /// The host of the client's request.
 const HOST_HEADER: &str = "filbertpitch-job-host";
 /// The path of the client's request.
 const PATH_HEADER: &str = "filbertpitch-job-path";
+/// The time-out of the client as it has stated it, in milliseconds.
+const STATED_TIMEOUT_HEADER: &str = "filbertpitch-job-stated-timeout";
 /// How long the client still waits, in milliseconds.
 const TIMEOUT_HEADER: &str = "filbertpitch-job-timeout";
 /// The VM that forwards the job: incarnation, time of sending, loss count and name, separated by spaces.
@@ -288,11 +290,14 @@
     origin: &ForwardOrigin,
     remaining: Duration,
 ) -> Option<ClientRequest> {
-    let timeout = remaining.saturating_sub(RELAY_TIME).as_millis();
     let forwarded = peer_request(Method::POST, &call.host, request.path())?
         .with_header(
             HeaderName::from_static(TIMEOUT_HEADER),
-            HeaderValue::from(u64::try_from(timeout).unwrap_or(u64::MAX)),
+            header_millis(remaining.saturating_sub(RELAY_TIME)),
+        )
+        .with_header(
+            HeaderName::from_static(STATED_TIMEOUT_HEADER),
+            header_millis(call.client_timeout),
         )
         .with_header(
             HeaderName::from_static(ORIGIN_HEADER),
@@ -306,6 +311,15 @@
     })
 }
 
+fn header_millis(duration: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn read_millis(request: &ServerRequest, header: &str) -> Option<Duration> {
+    let millis = request.header(header)?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
 fn peer_request(method: Method, host: &str, path: &str) -> Option<ClientRequest> {
     let request = ClientRequest::new(method, Uri::from_static(JOB_PATH));
     let host = HeaderValue::try_from(host).ok()?;
@@ -414,7 +428,10 @@
     path: &str,
 ) -> Option<ServerResponse> {
     let origin = read_origin(request.header(ORIGIN_HEADER)?)?;
-    let timeout = request.header(TIMEOUT_HEADER)?.parse::<u64>().ok()?;
+    let client_timeout = ClientTimeout {
+        stated: read_millis(request, STATED_TIMEOUT_HEADER)?,
+        remaining: read_millis(request, TIMEOUT_HEADER)?,
+    };
     let origin = driver.admit(&origin)?;
     let job = driver.inspect(|engine| {
         let found = engine.catalog().match_request(host, path)?;
@@ -424,18 +441,13 @@
         // The job is coordinated by a third VM, and is forwarded only once.
         return None;
     }
-    let call = CallerRequest {
-        operation: JobOperation::Submit,
-        host: host.into(),
-        client_timeout: Duration::from_millis(timeout),
-    };
-    submit_job(driver, &call, path, request, |caller, job| {
+    submit_job(driver, host, path, request, |caller, job| {
         FleetEvent::JobReceived {
             origin,
             caller,
             queue: job.queue,
             spec: job.spec,
-            client_timeout: job.client_timeout,
+            client_timeout,
         }
     })
     .await
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -8,7 +8,7 @@
 
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_types::fleet::{
-    JobSpec, PeerState, QueueSpec, RejectReason, StepSpec, TargetEntry, WaitingWork,
+    ClientTimeout, JobSpec, PeerState, QueueSpec, RejectReason, StepSpec, TargetEntry, WaitingWork,
 };
 use rand::Rng;
 
@@ -61,7 +61,7 @@
         &mut self,
         queue: KindIndex,
         order: &JobSpec,
-        client_timeout: Duration,
+        client_timeout: ClientTimeout,
     ) -> Result<JobPlan, JobRejection> {
         match self.state {
             PeerState::Starting => return Err(JobRejection::now(RejectReason::NotReady)),
@@ -119,13 +119,13 @@
         queue: KindIndex,
         spec: &QueueSpec,
         order: &JobSpec,
-        client_timeout: Duration,
+        client_timeout: ClientTimeout,
     ) -> JobPlan {
         let steps = order.steps.iter();
         let expected = steps
             .map(|step| {
                 self.catalog
-                    .predict_run_time(queue, step.declared, client_timeout)
+                    .predict_run_time(queue, step.declared, client_timeout.stated)
             })
             .collect::<Vec<_>>();
         let run_time = expected.iter().sum::<Duration>();
@@ -138,7 +138,7 @@
             work: job_work(order, &expected),
             ..JobEstimate::default()
         };
-        let client_timeout = client_timeout.min(self.settings.client_timeout_limit);
+        let client_timeout = client_timeout.limited(self.settings.client_timeout_limit);
         JobPlan {
             queue,
             priority: spec.priority,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -7,8 +7,8 @@
 use filbertpitch_dispatch::entity::{KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    EnvelopeAck, FleetConfiguration, JobReply, JobSpec, PeerEnvelope, PeerObservation,
-    RejectReason, TargetChange, ZoneChange, ZoneRead,
+    ClientTimeout, EnvelopeAck, FleetConfiguration, JobReply, JobSpec, PeerEnvelope,
+    PeerObservation, RejectReason, TargetChange, ZoneChange, ZoneRead,
 };
 use filbertpitch_types::lease::{
     CallOptions, PollResult, RunRequest, StartAnswer, StopRequest, StopResult,
@@ -61,8 +61,8 @@
         queue: KindIndex,
         /// The job.
         spec: JobSpec,
-        /// How long the client waits for the answer, from now on.
-        client_timeout: Duration,
+        /// How long the client waits for the answer.
+        client_timeout: ClientTimeout,
     },
     /// Another VM has forwarded a job of one of its clients to this VM.
     JobReceived {
@@ -74,8 +74,8 @@
         queue: KindIndex,
         /// The job.
         spec: JobSpec,
-        /// How long the client waits for the answer, from now on.
-        client_timeout: Duration,
+        /// How long the client waits for the answer.
+        client_timeout: ClientTimeout,
     },
     /// The exchange in which a job was forwarded has ended.
     ForwardingEnded {
--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -7,7 +7,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    FleetMessage, JobReply, JobSpec, KeptRun, OriginContact, PeerState,
+    ClientTimeout, FleetMessage, JobReply, JobSpec, KeptRun, OriginContact, PeerState,
 };
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
@@ -162,7 +162,7 @@
         caller: CallerToken,
         queue: KindIndex,
         spec: JobSpec,
-        client_timeout: Duration,
+        client_timeout: ClientTimeout,
     ) {
         self.counters.jobs_received += 1;
         self.router.start_received(caller, origin);
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -5,7 +5,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    EndNotice, FleetMessage, JobReply, JobSpec, PlaceRefusal, RejectReason,
+    ClientTimeout, EndNotice, FleetMessage, JobReply, JobSpec, PlaceRefusal, RejectReason,
 };
 use filbertpitch_types::prelude::*;
 
@@ -23,7 +23,7 @@
         caller: CallerToken,
         queue: KindIndex,
         order: JobSpec,
-        client_timeout: Duration,
+        client_timeout: ClientTimeout,
     ) {
         if let Some(job) = self.jobs.find(order.id) {
             // The client has sent its job again, for example on a new connection; it waits for the
@@ -69,7 +69,7 @@
         let now = self.now();
         self.counters.jobs_accepted += 1;
         let (id, estimate, queue) = (order.id, plan.estimate, plan.queue);
-        let client_timeout = plan.client_timeout;
+        let client_timeout = plan.client_timeout.stated;
         let key = self.jobs.accept(now, caller, order, plan);
         let job = &self.jobs.get(key).expect("the job was accepted");
         let (give_up, tasks) = (job.client_deadline, job.tasks.len());
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -11,7 +11,9 @@
 
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
-use filbertpitch_types::fleet::{DensityTable, JobSpec, StepSpec, TaskTimeliness, WaitingWork};
+use filbertpitch_types::fleet::{
+    ClientTimeout, DensityTable, JobSpec, StepSpec, TaskTimeliness, WaitingWork,
+};
 use filbertpitch_types::prelude::*;
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -160,7 +162,7 @@
     pub arrived: TimePoint,
     /// The time in which the job should be answered.
     pub objective: Duration,
-    /// How long the client waits for the answer.
+    /// How long the client waits for the answer, as it has stated.
     pub client_timeout: Duration,
     /// When the client stops waiting for the answer.
     pub client_deadline: TimePoint,
@@ -304,7 +306,7 @@
     /// What is expected of the job as a whole.
     pub estimate: JobEstimate,
     /// How long the client waits for the answer.
-    pub client_timeout: Duration,
+    pub client_timeout: ClientTimeout,
     /// The expected run time of a task on a target of mean speed, for each step.
     pub expected: Vec<Duration>,
 }
@@ -351,8 +353,8 @@
             density: plan.estimate.density,
             arrived: now,
             objective: plan.estimate.objective,
-            client_timeout: plan.client_timeout,
-            client_deadline: now + plan.client_timeout,
+            client_timeout: plan.client_timeout.stated,
+            client_deadline: now + plan.client_timeout.remaining,
             longest_run: Duration::ZERO,
             expected: plan.expected,
             unfinished: tasks.len(),
--- a/crates/fleet/tests/job_forwarding.rs
+++ b/crates/fleet/tests/job_forwarding.rs
@@ -142,6 +142,27 @@
     );
 }
 
+/// Guards against run times that a receiver learns from what is left of the client's time-out, a few ms
+/// less than the time-out that the client has stated.
+#[test]
+fn receiver_learns_from_the_stated_timeout() {
+    let mut fleet = small_fleet(1);
+    let shape = JobShape {
+        cores: 4,
+        client_timeout: ms(6000),
+        ..JobShape::default()
+    };
+    fleet.submit(FIRST, shape);
+    fleet.run_for(ms(100));
+    let accepted = fleet.notices.iter().filter_map(|(_, vm, notice)| {
+        let FleetNotice::JobAccepted { client_timeout, .. } = notice else {
+            return None;
+        };
+        Some((*vm, *client_timeout))
+    });
+    assert_eq!(accepted.collect::<Vec<_>>(), [(RECEIVER, ms(6000))]);
+}
+
 /// The only VM of the other zone, which holds the targets there.
 const HOLDER: usize = 2;
 
--- a/crates/fleet/tests/job_queue.rs
+++ b/crates/fleet/tests/job_queue.rs
@@ -6,7 +6,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::job_table::{JobEstimate, JobPlan, JobTable, TaskPhase, TaskRef};
-use filbertpitch_types::fleet::{JobSpec, StepSpec, TaskTimeliness};
+use filbertpitch_types::fleet::{ClientTimeout, JobSpec, StepSpec, TaskTimeliness};
 use filbertpitch_types::prelude::*;
 
 const START: TimePoint = TimePoint(1_000_000);
@@ -43,7 +43,10 @@
             objective,
             ..JobEstimate::default()
         },
-        client_timeout: ms(5000),
+        client_timeout: ClientTimeout {
+            stated: ms(5200),
+            remaining: ms(5000),
+        },
         expected: vec![ms(100); steps.len()],
     };
     let order = JobSpec {
@@ -71,6 +74,17 @@
     waiting.map(|task| jobs.task(task).name.job.0).collect()
 }
 
+/// Guards against a job that is answered after its client has left because the client's time-out was partly
+/// used up before the job arrived, and against run times that are learned from the rest of it.
+#[test]
+fn deadline_follows_the_remaining_time() {
+    let mut jobs = JobTable::default();
+    let key = accept(&mut jobs, 1, 0, ms(1000), vec![step(1, &[])]);
+    let job = jobs.get(key).expect("accepted above");
+    assert_eq!(job.client_deadline, START + ms(5000));
+    assert_eq!(job.client_timeout, ms(5200));
+}
+
 /// Guards against an important job that waits behind less important ones, and against an urgent job
 /// that waits behind those with more time.
 #[test]
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1779,7 +1779,7 @@
             caller,
             queue: KindIndex::from(job.shape.queue),
             spec: job.order(id),
-            client_timeout: job.shape.client_timeout,
+            client_timeout: job.shape.client_timeout.into(),
         };
         self.feed(vm, event);
     }
--- a/crates/fleet/tests/support/world/forwarding.rs
+++ b/crates/fleet/tests/support/world/forwarding.rs
@@ -1,14 +1,19 @@
 //! Jobs that a VM forwards to another VM, and the connections on which they wait.
 
+use std::time::Duration;
+
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{FleetEvent, ForwardOrigin};
 use filbertpitch_fleet::job_routing::ForwardingEnd;
-use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::fleet::{ClientTimeout, JobReply};
 use filbertpitch_types::prelude::*;
 
 use super::{SimEvent, SimFleet};
 
+/// The part of the client's time-out that the first VM keeps to relay the answer.
+const RELAY_TIME: Duration = Duration::from_millis(5);
+
 /// An exchange between two processes.
 #[derive(Debug)]
 pub(super) struct SimExchange {
@@ -128,7 +133,10 @@
             caller,
             queue: KindIndex::from(job.shape.queue),
             spec: job.order(id),
-            client_timeout: job.shape.client_timeout,
+            client_timeout: ClientTimeout {
+                stated: job.shape.client_timeout,
+                remaining: job.shape.client_timeout.saturating_sub(RELAY_TIME),
+            },
         };
         self.feed(vm, event);
     }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -299,6 +299,34 @@
     }
 }
 
+/// How long a client waits for the answer of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientTimeout {
+    /// As the client has stated it. Run times are predicted from it.
+    pub stated: Duration,
+    /// What is left of it for this VM: less if the job was forwarded, or was taken back.
+    pub remaining: Duration,
+}
+
+impl ClientTimeout {
+    /// Both times, up to `limit`.
+    pub fn limited(self, limit: Duration) -> Self {
+        Self {
+            stated: self.stated.min(limit),
+            remaining: self.remaining.min(limit),
+        }
+    }
+}
+
+impl From<Duration> for ClientTimeout {
+    fn from(stated: Duration) -> Self {
+        Self {
+            stated,
+            remaining: stated,
+        }
+    }
+}
+
 /// The result of a job as reported to its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobReply {
