Derive the time for the way back of a forwarded answer from the lateness

Cause: the receiver must answer 5 ms before the client's deadline. A VM that forwards is late by 8 ms and more, so that it passes on an answer at the deadline after it.

Change: the first VM keeps twice its mean lateness, at least 5 ms. The factor is chosen, not measured: many events are handled later than the mean.

--- a/crates/filbertpitch/src/fleet/forwarding.rs
+++ b/crates/filbertpitch/src/fleet/forwarding.rs
@@ -51,9 +51,6 @@
 /// The most connections to one VM, each with one job.
 const CONNECTIONS: usize = 64;
 
-/// The time in which an answer at the client's deadline is passed on.
-const RELAY_TIME: Duration = Duration::from_millis(5);
-
 /// The longest time for an answer, which is that of a job coordinated by this VM.
 const MAX_EXCHANGE_TIME: Duration = Duration::from_secs(60);
 
@@ -208,7 +205,7 @@
     };
     let remaining = call.client_timeout.saturating_sub(arrived.elapsed());
     let remaining = remaining.min(MAX_EXCHANGE_TIME);
-    let forwarded = forwarded_request(call, request, &route.origin, remaining);
+    let forwarded = forwarded_request(call, request, route, remaining);
     let pool = driver.forwarder().pool(route.address);
     let (end, ended) = oneshot::channel();
     let exchange = run_exchange(guard, pool, forwarded, remaining, ended);
@@ -287,13 +284,13 @@
 fn forwarded_request(
     call: &CallerRequest,
     request: &ServerRequest,
-    origin: &ForwardOrigin,
+    route: &JobRoute,
     remaining: Duration,
 ) -> Option<ClientRequest> {
     let forwarded = peer_request(Method::POST, &call.host, request.path())?
         .with_header(
             HeaderName::from_static(TIMEOUT_HEADER),
-            header_millis(remaining.saturating_sub(RELAY_TIME)),
+            header_millis(remaining.saturating_sub(route.relay_time)),
         )
         .with_header(
             HeaderName::from_static(STATED_TIMEOUT_HEADER),
@@ -301,7 +298,7 @@
         )
         .with_header(
             HeaderName::from_static(ORIGIN_HEADER),
-            write_origin(origin)?,
+            write_origin(&route.origin)?,
         );
     let content_type = request.headers.get(CONTENT_TYPE).cloned();
     Some(ClientRequest {
--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -45,6 +45,8 @@
     pub address: SocketAddr,
     /// What the receiver needs to know of this VM.
     pub origin: ForwardOrigin,
+    /// How long before the client's deadline the receiver must answer.
+    pub relay_time: Duration,
 }
 
 impl FleetEngine {
@@ -94,6 +96,7 @@
         let link = self.links[receiver].as_ref()?;
         Some(JobRoute {
             address: link.identity().address,
+            relay_time: self.router.relay_time(),
             origin: ForwardOrigin {
                 vm: self.identity.vm.clone(),
                 incarnation: self.identity.incarnation,
--- a/crates/fleet/src/job_routing.rs
+++ b/crates/fleet/src/job_routing.rs
@@ -64,6 +64,13 @@
 /// zone is 600 ms at 147 VMs.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(700);
 
+/// The least time in which an answer at the client's deadline is passed on, on a VM that is not late.
+const MIN_RELAY_TIME: Duration = Duration::from_millis(5);
+
+/// The time in which a late VM passes on an answer, as a multiple of its mean lateness: many events are
+/// handled later than the mean.
+const RELAY_LATENESS_FACTOR: u32 = 2;
+
 /// How long a job that its receiver has not taken is not forwarded again. Clients wait about two
 /// seconds.
 const TAKEN_BACK_PERIOD: Duration = Duration::from_secs(5);
@@ -234,6 +241,11 @@
         self.lateness.mean
     }
 
+    /// The part of a client's time-out that this VM keeps to pass on the answer of a receiver.
+    pub fn relay_time(&self) -> Duration {
+        MIN_RELAY_TIME.max(self.lateness.mean * RELAY_LATENESS_FACTOR)
+    }
+
     /// Whether this VM may forward jobs.
     pub fn forwards(&self) -> bool {
         self.late && self.settings.enabled
--- a/crates/fleet/tests/job_routing.rs
+++ b/crates/fleet/tests/job_routing.rs
@@ -311,6 +311,20 @@
     );
 }
 
+/// Guards against an answer at the client's deadline that a late VM passes on after it.
+#[test]
+fn time_for_the_way_back_follows_the_lateness() {
+    let on_time = JobRouter::new(RoutingSettings::default(), MilliCores(500));
+    assert_eq!(on_time.relay_time(), ms(5));
+    let late = late_router(90);
+    assert!(
+        late.relay_time() > late.lateness(),
+        "{:?}",
+        late.relay_time()
+    );
+    assert!(late.relay_time() < ms(100), "{:?}", late.relay_time());
+}
+
 /// Guards against a switch without effect.
 #[test]
 fn disabled_forwarding_offers_and_forwards_nothing() {
--- a/crates/fleet/tests/support/world/forwarding.rs
+++ b/crates/fleet/tests/support/world/forwarding.rs
@@ -11,9 +11,6 @@
 
 use super::{SimEvent, SimFleet};
 
-/// The part of the client's time-out that the first VM keeps to relay the answer.
-const RELAY_TIME: Duration = Duration::from_millis(5);
-
 /// An exchange between two processes.
 #[derive(Debug)]
 pub(super) struct SimExchange {
@@ -23,6 +20,8 @@
     generation: u64,
     job: JobId,
     send: u64,
+    /// How long before the client's deadline the receiver must answer.
+    relay_time: Duration,
     /// The receiver's caller while the job is not answered.
     caller: Option<CallerToken>,
     /// Whether the first VM waits for the answer.
@@ -82,6 +81,7 @@
             generation: self.vms[receiver].generation,
             job,
             send,
+            relay_time: route.relay_time,
             caller: None,
             open: true,
         });
@@ -112,9 +112,9 @@
     }
 
     fn receive_exchange(&mut self, exchange: usize, origin: &ForwardOrigin) {
-        let (vm, id) = {
+        let (vm, id, relay_time) = {
             let state = &self.exchanges[exchange];
-            (state.receiver, state.job)
+            (state.receiver, state.job, state.relay_time)
         };
         let clock = self.clock_of(vm);
         let engine = self.vms[vm].engine.as_mut();
@@ -135,7 +135,7 @@
             spec: job.order(id),
             client_timeout: ClientTimeout {
                 stated: job.shape.client_timeout,
-                remaining: job.shape.client_timeout.saturating_sub(RELAY_TIME),
+                remaining: job.shape.client_timeout.saturating_sub(relay_time),
             },
         };
         self.feed(vm, event);
