Log and count the capacities learned from peers

Cause: a VM that cannot read the list of targets uses the smaller capacities that a peer reports. Neither the log nor the metrics showed it.

Change: the event capacity_learned [807] and the counter capacities_learned_total, once for each target of whose capacity the VM uses less than before. Repeated answers are not counted again.

Measured: each_capacity_learned_from_a_peer_is_reported_once (all six targets shrink while one VM cannot read the list; answers repeat every 500 ms).

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -233,6 +233,9 @@
     806 KindSpeedLearned "kind_speed_learned" Info
         "The speed of a kind of targets is known, or has changed by a quarter; `factor_percent` is its run time relative to the mean."
         "None; if it changes often, compare the targets of the kind.";
+    807 CapacityLearned "capacity_learned" Info
+        "This VM cannot read the list of targets, and another one has reported a smaller capacity of a target; `cores_m` is what this VM uses at most, `age_ms` how long ago the other VM had read the list."
+        "Check the connection to the platform's store.";
     900 JobAccepted "job_accepted" Info
         "A job was accepted."
         "None.";
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -228,6 +228,11 @@
             "Forwarded jobs without an answer of the receiver",
             counters.forwardings_failed,
         ),
+        (
+            "capacities_learned",
+            "Smaller capacities of targets that a peer has reported",
+            counters.capacities_learned,
+        ),
     ];
     for (name, help, value) in values {
         let counter = Counter::<u64>::default();
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -307,6 +307,20 @@
                 "runs" => weight.round() as u32
             ),
         ),
+        FleetNotice::CapacityLearned {
+            target,
+            peer,
+            capacity,
+            age,
+        } => log.record(
+            LogEvent::CapacityLearned,
+            b!(
+                "target" => target.as_str(),
+                "peer" => peer.as_str(),
+                "cores_m" => capacity.cpu.0,
+                "age_ms" => millis(*age)
+            ),
+        ),
         FleetNotice::ProcessPaused(gap) => {
             log.record(LogEvent::ProcessPaused, b!("gap_ms" => millis(*gap)));
         }
--- a/crates/fleet/src/capacity_watch.rs
+++ b/crates/fleet/src/capacity_watch.rs
@@ -166,24 +166,33 @@
         Some((now.since(self.read_at), capacities.collect()))
     }
 
-    /// Applies the answer of a peer whose list was `age` old when the question of `asked_at` arrived.
+    /// Applies the answer of a peer whose list was `age` old when the question of `asked_at` arrived. Returns
+    /// the targets of whose capacity this VM uses less than before, with the new capacities.
     pub fn record_answer<I>(
         &mut self,
         now: TimePoint,
         asked_at: TimePoint,
         age: Duration,
         capacities: I,
-    ) where
+    ) -> Vec<(TargetIndex, ResourceVector)>
+    where
         I: IntoIterator<Item = (TargetIndex, ResourceVector)>,
     {
+        let mut learned = Vec::new();
         if asked_at <= self.read_at || asked_at > now {
-            return;
+            return learned;
         }
         self.confirmed_at = self.confirmed_at.max(asked_at - age);
         self.unanswered = 0;
         for (target, capacity) in capacities {
-            let smallest = self.reported.entry(target).or_insert(capacity);
-            *smallest = smallest.component_min(capacity);
+            let listed = self.histories.get(&target).map(|history| history.current);
+            let known = self.reported.get(&target).copied().or(listed);
+            let smallest = known.map_or(capacity, |known| known.component_min(capacity));
+            if known != Some(smallest) {
+                learned.push((target, smallest));
+            }
+            self.reported.insert(target, smallest);
         }
+        learned
     }
 }
--- a/crates/fleet/src/engine/capacities.rs
+++ b/crates/fleet/src/engine/capacities.rs
@@ -7,8 +7,8 @@
 use filbertpitch_types::prelude::*;
 use rand::seq::IndexedRandom;
 
-use super::FleetEngine;
 use super::holding::millis;
+use super::{FleetEngine, FleetNotice};
 
 impl FleetEngine {
     /// Runs periodically: asks a peer while the list is out of date, and limits what is used of the
@@ -82,6 +82,7 @@
     /// Applies what a peer knows about the capacities.
     pub(super) fn receive_capacities(
         &mut self,
+        from: VmIndex,
         asked_at: TimePoint,
         age_ms: u32,
         changed: &[TargetCapacity],
@@ -92,8 +93,16 @@
         let changed = changed.collect::<Vec<_>>();
         let age = Duration::from_millis(age_ms.into());
         let now = self.now();
-        self.capacity_watch
-            .record_answer(now, asked_at, age, changed);
+        let watch = &mut self.capacity_watch;
+        for (target, capacity) in watch.record_answer(now, asked_at, age, changed) {
+            self.counters.capacities_learned += 1;
+            self.notice(FleetNotice::CapacityLearned {
+                target: self.registry.name(target).clone(),
+                peer: self.vms.name(from).clone(),
+                capacity,
+                age,
+            });
+        }
         self.limit_capacities();
     }
 }
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -471,6 +471,17 @@
         /// The weight of the estimate, in runs.
         weight: f64,
     },
+    /// A peer has reported a smaller capacity of a target, while this VM cannot read the list.
+    CapacityLearned {
+        /// The target.
+        target: TargetName,
+        /// The peer.
+        peer: VmName,
+        /// The capacity of which this VM uses no more from now on.
+        capacity: ResourceVector,
+        /// How long before its answer the peer has read the list.
+        age: Duration,
+    },
     /// The process was not scheduled for this long.
     ProcessPaused(Duration),
 }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -317,7 +317,7 @@
                 asked_at,
                 age_ms,
                 changed,
-            } => self.receive_capacities(asked_at, age_ms, &changed),
+            } => self.receive_capacities(from, asked_at, age_ms, &changed),
         }
     }
 
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -68,6 +68,8 @@
     pub jobs_received: u64,
     /// Forwarded jobs without an answer of the receiver, those taken back included.
     pub forwardings_failed: u64,
+    /// Smaller capacities of targets that this VM has learned from a peer while it could not read the list.
+    pub capacities_learned: u64,
 }
 
 /// A snapshot of the engine's state.
--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -5,8 +5,10 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use filbertpitch_fleet::engine::FleetNotice;
 use filbertpitch_fleet::ledger::{CapacityLedger, RunPhase, TargetRun};
 use filbertpitch_types::fleet::{JobReply, RejectReason};
 use filbertpitch_types::prelude::*;
@@ -266,6 +268,31 @@
     assert_eq!(held_targets(&fleet), held, "targets were released");
 }
 
+/// Guards against capacities learned from a peer that no log line and no counter shows, and against a log
+/// line for each of the repeated answers.
+#[test]
+fn each_capacity_learned_from_a_peer_is_reported_once() {
+    let mut fleet = cut_fleet(SimOptions::default(), &[0]);
+    resize_all(&mut fleet, 25);
+    fleet.run_for(Duration::from_millis(4500));
+    let learned = fleet.notices.iter().filter_map(|(_, vm, notice)| {
+        let FleetNotice::CapacityLearned {
+            target, capacity, ..
+        } = notice
+        else {
+            return None;
+        };
+        assert_eq!((*vm, capacity.cpu), (0, MilliCores(16_000)));
+        Some(target.clone())
+    });
+    let learned = learned.collect::<Vec<_>>();
+    let targets = fleet.targets.len();
+    assert_eq!(learned.len(), targets);
+    assert_eq!(learned.into_iter().collect::<BTreeSet<_>>().len(), targets);
+    let counted = |vm| fleet.engine(vm).counters().capacities_learned;
+    assert_eq!((counted(0), counted(1)), (targets as u64, 0));
+}
+
 /// Guards against a VM that uses capacity which may be gone while no VM can read the list, although the
 /// target has had less shortly before.
 #[test]
