--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -7,7 +7,7 @@
 use filbertpitch_dispatch::entity::{JobKey, KindIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_types::fleet::{
-    FleetMessage, JobReply, JobSpec, KeptRun, OriginContact, PeerState,
+    ClientTimeout, FleetMessage, JobReply, JobSpec, KeptRun, OriginContact, PeerState,
 };
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
@@ -45,6 +45,8 @@
     pub address: SocketAddr,
     /// What the receiver needs to know of this VM.
     pub origin: ForwardOrigin,
+    /// How long before the client's deadline the receiver must answer.
+    pub relay_time: Duration,
 }
 
 impl FleetEngine {
@@ -94,6 +96,7 @@
         let link = self.links[receiver].as_ref()?;
         Some(JobRoute {
             address: link.identity().address,
+            relay_time: self.router.relay_time(),
             origin: ForwardOrigin {
                 vm: self.identity.vm.clone(),
                 incarnation: self.identity.incarnation,
@@ -162,7 +165,7 @@
         caller: CallerToken,
         queue: KindIndex,
         spec: JobSpec,
-        client_timeout: Duration,
+        client_timeout: ClientTimeout,
     ) {
         self.counters.jobs_received += 1;
         self.router.start_received(caller, origin);
--- a/crates/fleet/tests/support/world/forwarding.rs
+++ b/crates/fleet/tests/support/world/forwarding.rs
@@ -1,10 +1,12 @@
 //! Jobs that a VM forwards to another VM, and the connections on which they wait.
 
+use std::time::Duration;
+
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{FleetEvent, ForwardOrigin};
 use filbertpitch_fleet::job_routing::ForwardingEnd;
-use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::fleet::{ClientTimeout, JobReply};
 use filbertpitch_types::prelude::*;
 
 use super::{SimEvent, SimFleet};
@@ -18,6 +20,8 @@
     generation: u64,
     job: JobId,
     send: u64,
+    /// How long before the client's deadline the receiver must answer.
+    relay_time: Duration,
     /// The receiver's caller while the job is not answered.
     caller: Option<CallerToken>,
     /// Whether the first VM waits for the answer.
@@ -77,6 +81,7 @@
             generation: self.vms[receiver].generation,
             job,
             send,
+            relay_time: route.relay_time,
             caller: None,
             open: true,
         });
@@ -107,9 +112,9 @@
     }
 
     fn receive_exchange(&mut self, exchange: usize, origin: &ForwardOrigin) {
-        let (vm, id) = {
+        let (vm, id, relay_time) = {
             let state = &self.exchanges[exchange];
-            (state.receiver, state.job)
+            (state.receiver, state.job, state.relay_time)
         };
         let clock = self.clock_of(vm);
         let engine = self.vms[vm].engine.as_mut();
@@ -128,7 +133,10 @@
             caller,
             queue: KindIndex::from(job.shape.queue),
             spec: job.order(id),
-            client_timeout: job.shape.client_timeout,
+            client_timeout: ClientTimeout {
+                stated: job.shape.client_timeout,
+                remaining: job.shape.client_timeout.saturating_sub(relay_time),
+            },
         };
         self.feed(vm, event);
     }
