fleet: search candidates with fewer lookups, and in one function

Cause: for each pair of task and candidate the search looked up job, queue, service and entry again; each pass hashed the labels of all targets and computed the factor of each kind by an exponential; each reading of a peer's demand copied the report. place_waiting and receive_offer contained the same loop. An offer was declined only after the speeds and the backlog of the fleet were computed, also if no task waited.

Change: what belongs to the task is looked up once. The registry keeps the rack ids of a target, KindSpeeds the factor of a kind. RackDemand is sorted, without duplicates. match_waiting serves both places; SearchScope keeps their one difference. An offer is declined at once if nothing waits.

--- a/crates/fleet/src/engine/kinds.rs
+++ b/crates/fleet/src/engine/kinds.rs
@@ -116,12 +116,9 @@
 
     /// The racks that waiting tasks of this VM and of its live peers prefer.
     pub(super) fn racks_in_demand(&self) -> RackDemand {
-        let mut demand = RackDemand::default();
-        demand.add(self.preferred_racks());
-        for link in self.links.iter().flatten().filter(|link| link.is_live()) {
-            demand.add(link.demand().racks);
-        }
-        demand
+        let live = self.links.iter().flatten().filter(|link| link.is_live());
+        let reports = live.map(|link| link.demand().racks);
+        reports.chain([self.preferred_racks()]).collect()
     }
 
     /// Whether the rack that a task prefers has targets that could run it if they were idle.
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -10,7 +10,8 @@
 
 use filbertpitch_dispatch::entity::{JobKey, TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{
-    DemandReport, FleetMessage, OfferNumber, PeerState, PlaceRequest, TaskPlacement, TaskRank,
+    DemandReport, FleetMessage, OfferNumber, PeerState, PlaceRequest, TargetEntry, TaskPlacement,
+    TaskRank,
 };
 use filbertpitch_types::prelude::*;
 
@@ -105,6 +106,23 @@
     holder: VmIndex,
 }
 
+/// The tasks for which a target was found.
+struct MatchResult {
+    choices: Vec<TaskChoice>,
+    /// Whether some tasks wait for a better target.
+    some_wait: bool,
+}
+
+/// Which targets a search considers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SearchScope {
+    /// All that have free capacity.
+    AllTargets,
+    /// One that a holder has offered. Here, tasks that wait for their trial count towards the limit
+    /// of the search.
+    OfferedTarget,
+}
+
 impl FleetEngine {
     /// Asks holders to run as many waiting tasks as there is free capacity for, the most urgent
     /// first.
@@ -119,17 +137,32 @@
         if candidates.is_empty() {
             return;
         }
+        let found = self.match_waiting(&mut candidates, SearchScope::AllTargets);
+        if found.some_wait {
+            self.schedule_fast_wait();
+        }
+        self.request_places(found.choices, None);
+    }
+
+    /// Chooses candidates for as many waiting tasks as possible, the most urgent first. Then places
+    /// those that could wait for a better target but do not.
+    fn match_waiting(
+        &self,
+        candidates: &mut [PlacementCandidate],
+        scope: SearchScope,
+    ) -> MatchResult {
         let context = self.speed_context();
         let mut choices = Vec::new();
         let mut deferred = Vec::new();
         let mut unplaced = 0;
         for task in self.jobs.waiting() {
-            match self.choose_candidate(task, &candidates, context.as_ref()) {
+            match self.choose_candidate(task, candidates, context.as_ref()) {
                 CandidateChoice::Place(position) => {
-                    choices.push(self.use_candidate(task, &mut candidates, position));
+                    choices.push(self.use_candidate(task, candidates, position));
                 }
                 // A task that waits for its trial says nothing about the others.
-                CandidateChoice::None if self.needs_trial(task) => {}
+                CandidateChoice::None
+                    if scope == SearchScope::AllTargets && self.needs_trial(task) => {}
                 CandidateChoice::Defer(_) if deferred.len() < SEARCH_LIMIT => {
                     deferred.push(task);
                 }
@@ -143,18 +176,16 @@
         }
         let deferred_len = deferred.len();
         let ready = self.stop_waiting(deferred, context.as_ref());
-        if ready.len() < deferred_len {
-            self.schedule_fast_wait();
-        }
+        let some_wait = ready.len() < deferred_len;
         for task in ready {
             if let Some(position) = self
-                .choose_candidate(task, &candidates, context.as_ref())
+                .choose_candidate(task, candidates, context.as_ref())
                 .position()
             {
-                choices.push(self.use_candidate(task, &mut candidates, position));
+                choices.push(self.use_candidate(task, candidates, position));
             }
         }
-        self.request_places(choices, None);
+        MatchResult { choices, some_wait }
     }
 
     /// Takes the capacity for a task from a candidate.
@@ -186,7 +217,10 @@
         if tasks.is_empty() {
             return tasks;
         }
-        let overloaded = self.is_backlogged();
+        let overloaded = match context {
+            Some(context) => context.overloaded,
+            None => self.is_backlogged(),
+        };
         tasks.retain(|task| {
             let budget = self.task_budget(*task);
             let for_fast = context.is_some_and(|context| context.permits_waiting(&budget));
@@ -222,7 +256,7 @@
                     free,
                     capacity: entry.capacity,
                     slowdown: held.health().slowdown() * self.kind_speeds.factor_of(*target),
-                    rack_in_demand: racks.includes(&entry.labels),
+                    rack_in_demand: racks.includes(self.registry.racks(*target)),
                     hop_cost_ms: hop_cost(entry.zone == *own_zone, true),
                     reserved,
                     competing_rank: competing
@@ -250,7 +284,7 @@
                         free,
                         capacity: entry.capacity,
                         slowdown: f64::from(holding.report.slowdown_percent) / 100.0,
-                        rack_in_demand: racks.includes(&entry.labels),
+                        rack_in_demand: racks.includes(self.registry.racks(holding.target)),
                         hop_cost_ms: hop_cost(local, false),
                         reserved: false,
                         competing_rank: None,
@@ -296,8 +330,13 @@
         if self.must_await_trial(task) {
             return CandidateChoice::None;
         }
+        let Some(service) = self.catalog.spec(job.queue).map(|spec| &spec.service) else {
+            return CandidateChoice::None;
+        };
+        let label = step.required_label.as_ref();
+        let state = &job.tasks[task.position];
         let budget = self.task_budget(task);
-        let suits = |candidate: &&PlacementCandidate| {
+        let suits = |candidate: &PlacementCandidate, entry: &TargetEntry| {
             if candidate
                 .competing_rank
                 .is_some_and(|competing_rank| competing_rank < rank)
@@ -310,17 +349,22 @@
             };
             admits
                 && step.resources.fits(&candidate.free)
-                && self.suits_target(task, candidate.target)
+                && entry.service == *service
+                && label.is_none_or(|label| entry.labels.contains(label))
+                && !state.excluded.contains(&candidate.target)
+                && self.within_spread_limit(task, candidate.target)
         };
-        let suitable = candidates
+        let listed = candidates
             .iter()
             .enumerate()
-            .filter(|(_, candidate)| suits(candidate));
-        let costs = suitable.map(|(position, candidate)| {
-            let near = step.preferred_rack.as_ref().is_none_or(|rack| {
-                let entry = self.registry.entry(candidate.target);
-                entry.is_some_and(|entry| entry.labels.contains(rack))
+            .filter_map(|(position, candidate)| {
+                let entry = self.registry.entry(candidate.target)?;
+                Some((position, candidate, entry))
             });
+        let suitable = listed.filter(|(_, candidate, entry)| suits(candidate, entry));
+        let costs = suitable.map(|(position, candidate, entry)| {
+            let rack = step.preferred_rack.as_ref();
+            let near = rack.is_none_or(|rack| entry.labels.contains(rack));
             let far = if near { 1.0 } else { self.settings.far_factor };
             let expected = expected.mul_f64(far);
             let speed = TargetSpeed {
@@ -548,38 +592,14 @@
         }];
         let now = self.now();
         self.jobs.requeue_late(now);
-        let context = self.speed_context();
-        let mut choices = Vec::new();
-        let mut deferred = Vec::new();
-        let mut unplaced = 0;
-        for task in self.jobs.waiting() {
-            match self.choose_candidate(task, &offered, context.as_ref()) {
-                CandidateChoice::Place(position) => {
-                    choices.push(self.use_candidate(task, &mut offered, position));
-                }
-                CandidateChoice::Defer(_) if deferred.len() < SEARCH_LIMIT => {
-                    deferred.push(task);
-                }
-                CandidateChoice::None | CandidateChoice::Defer(_) => {
-                    unplaced += 1;
-                    if unplaced >= SEARCH_LIMIT {
-                        break;
-                    }
-                }
-            }
-        }
-        for task in self.stop_waiting(deferred, context.as_ref()) {
-            if let Some(position) = self
-                .choose_candidate(task, &offered, context.as_ref())
-                .position()
-            {
-                choices.push(self.use_candidate(task, &mut offered, position));
-            }
+        if self.jobs.waiting_len() == 0 {
+            return self.send(from, FleetMessage::Decline(offer));
         }
-        if choices.is_empty() {
+        let found = self.match_waiting(&mut offered, SearchScope::OfferedTarget);
+        if found.choices.is_empty() {
             return self.send(from, FleetMessage::Decline(offer));
         }
-        self.request_places(choices, Some(offer));
+        self.request_places(found.choices, Some(offer));
     }
 
     /// The demand that peers learn of: the waiting tasks of this VM and the offered load.
--- a/crates/fleet/src/kind_speed.rs
+++ b/crates/fleet/src/kind_speed.rs
@@ -125,6 +125,8 @@
     own: KindEstimate,
     /// The same, with what peers have learned.
     pooled: KindEstimate,
+    /// The factor on run times by the pooled estimate.
+    factor: f64,
     /// The change of the pooled estimate with the last update.
     log_change: f64,
     /// The speed that was last announced.
@@ -190,6 +192,7 @@
             listed: 0,
             own: KindEstimate::default(),
             pooled: KindEstimate::default(),
+            factor: 1.0,
             log_change: 0.0,
             announced: None,
         });
@@ -203,7 +206,7 @@
     /// The factor on run times of a target's kind; 1 if it is not known.
     pub fn factor_of(&self, target: TargetIndex) -> f64 {
         let kind = self.kind_of(target);
-        kind.map_or(1.0, |kind| self.kinds[kind].pooled.log_factor.exp())
+        kind.map_or(1.0, |kind| self.kinds[kind].factor)
     }
 
     /// The change of `factor_of` with the last update, as a natural logarithm.
@@ -350,6 +353,7 @@
         self.normalise(|kind| &mut kind.pooled);
         for kind in &mut self.kinds {
             kind.log_change += kind.pooled.log_factor;
+            kind.factor = kind.pooled.log_factor.exp();
         }
         let kinds = self.kinds.iter_mut();
         kinds.filter_map(KindState::announce).collect()
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -344,8 +344,8 @@
     }
 
     /// The waiting tasks that the peer has reported.
-    pub fn demand(&self) -> DemandReport {
-        self.demand
+    pub fn demand(&self) -> &DemandReport {
+        &self.demand
     }
 
     /// When the report of the peer's waiting tasks arrived.
--- a/crates/fleet/src/rack_demand.rs
+++ b/crates/fleet/src/rack_demand.rs
@@ -19,21 +19,31 @@
 const OVERLOAD_WAIT_LIMIT: Duration = Duration::from_millis(30);
 
 /// The racks that waiting tasks of all live VMs prefer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RackDemand {
+    /// Sorted, without duplicates.
     racks: Vec<RackId>,
 }
 
 impl RackDemand {
-    /// Adds the racks that one VM has reported.
-    pub fn add(&mut self, report: RackTable) {
-        self.racks.extend(report.into_racks());
+    /// Whether one of a target's racks is preferred by waiting tasks.
+    pub fn includes(&self, racks: &[RackId]) -> bool {
+        let mut racks = racks.iter();
+        racks.any(|rack| self.racks.binary_search(rack).is_ok())
     }
+}
 
-    /// Whether one of a target's labels is a rack that waiting tasks prefer.
-    pub fn includes(&self, labels: &[Box<str>]) -> bool {
-        let mut labels = labels.iter().map(|label| RackId::of_label(label));
-        !self.racks.is_empty() && labels.any(|label| self.racks.contains(&label))
+impl FromIterator<RackTable> for RackDemand {
+    /// Collects the racks that VMs have reported.
+    fn from_iter<Reports>(reports: Reports) -> Self
+    where
+        Reports: IntoIterator<Item = RackTable>,
+    {
+        let racks = reports.into_iter().flat_map(RackTable::into_racks);
+        let mut racks = racks.collect::<Vec<_>>();
+        racks.sort_unstable();
+        racks.dedup();
+        Self { racks }
     }
 }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 
 use filbertpitch_dispatch::entity::{NameInterner, TargetIndex};
-use filbertpitch_types::fleet::{TargetChange, TargetEntry, TargetState};
+use filbertpitch_types::fleet::{RackId, TargetChange, TargetEntry, TargetState};
 use filbertpitch_types::prelude::*;
+use smallvec::SmallVec;
 use typed_index_collections::TiVec;
 
 /// The entry of a target.
@@ -15,6 +16,8 @@
 struct TargetRecord {
     /// The latest valid entry.
     entry: Option<TargetEntry>,
+    /// The racks that its labels may name.
+    racks: SmallVec<[RackId; 4]>,
     /// When the entry was removed; `None` while the target is listed.
     unlisted_since: Option<TimePoint>,
     /// Until when the target is slow, if it is.
@@ -44,6 +47,8 @@
                 let record = &mut self.records[index];
                 let cold = entry.cold_remaining;
                 record.cold_until = (!cold.is_zero()).then(|| now + cold);
+                let labels = entry.labels.iter();
+                record.racks = labels.map(|label| RackId::of_label(label)).collect();
                 record.entry = Some(entry);
                 record.unlisted_since = None;
                 index
@@ -65,6 +70,7 @@
         if usize::from(index) == self.records.len() {
             self.records.push(TargetRecord {
                 entry: None,
+                racks: SmallVec::new(),
                 unlisted_since: None,
                 cold_until: None,
             });
@@ -99,6 +105,13 @@
         entry.map(|entry| &entry.zone)
     }
 
+    /// The ids of all labels of a target, of which some name racks; also after its entry was removed.
+    pub fn racks(&self, index: TargetIndex) -> &[RackId] {
+        self.records
+            .get(index)
+            .map_or(&[], |record| &record.racks[..])
+    }
+
     /// Until when a target is slow by its latest entry; `None` if it is not.
     pub fn cold_until(&self, index: TargetIndex) -> Option<TimePoint> {
         self.records.get(index)?.cold_until
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -552,7 +552,7 @@
 pub const RACK_LIMIT: usize = 4;
 
 /// Identifies a rack between VMs: a hash of its label; 0 stands for no rack.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RackId(u32);
 
