fleet: copy the names of held targets only for peers that need them

Cause: each envelope was a copy of a template with the names of all held targets, which complete_envelope then removed for peers that had acknowledged them.

Change: the template has no holdings; they are added for the other peers.

The decisions are the same.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -331,15 +331,25 @@
             self.actions.push(FleetAction::SendEnvelope {
                 peer: None,
                 address,
-                envelope: Box::new(template.clone()),
+                envelope: Box::new(PeerEnvelope {
+                    holdings: Some(self.holding_reports()),
+                    ..template.clone()
+                }),
             });
         }
         for peer in due {
+            // Most peers have acknowledged the holdings, whose names need not be copied for them.
+            let link = self.links[peer].as_ref();
+            let needed = link.is_some_and(|link| link.needs_holdings(self.holdings_version));
+            let envelope = PeerEnvelope {
+                holdings: needed.then(|| self.holding_reports()),
+                ..template.clone()
+            };
             let link = self.links[peer]
                 .as_mut()
                 .expect("a peer with an envelope due has a link");
             let address = link.identity().address;
-            let (number, envelope) = link.complete_envelope(now, template.clone());
+            let (number, envelope) = link.complete_envelope(now, envelope);
             self.counters.envelopes_sent += 1;
             self.actions.push(FleetAction::SendEnvelope {
                 peer: Some((peer, number)),
@@ -401,7 +411,18 @@
         };
     }
 
-    /// The content that an envelope has for all receivers; the link of a receiver adds the rest.
+    /// The targets that this VM holds.
+    fn holding_reports(&self) -> Vec<HoldingReport> {
+        let held = self.held.iter();
+        held.map(|(target, held)| HoldingReport {
+            target: self.registry.name(*target).clone(),
+            token: held.token(),
+        })
+        .collect()
+    }
+
+    /// The content that an envelope has for all receivers, except the holdings; the link of a
+    /// receiver adds the rest.
     fn envelope_template(&mut self, demand: DemandReport) -> PeerEnvelope {
         let now = self.now();
         let offers = &self.offers;
@@ -420,10 +441,6 @@
                 ),
             });
         }
-        let holdings = self.held.iter().map(|(target, held)| HoldingReport {
-            target: self.registry.name(*target).clone(),
-            token: held.token(),
-        });
         PeerEnvelope {
             from: self.identity.clone(),
             to: None,
@@ -439,7 +456,7 @@
             next_expected: 0,
             demand,
             holdings_version: self.holdings_version,
-            holdings: Some(holdings.collect()),
+            holdings: None,
             capacities,
             zones: self.closed_zones.reports(now),
             routing: self.router.report(now, self.state == PeerState::Ready),
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -740,6 +740,11 @@
             .is_some_and(|since| now.since(since) >= self.heartbeat.unacked_limit())
     }
 
+    /// Whether the peer has not acknowledged this version of the holdings of this VM.
+    pub fn needs_holdings(&self, version: u32) -> bool {
+        self.acked_holdings != Some(version)
+    }
+
     /// Completes an envelope from the common template. The caller must send it now.
     pub fn complete_envelope(
         &mut self,
@@ -762,7 +767,7 @@
         envelope.first_message = self.first_message;
         envelope.messages = self.outbox.iter().cloned().collect();
         envelope.next_expected = self.next_expected;
-        if self.acked_holdings == Some(envelope.holdings_version) {
+        if !self.needs_holdings(envelope.holdings_version) {
             envelope.holdings = None;
         }
         (number, envelope)
