--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -217,8 +217,8 @@
         forecast
     }
 
-    /// The usable cores of all targets in open zones that a live VM holds and that do not drain. While the membership changes, all
-    /// listed targets count, because those without a holder will soon have one.
+    /// The usable cores of all targets in open zones that a live VM holds and that do not drain. While the
+    /// membership changes, all listed targets count, because those without a holder will soon have one.
     pub(super) fn usable_cores(&self) -> f64 {
         let cores = |entry: &TargetEntry| {
             let starts = entry.state == TargetState::Ready;
--- a/crates/fleet/src/engine/kinds.rs
+++ b/crates/fleet/src/engine/kinds.rs
@@ -102,11 +102,8 @@
     /// The factor on the run time of a task on a target because of the rack that the task prefers.
     pub(super) fn rack_factor(&self, preferred: Option<RackId>, target: TargetIndex) -> f64 {
         let is_near = preferred.is_none_or(|rack| {
-            let labels = self.registry.entry(target).map(|entry| &entry.labels);
-            labels.is_none_or(|labels| {
-                let mut labels = labels.iter();
-                labels.any(|label| RackId::of_label(label) == rack)
-            })
+            let listed = self.registry.entry(target).is_some();
+            !listed || self.registry.racks(target).contains(&rack)
         });
         match is_near {
             true => 1.0,
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -314,7 +314,8 @@
         (job.timeliness(now, task.position), job.priority, slack)
     }
 
-    /// The candidate with the lowest cost that can run a task. `context` is absent while all targets have about the same speed.
+    /// The candidate with the lowest cost that can run a task. `context` is absent while all targets have
+    /// about the same speed.
     fn choose_candidate(
         &self,
         task: TaskRef,
--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -238,6 +238,18 @@
     fleet
 }
 
+/// Shrinks all targets to 16 cores and checks that the first VM uses no more of them, but these.
+fn assert_first_vm_uses_only_small_capacity(fleet: &mut SimFleet) {
+    resize_all(fleet, 25);
+    fleet.run_for(Duration::from_millis(4500));
+    // The simulation panics if the tasks of 27 cores are started.
+    fleet.submit(0, shape(4, 27, Duration::from_millis(100)));
+    fleet.run_for(Duration::from_secs(1));
+    let small = fleet.submit(0, shape(6, 16, Duration::from_millis(400)));
+    fleet.run_for(Duration::from_millis(900));
+    assert_eq!(fleet.jobs[&small].reply, Some(JobReply::Completed));
+}
+
 fn held_targets(fleet: &SimFleet) -> Vec<usize> {
     let vms = 0..fleet.vm_count();
     vms.map(|vm| fleet.engine(vm).view().held_targets).collect()
@@ -278,14 +290,7 @@
         fleet.cut_list(vm, false);
     }
     fleet.run_for(Duration::from_secs(3));
-    resize_all(&mut fleet, 25);
-    fleet.run_for(Duration::from_millis(4500));
-    // The simulation panics if the tasks of 27 cores are started.
-    fleet.submit(0, shape(4, 27, Duration::from_millis(100)));
-    fleet.run_for(Duration::from_secs(1));
-    let small = fleet.submit(0, shape(6, 16, Duration::from_millis(400)));
-    fleet.run_for(Duration::from_millis(900));
-    assert_eq!(fleet.jobs[&small].reply, Some(JobReply::Completed));
+    assert_first_vm_uses_only_small_capacity(&mut fleet);
 }
 
 /// Guards against capacities learned from a peer that no log line and no counter shows, and against a log
@@ -323,13 +328,7 @@
     resize_all(&mut fleet, 100);
     fleet.run_for(LIST_DELAY * 2);
     (0..fleet.vm_count()).for_each(|vm| fleet.cut_list(vm, true));
-    resize_all(&mut fleet, 25);
-    fleet.run_for(Duration::from_millis(4500));
-    fleet.submit(0, shape(4, 27, Duration::from_millis(100)));
-    fleet.run_for(Duration::from_secs(1));
-    let small = fleet.submit(0, shape(6, 16, Duration::from_millis(400)));
-    fleet.run_for(Duration::from_millis(900));
-    assert_eq!(fleet.jobs[&small].reply, Some(JobReply::Completed));
+    assert_first_vm_uses_only_small_capacity(&mut fleet);
 }
 
 /// Guards against VMs that leave capacity idle, or release targets, in each outage of the store.
