fleet tests: calls, VMs and links that are slow by less than any time-out

New: a share of a VM's calls, or all calls on one path, are slow by 50 to 250 ms in one direction (some get no response and are executed up to 1.5 s late); a VM sends the actions of an event 20 to 250 ms after the event, in order, while its other events wait; a link between VMs delays its messages in order; envelopes on a cut link may arrive after the end of the cut. The printed history shows lease ends as named and as they take effect, ends of runs at the target, requests with their issue time, and faults.

Slowness has a random number generator of its own.

--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -80,6 +80,8 @@
     /// Whether the token of a poll is checked only when the poll arrives, so that a poll which waits
     /// is answered with a report although a later holder has claimed the target meanwhile.
     pub reports_to_former_holder: bool,
+    /// The ends of runs and the leases since the log was last read, with their times.
+    pub log: Vec<(u64, String)>,
 }
 
 impl SimTarget {
@@ -107,6 +109,7 @@
             speed_percent: 100,
             labels: Vec::new(),
             reports_to_former_holder: false,
+            log: Vec::new(),
         }
     }
 
@@ -210,20 +213,24 @@
             let done = self.runs.iter().filter(|(_, run)| run.ends_at <= now);
             let done = done.map(|(task, run)| (*task, *run)).collect::<Vec<_>>();
             for (task, run) in done {
-                self.end_run(task, run.run, run.end);
+                self.end_run(now, task, run.run, run.end);
             }
         }
         if !self.runs.is_empty() && self.clock_ms(now) >= self.lease_end_ms {
             let lapsed = self.runs.keys().copied().collect::<Vec<_>>();
             for task in lapsed {
                 let run = self.runs[&task].run;
-                self.end_run(task, run, RunEnd::LeaseExpired);
+                self.end_run(now, task, run, RunEnd::LeaseExpired);
             }
         }
     }
 
-    fn end_run(&mut self, task: TaskName, run: RunNumber, end: RunEnd) {
+    fn end_run(&mut self, now: u64, task: TaskName, run: RunNumber, end: RunEnd) {
         self.runs.remove(&task);
+        let clock = self.clock_ms(now);
+        let name = RunName { task, run };
+        self.log
+            .push((now, format!("run {name} ends as {end:?}, clock {clock}")));
         let over = self.finished.entry(task).or_default();
         *over = (*over).max(run);
         self.ended.push(EndedEntry {
@@ -236,7 +243,17 @@
 
     fn extend_lease(&mut self, now: u64, until: TargetTime) {
         let limit = self.clock_ms(now) + self.max_lease_ms;
+        let former = self.lease_end_ms;
         self.lease_end_ms = self.lease_end_ms.max(until.0.min(limit));
+        if self.lease_end_ms > former {
+            let (clock, end) = (self.clock_ms(now), self.lease_end_ms);
+            let ends_at = self.lease_end_us();
+            let line = format!(
+                "lease end {}, clock {clock}: ends at {end}, which is {ends_at} us",
+                until.0
+            );
+            self.log.push((now, line));
+        }
     }
 
     fn fence(&mut self, token: FencingToken) -> bool {
@@ -294,7 +311,7 @@
         }
         let RunName { task, run } = order.run;
         if self.runs.get(&task).is_some_and(|other| other.run == run) {
-            self.end_run(task, run, RunEnd::Stopped);
+            self.end_run(now, task, run, RunEnd::Stopped);
         }
         let over = self.finished.entry(task).or_default();
         *over = (*over).max(run);
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -2,9 +2,10 @@
 //! microseconds of simulated time.
 
 mod forwarding;
+mod slowness;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,9 +17,9 @@
 };
 use filbertpitch_fleet::held::PollPlan;
 use filbertpitch_types::fleet::{
-    EnvelopeAck, FleetConfiguration, JobReply, PeerEnvelope, PeerIdentity, PeerObservation,
-    PeerRecord, QueueSpec, ServicePolicy, TargetChange, TargetEntry, TargetState, ZoneChange,
-    ZoneRead,
+    EnvelopeAck, FleetConfiguration, FleetMessage, JobReply, PeerEnvelope, PeerIdentity,
+    PeerObservation, PeerRecord, QueueSpec, ServicePolicy, TargetChange, TargetEntry, TargetState,
+    ZoneChange, ZoneRead,
 };
 use filbertpitch_types::lease::{PollResult, RunRequest, StartAnswer, StopRequest, StopResult};
 use filbertpitch_types::prelude::*;
@@ -27,6 +28,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::forwarding::{ExchangeEvent, SimExchange};
+pub use self::slowness::CallDelay;
+use self::slowness::Slowness;
 use super::client::{ClientJob, JobShape};
 use super::crash::{CrashStage, TaskCrash, TaskRecord, TaskStart};
 use super::target::{FORMER_CAPACITY_US, SimTarget, TargetFault};
@@ -131,6 +134,7 @@
     Wake(usize, u64),
     Start(usize),
     Unfreeze(usize),
+    StallEnds(usize, u64),
     Listing(usize, u64),
     Store(usize, u64),
     Operator(usize, u64),
@@ -253,6 +257,9 @@
     wake_at: Option<u64>,
     callers: BTreeMap<CallerToken, (JobId, u64)>,
     known_targets: Vec<bool>,
+    /// Until when it stands still after an event whose actions it has not sent.
+    stalled_until: Option<u64>,
+    stalled_actions: Vec<FleetAction>,
 }
 
 struct WaitingPoll {
@@ -300,6 +307,7 @@
     /// Recent calls to targets, printed when a check fails.
     history: VecDeque<String>,
     pub rng: ChaCha8Rng,
+    slowness: Slowness,
     /// Reads the processor time of this thread, if the time of the engines is measured.
     pub processor_clock: Option<fn() -> Duration>,
     /// The processor time that the engines have spent.
@@ -348,6 +356,8 @@
                     wake_at: None,
                     callers: BTreeMap::new(),
                     known_targets: Vec::new(),
+                    stalled_until: None,
+                    stalled_actions: Vec::new(),
                 });
             }
         }
@@ -370,6 +380,7 @@
             bounds: None,
         });
         let count = vms.len();
+        let seed = options.seed;
         let mut fleet = Self {
             now: 1_000_000,
             net: NetFault::default(),
@@ -397,6 +408,7 @@
             next_job: 1,
             queue_racks: BTreeMap::new(),
             history: VecDeque::new(),
+            slowness: Slowness::new(seed),
             rng,
             processor_clock: None,
             engine_time: Duration::ZERO,
@@ -517,6 +529,8 @@
         state.unresponsive = unresponsive;
         state.frozen_until = 0;
         state.busy_until = 0;
+        state.stalled_until = None;
+        state.stalled_actions.clear();
         state.wake_at = None;
         state.known_targets.clear();
         let broken = std::mem::take(&mut state.callers);
@@ -525,6 +539,7 @@
         }
         self.break_exchanges(vm);
         let at = self.now + down_for.as_micros() as u64;
+        self.record_fault(format!("vm-{vm} is killed until {at}"));
         self.schedule(at, SimEvent::Start(vm));
     }
 
@@ -533,6 +548,7 @@
         let until = self.now + duration.as_micros() as u64;
         self.vms[vm].frozen_until = self.vms[vm].frozen_until.max(until);
         self.vms[vm].disrupted_at = self.vms[vm].disrupted_at.max(until);
+        self.record_fault(format!("vm-{vm} is frozen until {until}"));
         self.schedule(until, SimEvent::Unfreeze(vm));
     }
 
@@ -560,6 +576,9 @@
             true => self.vm_cuts.insert((from, to)),
             false => self.vm_cuts.remove(&(from, to)),
         };
+        let state = if cut { "cut" } else { "restored" };
+        self.record_fault(format!("vm-{from} to vm-{to}: {state}"));
+        self.release_messages();
     }
 
     /// Partitions or reconnects the network between a VM and a target.
@@ -568,6 +587,8 @@
             true => self.target_cuts.insert((vm, target)),
             false => self.target_cuts.remove(&(vm, target)),
         };
+        let state = if cut { "cut" } else { "restored" };
+        self.record_fault(format!("vm-{vm} to target-{target}: {state}"));
     }
 
     /// Ends a target's process and breaks its connections; it is down until it is restarted.
@@ -748,6 +769,8 @@
             self.vms[vm].store_cut_at = self.now;
         }
         self.list_cuts.clear();
+        self.record_fault("all links are restored".to_owned());
+        self.release_messages();
     }
 
     fn delay(&mut self, same_zone: bool) -> u64 {
@@ -813,6 +836,9 @@
             SimEvent::Exchange(exchange, event) => Some(self.exchange_vm(*exchange, event)),
             event => acting_vm(event),
         };
+        if let Some(until) = self.stall_of(&event, acting) {
+            return self.schedule(until, event);
+        }
         if let Some(vm) = acting {
             let state = &self.vms[vm];
             let until = state.frozen_until.max(state.busy_until);
@@ -831,6 +857,7 @@
                 }
             }
             SimEvent::Start(vm) => self.start_vm(vm),
+            SimEvent::StallEnds(vm, generation) => self.end_stall(vm, generation),
             SimEvent::Unfreeze(vm) => {
                 if self.vms[vm].engine.is_some() {
                     self.feed(vm, FleetEvent::TimeAdvanced);
@@ -1222,9 +1249,7 @@
         let actions = engine.take_actions();
         let due = engine.next_due();
         self.record_engine_time(begun);
-        for action in actions {
-            self.perform(vm, action);
-        }
+        self.send_actions(vm, actions);
         if let Some(due) = due {
             let at = due.0.max(self.now + 1);
             if self.vms[vm].wake_at.is_none_or(|armed| at < armed) {
@@ -1246,6 +1271,7 @@
                 let to = usize::from(address.port()) - 1000;
                 let call = self.open_call(vm);
                 let at = self.now + self.vm_delay(vm, to);
+                let at = self.slowness.link_arrival(vm, to, at);
                 if let Some(size) = self.envelope_size {
                     self.envelope_bytes += size(&envelope);
                 }
@@ -1280,7 +1306,7 @@
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let (at, late_instance) = self.plan_arrival(vm, target);
+                let (at, late_instance) = self.plan_arrival(call, vm, target);
                 let lost = FleetEvent::StartResult {
                     target: index,
                     token: request.token,
@@ -1310,7 +1336,7 @@
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let (at, late_instance) = self.plan_arrival(vm, target);
+                let (at, late_instance) = self.plan_arrival(call, vm, target);
                 let lost = FleetEvent::StopResult {
                     target: index,
                     token: request.token,
@@ -1339,7 +1365,7 @@
             } => {
                 let target = self.find_target(&name);
                 let call = self.open_call(vm);
-                let (at, late_instance) = self.plan_arrival(vm, target);
+                let (at, late_instance) = self.plan_arrival(call, vm, target);
                 let lost = FleetEvent::PollResult {
                     target: index,
                     token: plan.request.token,
@@ -1386,8 +1412,12 @@
     }
 
     /// When a call arrives and, if it is delayed, the target instance that executes it.
-    fn plan_arrival(&mut self, vm: usize, target: usize) -> (u64, Option<u64>) {
-        let at = self.now + self.target_delay(vm, target);
+    fn plan_arrival(&mut self, call: u64, vm: usize, target: usize) -> (u64, Option<u64>) {
+        let plan = self.slowness.plan_call(call, vm, target);
+        let at = self.now + self.target_delay(vm, target) + plan.request;
+        if plan.unanswered {
+            return (at, Some(self.targets[target].instance));
+        }
         if !self.rng.random_bool(self.net.delayed_calls) {
             return (at, None);
         }
@@ -1395,6 +1425,11 @@
         (late_instance, Some(self.targets[target].instance))
     }
 
+    /// When the response to a call arrives that a target sends now.
+    fn answer_arrival(&mut self, call: u64, vm: usize, target: usize) -> u64 {
+        self.now + self.target_delay(vm, target) + self.slowness.response_delay(call)
+    }
+
     fn schedule_answer(&mut self, at: u64, call: u64, vm: usize, event: FleetEvent) {
         let event = Box::new(event);
         self.schedule(at, SimEvent::Answer { call, vm, event });
@@ -1414,8 +1449,16 @@
         envelope: PeerEnvelope,
     ) {
         if self.vm_cuts.contains(&(from, to)) {
-            return;
+            let event = SimEvent::Envelope {
+                call,
+                from,
+                to,
+                peer,
+                envelope: Box::new(envelope),
+            };
+            return self.slowness.hold(from, to, event);
         }
+        self.record_requests(from, to, &envelope);
         if self.vms[to].engine.is_none() {
             if let (false, Some(peer)) = (self.vms[to].unresponsive, peer) {
                 let at = self.now + self.vm_delay(to, from);
@@ -1441,7 +1484,9 @@
         if let Some(peer) = peer
             && !self.vm_cuts.contains(&(to, from))
         {
-            let at = self.now + self.vm_delay(to, from);
+            let leaves_at = self.vms[to].stalled_until.unwrap_or(self.now);
+            let at = leaves_at + self.vm_delay(to, from);
+            let at = self.slowness.link_arrival(to, from, at);
             self.schedule(
                 at,
                 SimEvent::Ack {
@@ -1466,7 +1511,7 @@
 
     /// Answers a call that a VM made to a target whose process has crashed.
     fn refuse(&mut self, call: u64, vm: usize, target: usize, event: FleetEvent) {
-        let at = self.now + self.target_delay(vm, target);
+        let at = self.answer_arrival(call, vm, target);
         self.schedule_answer(at, call, vm, event);
     }
 
@@ -1512,10 +1557,11 @@
         self.record_history(
             target,
             format!(
-                "start vm-{vm} {} token {} {resources}: {answer:?}",
-                request.run, request.token
+                "start vm-{vm} {} token {} {resources} lease end {}: {answer:?}",
+                request.run, request.token, request.lease_end.0
             ),
         );
+        self.collect_target_log(target);
         if let StartAnswer::Accepted(_) = answer
             && !before
         {
@@ -1546,7 +1592,7 @@
             run: request.run,
             answer,
         };
-        let at = self.now + self.target_delay(vm, target);
+        let at = self.answer_arrival(call, vm, target);
         self.schedule_answer(at, call, vm, event);
     }
 
@@ -1593,12 +1639,38 @@
     }
 
     fn record_history(&mut self, target: usize, line: String) {
+        let name = &self.targets[target].name;
+        self.push_history(format!("{} {name} {line}", self.now));
+    }
+
+    fn push_history(&mut self, line: String) {
         if self.history.len() == 40_000 {
             self.history.pop_front();
         }
-        let name = &self.targets[target].name;
-        self.history
-            .push_back(format!("{} {name} {line}", self.now));
+        self.history.push_back(line);
+    }
+
+    /// Adds the requests for tasks in an envelope to the history.
+    fn record_requests(&mut self, from: usize, to: usize, envelope: &PeerEnvelope) {
+        for message in &envelope.messages {
+            if let FleetMessage::Place(request) = message {
+                for order in &request.tasks {
+                    let sent_at = envelope.sent_at.0;
+                    self.push_history(format!(
+                        "{} vm-{to} is asked by vm-{from} to run {}.{}, issued at {}, sent at {sent_at}",
+                        self.now, order.task, order.run.0, request.issued_at.0
+                    ));
+                }
+            }
+        }
+    }
+
+    /// Moves what has happened at a target to the history.
+    fn collect_target_log(&mut self, target: usize) {
+        let name = self.targets[target].name.clone();
+        for (at, line) in std::mem::take(&mut self.targets[target].log) {
+            self.push_history(format!("{at} {name} {line}"));
+        }
     }
 
     /// Prints the notices and the calls of a job in order of time.
@@ -1612,7 +1684,16 @@
         };
         let notices = notices.filter(|(_, line)| line.contains(&name) || general(line));
         let calls = self.history.iter();
-        let calls = calls.filter(|line| line.contains(&marker) || line.contains(&name));
+        let records = self.records(id);
+        let starts = records.iter().flat_map(|(_, record)| &record.starts);
+        let leases = starts.map(|start| format!(" {} lease", start.target));
+        let leases = leases.collect::<BTreeSet<_>>();
+        let calls = calls.filter(|line| {
+            line.contains(&marker)
+                || line.contains(&name)
+                || line.contains(" fault: ")
+                || leases.iter().any(|lease| line.contains(lease))
+        });
         let calls = calls.map(|line| {
             let (at, line) = line.split_once(' ').unwrap();
             (at.parse().unwrap(), line.to_owned())
@@ -1653,9 +1734,14 @@
         for (other, place) in self.targets.iter().enumerate() {
             if other != target && !place.is_down() && place.runs.contains_key(&task) {
                 self.print_job(task.job);
+                let lease_end = place.lease_end_us();
+                println!("the lease of {} ends at {lease_end} us", place.name);
                 panic!(
-                    "{task} runs on both {} and {} at {} us",
-                    started.name, place.name, self.now
+                    "seed {}: {task} runs on both {} and {} at {} us",
+                    self.seed(),
+                    started.name,
+                    place.name,
+                    self.now
                 );
             }
         }
@@ -1699,7 +1785,7 @@
             run: request.run,
             answer,
         };
-        let at = self.now + self.target_delay(vm, target);
+        let at = self.answer_arrival(call, vm, target);
         self.schedule_answer(at, call, vm, event);
     }
 
@@ -1750,6 +1836,7 @@
     /// Answers the polls that are due, and schedules the target's next change.
     fn answer_due_polls(&mut self, target: usize) {
         let now = self.now;
+        self.collect_target_log(target);
         let polls = std::mem::take(&mut self.polls);
         for poll in polls {
             let due = poll.target == target
@@ -1773,7 +1860,7 @@
                 number: poll.plan.number,
                 answer,
             };
-            let at = now + self.target_delay(poll.vm, target);
+            let at = self.answer_arrival(poll.call, poll.vm, target);
             self.schedule_answer(at, poll.call, poll.vm, event);
         }
         if let Some(at) = self.targets[target].next_change()
--- a/crates/fleet/tests/support/world/forwarding.rs
+++ b/crates/fleet/tests/support/world/forwarding.rs
@@ -57,6 +57,7 @@
         let from = if to == ends.0 { ends.1 } else { ends.0 };
         if !self.vm_cuts.contains(&(from, to)) {
             let at = self.now + self.vm_delay(from, to);
+            let at = self.slowness.link_arrival(from, to, at);
             self.schedule(at, SimEvent::Exchange(exchange, event));
         }
     }
