--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::Rng;
-use support::{HEARTBEAT_US, JobShape, SimFleet, SimOptions, TargetFault};
+use support::{CallDelay, HEARTBEAT_US, JobShape, SimFleet, SimOptions, TargetFault};
 
 /// The seeds that each test runs.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -55,15 +55,22 @@
 const DEADLY_SHARE: f64 = 0.08;
 /// The probability of a crash without a deadly task within 100 ms in such a fleet.
 const CRASH_RATE: f64 = 0.02;
+/// The probability that a VM is isolated within 100 ms in a fleet with slow calls.
+const ISOLATION_RATE: f64 = 0.03;
 
 fn shape(fleet: &mut SimFleet, kind: FleetKind) -> JobShape {
     let rng = &mut fleet.rng;
-    if let FleetKind::OneWay | FleetKind::Forwarding = kind {
+    if let FleetKind::OneWay | FleetKind::Forwarding | FleetKind::SlowCalls = kind {
         // The run outlasts the time after which its coordinator counts it as ended.
         let work = Duration::from_millis(rng.random_range(1000..5000));
+        let most_cores = match kind {
+            // What starts again must find free capacity at once.
+            FleetKind::SlowCalls => 3,
+            _ => 8,
+        };
         return JobShape {
             tasks: rng.random_range(1..4),
-            cores: rng.random_range(2..8),
+            cores: rng.random_range(2..most_cores),
             work,
             declared: work,
             client_timeout: Duration::from_millis(9000),
@@ -148,6 +155,7 @@
 
 fn repair(fleet: &mut SimFleet) {
     fleet.heal();
+    fleet.end_slowness();
     fleet.net = Default::default();
     for vm in 0..fleet.vm_count() {
         let zone = fleet.zone_of(vm).clone();
@@ -184,6 +192,8 @@
     ClosedZones,
     /// As the large fleet, with links that heal one direction at a time and a VM that forwards jobs.
     Forwarding,
+    /// As the small fleet, with calls to targets, VMs and links that are slow for less than any time-out.
+    SlowCalls,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -221,9 +231,10 @@
             FleetKind::Deadly => crash_targets(&mut fleet),
             FleetKind::Resizing => resize_targets(&mut fleet),
             FleetKind::ClosedZones => close_zones(&mut fleet),
+            FleetKind::SlowCalls => slow_down(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
         }
-        if fleet.rng.random_bool(0.25) {
+        if fleet.rng.random_bool(fault_rate(kind)) {
             inject_fault(&mut fleet);
         }
         let jobs = fleet.rng.random_range(0..4);
@@ -241,6 +252,15 @@
     fleet
 }
 
+/// The probability of another random fault within 100 ms. Fleets with slow calls have fewer of them: most
+/// runs end by them before a lease does.
+fn fault_rate(kind: FleetKind) -> f64 {
+    match kind {
+        FleetKind::SlowCalls => 0.06,
+        _ => 0.25,
+    }
+}
+
 /// Makes the wall clocks of some VMs jump by up to 40 s, or back.
 fn step_clocks(fleet: &mut SimFleet) {
     for vm in 0..fleet.vm_count() {
@@ -266,6 +286,122 @@
     }
 }
 
+/// Makes calls, VMs and single directions of links slow now and then, cuts links for about as long as it
+/// takes to mark a VM lost or a target unreachable, and isolates VMs, so that leases end while something
+/// is slow.
+fn slow_down(fleet: &mut SimFleet) {
+    fleet.hold_messages(true);
+    for vm in 0..fleet.vm_count() {
+        if fleet.rng.random_bool(0.08) {
+            let share = [0.0, 0.1, 0.4][fleet.rng.random_range(0..3)];
+            fleet.slow_calls(vm, share);
+        }
+        if fleet.rng.random_bool(0.08) {
+            let share = [0.0, 0.01, 0.05][fleet.rng.random_range(0..3)];
+            fleet.stall_vm(vm, share);
+        }
+        for target in 0..fleet.targets.len() {
+            slow_path(fleet, vm, target);
+        }
+        for other in (0..fleet.vm_count()).filter(|other| *other != vm) {
+            // A slow link stays slow for 10 s on average, longer than the delays of its envelopes are
+            // remembered.
+            if fleet.rng.random_bool(0.02) {
+                let millis = [0, fleet.rng.random_range(100..500)][fleet.rng.random_range(0..2)];
+                fleet.slow_link(vm, other, Duration::from_millis(millis));
+            }
+            if fleet.rng.random_bool(0.1) {
+                let cut = fleet.rng.random_bool(0.1);
+                fleet.cut_direction(vm, other, cut);
+            }
+        }
+    }
+    if fleet.rng.random_bool(ISOLATION_RATE) {
+        isolate_vm(fleet);
+    }
+}
+
+/// Makes the path of a VM to a target slow in one direction, cuts it, or makes it fast again, now and then.
+fn slow_path(fleet: &mut SimFleet, vm: usize, target: usize) {
+    if !fleet.rng.random_bool(0.06) {
+        return;
+    }
+    let delay = Duration::from_millis(fleet.rng.random_range(50..250));
+    let request = CallDelay {
+        request: delay,
+        ..CallDelay::default()
+    };
+    let response = CallDelay {
+        response: delay,
+        ..CallDelay::default()
+    };
+    match fleet.rng.random_range(0..10) {
+        0 => fleet.cut_target(vm, target, true),
+        1..=2 => fleet.slow_path(vm, target, Some(request)),
+        3 => fleet.slow_path(vm, target, Some(response)),
+        _ => {
+            fleet.cut_target(vm, target, false);
+            fleet.slow_path(vm, target, None);
+        }
+    }
+}
+
+/// Cuts the links of a VM to the other VMs, one direction after the other, and at last its links to the
+/// targets, or kills it; then restores the links. The others may reach the targets of its zone or not.
+fn isolate_vm(fleet: &mut SimFleet) {
+    let vm = fleet.rng.random_range(0..fleet.vm_count());
+    let others = (0..fleet.vm_count()).filter(|other| *other != vm);
+    let others = others.collect::<Vec<_>>();
+    let far =
+        (0..fleet.targets.len()).filter(|target| fleet.targets[*target].zone != *fleet.zone_of(vm));
+    let far = far.collect::<Vec<_>>();
+    let near = (0..fleet.targets.len()).filter(|target| !far.contains(target));
+    let near = near.collect::<Vec<_>>();
+    let separate = fleet.rng.random_bool(0.7);
+    for other in &others {
+        for _ in 0..2 {
+            let shape = shape(fleet, FleetKind::SlowCalls);
+            fleet.submit(*other, shape);
+        }
+    }
+    let pause = fleet.rng.random_range(0..100);
+    fleet.run_for(Duration::from_millis(pause));
+    for other in &others {
+        fleet.cut_direction(vm, *other, true);
+        if separate {
+            for target in &near {
+                fleet.cut_target(*other, *target, true);
+            }
+        }
+    }
+    let pause = fleet.rng.random_range(0..500);
+    fleet.run_for(Duration::from_millis(pause));
+    for other in &others {
+        fleet.cut_direction(*other, vm, true);
+    }
+    let pause = fleet.rng.random_range(0..1000);
+    fleet.run_for(Duration::from_millis(pause));
+    match fleet.rng.random_bool(0.7) {
+        true => {
+            for target in near.iter().chain(&far) {
+                fleet.cut_target(vm, *target, true);
+            }
+        }
+        false => fleet.kill_vm(vm, Duration::from_millis(1500), true),
+    }
+    let pause = fleet.rng.random_range(400..1500);
+    fleet.run_for(Duration::from_millis(pause));
+    for other in &others {
+        fleet.cut_vms(vm, *other, false);
+        for target in &near {
+            fleet.cut_target(*other, *target, false);
+        }
+    }
+    for target in near.iter().chain(&far) {
+        fleet.cut_target(vm, *target, false);
+    }
+}
+
 /// Crashes a target now and then, whatever runs on it.
 fn crash_targets(fleet: &mut SimFleet) {
     if fleet.rng.random_bool(CRASH_RATE) {
@@ -401,6 +537,16 @@
     }
 }
 
+/// Guards against a run that goes on after its holder or its coordinator has counted it as over,
+/// because an estimate of a target's clock or of the age of a message was wrong.
+#[test]
+#[ignore = "fails: see KNOWN-RED.txt"]
+fn invariants_hold_while_calls_are_slow() {
+    for seed in SEEDS {
+        check_invariants(seed, FleetKind::SlowCalls);
+    }
+}
+
 #[test]
 fn regression_seeds_pass() {
     for seed in REGRESSION_SEEDS {
@@ -447,6 +593,7 @@
         FleetKind::Resizing,
         FleetKind::Forwarding,
         FleetKind::ClosedZones,
+        FleetKind::SlowCalls,
     ];
     let chosen = std::env::var("FLEET_KIND").ok();
     let chosen = |kind: &FleetKind| chosen.as_ref().is_none_or(|it| *it == format!("{kind:?}"));
