Take no sample of the clock from another instance of a target

Callers: a lease could be named on the clock of another process, and outlast what the holder counts by any time up to the target's own limit on leases.

Cause: the time in a refusal with `OtherInstance` is that of the process that has refused the request because it was not meant for it. The holder took it as a sample, and the bound keeps the highest one.

It passes now: such a refusal is still a response, but not a sample.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -747,7 +747,9 @@
         if let StartAnswer::Accepted(time) | StartAnswer::Refused(_, time) = answer {
             self.record_response(now);
             self.round_trips.observe(now.since(sent_at));
-            if let Some(time) = time {
+            // Another instance states the time of its own clock.
+            let other = matches!(answer, StartAnswer::Refused(StartRefusal::OtherInstance, _));
+            if let Some(time) = time.filter(|_| !other) {
                 self.clock.observe(now, time);
             }
         }
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -1072,6 +1072,28 @@
     );
 }
 
+/// Guards against a lease that is counted from the clock of another process, which has refused a request
+/// that was not meant for it.
+#[test]
+fn time_of_another_instance_is_no_sample_of_the_clock() {
+    let mut holder = Holder::claiming();
+    let claim = holder.plan();
+    holder.now = holder.now + ms(3);
+    let report = holder.report(vec![], vec![]);
+    holder.answer(&claim, &report);
+    let other = TargetTime(holder.target_time().0 + 60_000);
+    let refused = StartAnswer::Refused(StartRefusal::OtherInstance, Some(other));
+    let (_, outcome) = holder.start(0, refused);
+    assert_eq!(
+        outcome,
+        StartOutcome::NotStarted(StartRefusal::OtherInstance)
+    );
+    holder.target.poll_now(holder.now);
+    let lease_end = holder.plan().request.lease_end.expect("a renewal");
+    let ended_by = holder.target_time_at(holder.now + ms(1000));
+    assert!(lease_end <= ended_by, "{lease_end:?} after {ended_by:?}");
+}
+
 /// Guards against a start that extends the lease beyond the limit of a run because the target's clock is
 /// slow: a start window of 250 ms may last 255.2 ms.
 #[test_case(255, false)]
