Keep a start without a response open until the next instance is claimed

Callers: a task could run twice for a moment after a target had restarted.

Cause: a start request without a response counted as ended in the report that showed the restart, if it had expired on the clock of the former instance. The clock of the next instance has begun anew, so that this one still accepts the request, until it has seen the higher token of the claim that follows.

Change: the report that shows a restart ends no such run. The next report comes from a poll with the higher token, and ends it if it is not listed.

Evidence: start_without_a_response_is_open_until_the_next_instance_is_claimed failed before:

assertion `left == right` failed: the request may still arrive left: [(TaskName { job: JobId(7), occurrence: 0, step: 0, index: 0 }, LeaseExpired)] right: []

It passes now. Shown for `HeldTarget` alone, not in a play.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -1030,7 +1030,11 @@
         let missing = self.ledger.runs().filter(|(task, run)| {
             let was_known = match run.phase {
                 RunPhase::Requested { .. } => false,
-                RunPhase::Uncertain { expires_at, .. } => sent_at >= expires_at,
+                // The clock of a new instance has begun anew: it accepts the request until a poll with a
+                // higher token has arrived.
+                RunPhase::Uncertain { expires_at, .. } => {
+                    sent_at >= expires_at && !outcome.restarted
+                }
                 // A run confirmed after the poll was sent may belong to the new instance of the
                 // target.
                 RunPhase::Running { confirmed_at } => {
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -543,6 +543,26 @@
     assert_eq!((ended.task, ended.end), (name.task, RunEnd::LeaseExpired));
 }
 
+/// Guards against a second run of a task whose start request has expired on the clock of the former
+/// instance of a target: the next one, whose clock has begun anew, refuses it only for its lower token.
+#[test]
+fn start_without_a_response_is_open_until_the_next_instance_is_claimed() {
+    let mut holder = Holder::confirmed();
+    let (name, _) = holder.start(0, StartAnswer::ConnectionLost);
+    holder.now = holder.now + ms(400);
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    assert_eq!(ends(&outcome), [], "the request may still arrive");
+    assert!(outcome.never_started.is_empty());
+    holder.target.reclaim(holder.now, FencingToken(9));
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(ends(&outcome), [(name.task, RunEnd::LeaseExpired)]);
+}
+
 /// Guards against counting a run on the new instance of a target as ended because the report that
 /// shows the restart is older than the run (fault run, seed 10211).
 #[test]
