--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -22,7 +22,8 @@
 const ORIGIN_SILENCE: Duration = Duration::from_millis(600);
 
 /// The silence of a VM from which no task of its forwarded jobs is placed. The lease of a target may
-/// last for 1 s, and a run must end within 1.2 s after the last sign of life; the rest is for the request.
+/// last for 1,020.5 ms (1 s on a slow clock) and must end within 1.2 s after the last sign of life; the
+/// rest is for the request.
 pub(super) const MAX_ORIGIN_SILENCE: Duration = Duration::from_millis(150);
 
 /// The VM that has forwarded a job, and when.
