held: a poll that claims a target renews no lease

A poll that claims a target, or confirms a claim after a pause, a refused start, a restart or a stale claim, renewed the lease of the target whenever the holder knew the target's clock. The target may have runs that this VM does not know; their coordinators count them as over one lease after the former holder's last renewal. A repeated start request extended the lease in the same way while a found run had no coordinator.

Evidence: the tests failed before: poll_that_claims_renews_no_lease (both cases): "left: Some(TargetTime(11402)) right: None"; start_is_not_repeated_beside_a_run_without_a_coordinator: "left: Retry(StartPlan ...) right: Uncertain".

Why it works: renewed_lease grants nothing before the claim is confirmed, and the report that confirms it lists all runs, whose coordinators must be known before the next poll renews. admits_start, which a new and a repeated start need, asks for the same.

Cost: the own runs on a reconfirmed target wait one round trip for their renewal; the poll after the confirmation is sent without waiting (asserted by the test). Confirming polls that get lost do not renew either.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -603,23 +603,30 @@
         }
     }
 
-    /// The lease that a poll grants now. The lease of an unreachable target is not extended, so that
+    /// The lease that a poll grants now. A poll that is to confirm a claim grants none: the target may
+    /// have runs that this VM does not know. The lease of an unreachable target is not extended, so that
     /// the runs on the target end in bounded time. Nor is it extended while the coordinator of a run
     /// is unknown, or beyond the lease limit of a run, because the coordinator relies on that.
     fn renewed_lease(&self, now: TimePoint) -> Option<Duration> {
-        let mut runs = self.ledger.runs();
-        let known = runs.all(|(_, run)| run.coordinator.is_some());
-        (self.is_reachable() && known).then(|| {
+        let confirmed = self.phase == HoldPhase::Confirmed;
+        (confirmed && self.is_reachable() && self.knows_coordinators()).then(|| {
             let limit = self.ledger.lease_limit();
             let lease = self.settings.lease;
             limit.map_or(lease, |limit| limit.since(now).min(lease))
         })
     }
 
+    /// Whether the coordinators of all runs are known.
+    fn knows_coordinators(&self) -> bool {
+        let mut runs = self.ledger.runs();
+        runs.all(|(_, run)| run.coordinator.is_some())
+    }
+
     /// Whether a start request, which extends the lease, respects the lease limits of all runs.
     fn admits_start(&self, now: TimePoint) -> bool {
         let limit = self.ledger.lease_limit();
-        limit.is_none_or(|limit| limit >= now + self.settings.start_window)
+        let in_time = limit.is_none_or(|limit| limit >= now + self.settings.start_window);
+        in_time && self.knows_coordinators()
     }
 
     /// Whether a run that starts now has ended by `limit` unless the lease is renewed: it may use the lease
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -926,3 +926,43 @@
     let expired = holder.target.advance(confirmed_at + lease * 2);
     assert_eq!(expired.len(), 1);
 }
+
+/// Guards against a claim that renews the lease of runs which this VM does not know, and whose coordinators
+/// count on a lease that nobody renews.
+#[test_case(false; "the same claim after a pause")]
+#[test_case(true; "a new claim")]
+fn poll_that_claims_renews_no_lease(reclaimed: bool) {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    match reclaimed {
+        true => holder.target.reclaim(holder.now, FencingToken(9)),
+        false => holder.target.reconfirm(holder.now),
+    }
+    let plan = holder.plan();
+    assert_eq!(plan.request.lease_end, None, "the claim is not confirmed");
+    assert_eq!(plan.request.wait, Duration::ZERO);
+    let report = holder.report(vec![run], vec![]);
+    holder.answer(&plan, &report);
+    let lease_end = holder.plan().request.lease_end;
+    let lease = TargetTime(holder.target_time().0 + 1000);
+    assert_eq!(lease_end, Some(lease), "renewed without waiting");
+}
+
+/// Guards against a start request that extends the lease of a run whose coordinator is not known.
+#[test]
+fn start_is_not_repeated_beside_a_run_without_a_coordinator() {
+    let mut holder = Holder::confirmed();
+    let name = holder.request_start(0).run;
+    let found = RunName {
+        task: task(1),
+        run: RunNumber(1),
+    };
+    holder.now = holder.now + ms(30);
+    holder.exchange(vec![found], vec![]);
+    let timed_out = StartAnswer::TimedOut;
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, name, timed_out);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+}
