held: a start without a response is not over with the report that shows a restart

A start request without a response, expired on the clock of the former instance, was reported as ended with the poll that showed the restart. That poll carried the former token; the clock of the new instance has begun anew and it has seen no token, so that a delayed copy of the request is carried out there. The same holds for a run that the former instance had agreed to stop before it was started, and for a run whose start request was repeated: the first request may still be on its way.

Evidence: the tests failed before: start_without_a_response_is_not_over_before_the_next_claim (both cases) and repeated_start_is_not_over_before_the_next_claim: "the poll has carried the former token, left: [(TaskName { .. }, LeaseExpired)] right: []".

Why it works: a report that shows a restart ends only runs that the former instance had certainly started, by a request that was sent once. The engine claims the new instance with a higher token at once; a report to a poll under that token shows that the target refuses each earlier request.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -283,6 +283,9 @@
     /// When the last response arrived.
     last_response_at: TimePoint,
     pending_starts: BTreeMap<TaskName, PendingStart>,
+    /// The tasks in the ledger whose start request was repeated: a copy of an earlier request may arrive
+    /// after the run has started.
+    repeated_starts: BTreeSet<TaskName>,
     /// The latest end of the leases granted to the target, without allowance for the target's clock.
     granted_until: TimePoint,
     /// When all leases granted to the target have certainly expired, on the local clock.
@@ -330,6 +333,7 @@
             hedge_due: now,
             last_response_at: now,
             pending_starts: BTreeMap::new(),
+            repeated_starts: BTreeSet::new(),
             // A former holder may have granted a whole lease until now.
             granted_until: now + settings.lease,
             leases_expired_at: now,
@@ -688,6 +692,7 @@
             sent_at: now,
         };
         self.pending_starts.insert(task, open);
+        self.repeated_starts.remove(&task);
         Some(StartPlan {
             request,
             options: self.request_options(false),
@@ -711,6 +716,7 @@
         open.sent_at = now;
         open.request.lease_end = lease_end;
         let request = open.request.clone();
+        self.repeated_starts.insert(name.task);
         Some(StartPlan { request, options })
     }
 
@@ -1015,7 +1021,10 @@
     }
 
     /// Removes the runs that the report does not list although the target had them, or could no
-    /// longer accept their start request, when the poll was sent.
+    /// longer accept their start request, when the poll was sent. A report that shows a restart does not
+    /// show that the new instance carries out no delayed copy of a start request: the clock on which the
+    /// request expires has begun anew, and the target refuses the copy only once it has seen the token of
+    /// the next claim.
     fn remove_missing(
         &mut self,
         sent_at: TimePoint,
@@ -1029,7 +1038,13 @@
             };
             report.running.iter().any(|entry| entry.run == name)
         };
+        let ledger = &self.ledger;
+        self.repeated_starts
+            .retain(|task| ledger.get(task).is_some());
         let missing = self.ledger.runs().filter(|(task, run)| {
+            if outcome.restarted && (!run.has_started() || self.repeated_starts.contains(*task)) {
+                return false;
+            }
             let was_known = match run.phase {
                 RunPhase::Requested { .. } => false,
                 RunPhase::Uncertain { expires_at, .. } => sent_at >= expires_at,
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -554,6 +554,61 @@
     assert_eq!(outcome.ended.len(), 1, "the run is no longer listed");
 }
 
+/// Guards against a run that counts as ended although a delayed copy of its start request may still be
+/// carried out: the new instance of the target has not seen a higher token yet.
+#[test_case(false; "start without a response")]
+#[test_case(true; "stop that the former instance has accepted")]
+fn start_without_a_response_is_not_over_before_the_next_claim(stopped: bool) {
+    let mut holder = Holder::confirmed();
+    let (name, _) = holder.start(0, StartAnswer::ConnectionLost);
+    if stopped {
+        holder.target.stop_run(holder.now, &name.task).unwrap();
+        holder.target.handle_stop_accepted(holder.now, name);
+    }
+    holder.now = holder.now + ms(400);
+    holder.target.poll_now(holder.now);
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    assert_eq!(ends(&outcome), [], "the poll has carried the former token");
+    holder.target.reclaim(holder.now, FencingToken(9));
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(ends(&outcome), [(name.task, RunEnd::LeaseExpired)]);
+}
+
+/// Guards against the same for a run of the former instance whose start request was repeated: a copy of the
+/// first request may still arrive.
+#[test]
+fn repeated_start_is_not_over_before_the_next_claim() {
+    let mut holder = Holder::confirmed();
+    let run = holder.request_start(0).run;
+    holder.now = holder.now + ms(30);
+    let timed_out = StartAnswer::TimedOut;
+    holder
+        .target
+        .handle_start_response(holder.now, run, timed_out);
+    let accepted = StartAnswer::Accepted(None);
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, run, accepted);
+    assert_eq!(outcome, StartOutcome::Started);
+    holder.pause();
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    assert_eq!(ends(&outcome), [], "the poll has carried the former token");
+    holder.target.reclaim(holder.now, FencingToken(9));
+    holder.now = holder.now + ms(1);
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(ends(&outcome), [(run.task, RunEnd::LeaseExpired)]);
+}
+
 /// Guards against losing a start whose response was lost, and against a second run: the target
 /// starts a run only once, however often it is requested.
 #[test]
