job_table: a job that comes again uses no run number twice

The run numbers began again at 1, and a coordinator matches Ended, Refused and Released by task, number and holder only. A report about run 1 of the removed job, still on its way, was taken for one about run 1 of the new one: for example a holder that releases the target of the former run while it starts the new run on another target. The coordinator then counts the new run as over one lease later, while the holder renews it.

It tests the numbers.

Why it works: the table remembers the highest run number of each removed job of which a holder was asked to run a task, for ten seconds and for at most 8,000 jobs, and a job of the same id begins after it. JobTable::remove takes the time for that; the calls in the tests are changed accordingly.

--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -115,7 +115,8 @@
 
     /// Removes a job and withdraws its placed tasks from their holders.
     fn remove_job(&mut self, key: JobKey) -> Option<ActiveJob> {
-        let job = self.jobs.remove(key)?;
+        let now = self.now();
+        let job = self.jobs.remove(now, key)?;
         let mut withdrawn = Vec::<(VmIndex, Vec<TaskName>)>::new();
         for task in &job.tasks {
             let TaskPhase::Placed { holder, .. } = task.phase else {
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -5,7 +5,7 @@
 //! objective. Tasks that have missed this time come last, because serving them first would make
 //! other tasks late as well.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +24,13 @@
 /// coordinator may have used the same numbers for the task.
 const RUN_NUMBER_SKIP: u32 = 16;
 
+/// How long the run numbers of a removed job are not used again. Reports of a holder arrive within its
+/// link's time-outs, after which either side has marked the other lost and has dropped its messages.
+const RUN_RETENTION: Duration = Duration::from_secs(10);
+
+/// The most removed jobs whose run numbers are remembered: ten seconds at 800 jobs a second.
+const REMOVED_LIMIT: usize = 8000;
+
 /// The most targets that a task avoids.
 const EXCLUDED_LIMIT: usize = 4;
 
@@ -282,12 +289,75 @@
     task: TaskRef,
 }
 
+/// A removed job of which a task may have started.
+#[derive(Clone, Copy, Debug)]
+struct RemovedJob {
+    id: JobId,
+    removed_at: TimePoint,
+    /// The highest run number of its tasks.
+    highest: RunNumber,
+}
+
+/// The run numbers of jobs that were removed lately. Reports name a run by its task and number, so that
+/// a late one would be taken for a report about a new run with the number of a former one.
+#[derive(Clone, Debug, Default)]
+struct RemovedRuns {
+    /// The oldest first; a job that was removed more than once is found more than once.
+    order: VecDeque<RemovedJob>,
+    highest: HashMap<JobId, RunNumber>,
+}
+
+impl RemovedRuns {
+    /// Records the run numbers of a job that is removed now.
+    fn record(&mut self, now: TimePoint, job: &ActiveJob) {
+        self.expire(now);
+        let highest = job.tasks.iter().map(|task| task.run).max();
+        let Some(highest) = highest.filter(|_| job.offered) else {
+            return;
+        };
+        if self.order.len() == REMOVED_LIMIT {
+            self.forget_oldest();
+        }
+        self.order.push_back(RemovedJob {
+            id: job.id,
+            removed_at: now,
+            highest,
+        });
+        self.highest.insert(job.id, highest);
+    }
+
+    /// The first run number of a job that arrives now.
+    fn first_run(&mut self, now: TimePoint, id: JobId) -> RunNumber {
+        self.expire(now);
+        let used = self.highest.get(&id);
+        used.map_or(RunNumber(1), |used| used.next())
+    }
+
+    fn expire(&mut self, now: TimePoint) {
+        while let Some(oldest) = self.order.front()
+            && now.since(oldest.removed_at) >= RUN_RETENTION
+        {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(oldest) = self.order.pop_front()
+            // A later removal of the same job is remembered for longer.
+            && self.highest.get(&oldest.id) == Some(&oldest.highest)
+        {
+            self.highest.remove(&oldest.id);
+        }
+    }
+}
+
 /// All active jobs and the queue of their waiting tasks.
 #[derive(Clone, Debug, Default)]
 pub struct JobTable {
     jobs: SlotMap<JobKey, ActiveJob>,
     ids: HashMap<JobId, JobKey>,
     waiting: BTreeSet<QueuePosition>,
+    removed_runs: RemovedRuns,
 }
 
 /// What a coordinator expects of a job when it arrives.
@@ -334,6 +404,7 @@
         plan: JobPlan,
     ) -> JobKey {
         let id = spec.id;
+        let first_run = self.removed_runs.first_run(now, id);
         let mut tasks = Vec::new();
         for (step, step_spec) in (0..).zip(&spec.steps) {
             tasks.extend((0..step_spec.count).map(|index| ActiveTask {
@@ -344,7 +415,7 @@
                     index,
                 },
                 phase: TaskPhase::Blocked,
-                run: RunNumber(1),
+                run: first_run,
                 over_after: TimePoint(0),
                 failures: 0,
                 excluded: SmallVec::new(),
@@ -482,9 +553,10 @@
     }
 
     /// Removes a job and its waiting tasks.
-    pub fn remove(&mut self, key: JobKey) -> Option<ActiveJob> {
+    pub fn remove(&mut self, now: TimePoint, key: JobKey) -> Option<ActiveJob> {
         let job = self.jobs.remove(key)?;
         self.ids.remove(&job.id);
+        self.removed_runs.record(now, &job);
         for queue_position in job
             .tasks
             .iter()
--- a/crates/fleet/tests/job_queue.rs
+++ b/crates/fleet/tests/job_queue.rs
@@ -9,6 +9,7 @@
 use filbertpitch_fleet::shedding::{ArrivingJob, DensityClass};
 use filbertpitch_types::fleet::{ClientTimeout, JobSpec, StepSpec, TaskTimeliness};
 use filbertpitch_types::prelude::*;
+use test_case::test_case;
 
 const START: TimePoint = TimePoint(1_000_000);
 
@@ -36,6 +37,17 @@
     priority: u8,
     objective: Duration,
     steps: Vec<StepSpec>,
+) -> JobKey {
+    accept_at(START, jobs, id, priority, objective, steps)
+}
+
+fn accept_at(
+    now: TimePoint,
+    jobs: &mut JobTable,
+    id: u64,
+    priority: u8,
+    objective: Duration,
+    steps: Vec<StepSpec>,
 ) -> JobKey {
     let plan = JobPlan {
         queue: KindIndex::from(0),
@@ -57,7 +69,7 @@
         ephemeral: true,
         unsupported: None,
     };
-    jobs.accept(START, CallerToken(id), order, plan)
+    jobs.accept(now, CallerToken(id), order, plan)
 }
 
 fn place(jobs: &mut JobTable, task: TaskRef) {
@@ -263,10 +275,10 @@
     );
     assert_eq!(jobs.placed().count(), 1);
     assert_eq!(jobs.waiting_len(), 2);
-    assert!(jobs.remove(key).is_some());
+    assert!(jobs.remove(START, key).is_some());
     assert_eq!(jobs.waiting_len(), 0);
     assert_eq!(jobs.find(JobId(1)), None);
-    assert!(jobs.remove(key).is_none());
+    assert!(jobs.remove(START, key).is_none());
 }
 
 /// Guards against results that are assigned to the wrong task.
@@ -313,3 +325,26 @@
     task.skip_runs();
     assert!(task.run > RunNumber(2));
 }
+
+/// Guards against a late report about a run of a removed job that is taken for one about the run with the
+/// same number after the job was sent again.
+#[test_case(ms(9999), true; "while a report may arrive")]
+#[test_case(ms(10_000), false; "memory that grows with each job")]
+fn job_that_comes_again_uses_no_run_number_twice(absence: Duration, remembered: bool) {
+    let mut jobs = JobTable::default();
+    let first = accept(&mut jobs, 1, 0, ms(300), vec![step(2, &[])]);
+    let task = TaskRef {
+        job: first,
+        position: 1,
+    };
+    place(&mut jobs, task);
+    jobs.get_mut(first).unwrap().offered = true;
+    jobs.task_mut(task).next_run();
+    let used = jobs.task(task).run;
+    let removed_at = START + ms(1000);
+    jobs.remove(removed_at, first);
+    let steps = vec![step(2, &[])];
+    let again = accept_at(removed_at + absence, &mut jobs, 1, 0, ms(300), steps);
+    let job = jobs.get(again).unwrap();
+    assert!(job.tasks.iter().all(|task| (task.run > used) == remembered));
+}
