link: an envelope that names a message is addressed to the process that has sent it

While a peer's phase is NeverHeard, envelopes are addressed to no process, so that any process at the address accepts them; but an acknowledgement may have arrived, whose time the envelope names as heard. A process that has replaced the acknowledging one took that time, which is on another clock, for the time until which its own messages have arrived, and renewed leases accordingly.

Evidence: envelope_that_names_a_message_is_addressed_to_its_process failed before: "left: None right: Some(IncarnationId(2))".

Why it works: an envelope that names a message is always addressed to the process that has sent the message. Another process refuses it, and the sender learns of the replacement from the refusal.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -799,7 +799,9 @@
         self.last_sent = Some(now);
         self.advertised_class = envelope.demand.class();
         let unknown = matches!(self.phase, LinkPhase::NeverHeard { .. });
-        envelope.to = (!unknown).then_some(self.identity.incarnation);
+        // Another process would take the time of the message for a time on its own clock.
+        let addressed = !unknown || self.latest_message.is_some();
+        envelope.to = addressed.then_some(self.identity.incarnation);
         envelope.losses = self.own_losses;
         envelope.heard_until = self.latest_message.map(|message| message.sent_at);
         self.named_message_at = self.latest_message.map(|message| message.arrived_at);
--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -577,3 +577,18 @@
     pair.deliver();
     assert_eq!(pair.b.heartbeat().lost_after(), LOST_AFTER);
 }
+
+/// Guards against a process that takes the time of a message of the former process, which is on another
+/// clock, for the time until which its own messages have arrived.
+#[test]
+fn envelope_that_names_a_message_is_addressed_to_its_process() {
+    let mut link = link_to(identity("vm-b", 2));
+    let (_, envelope) = link.complete_envelope(START, template(identity("vm-a", 1), START));
+    assert_eq!((envelope.to, envelope.heard_until), (None, None));
+    let ack = link_to(identity("vm-a", 1)).ack(START, IncarnationId(2));
+    link.handle_ack(START, &ack);
+    assert!(matches!(link.phase(), LinkPhase::NeverHeard { .. }));
+    let (_, envelope) = link.complete_envelope(START, template(identity("vm-a", 1), START));
+    assert_eq!(envelope.heard_until, Some(START));
+    assert_eq!(envelope.to, Some(IncarnationId(2)));
+}
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -975,7 +975,7 @@
     /// The process that sends the envelope.
     pub from: PeerIdentity,
     /// The process that the envelope is addressed to; absent if the sender does not know one yet, and
-    /// then any process at the address accepts it.
+    /// then any process at the address accepts it. Always present if the envelope names a message.
     pub to: Option<IncarnationId>,
     /// How often the sender has declared the receiver lost. When the number increases, the sender
     /// has dropped all work that it did for the receiver.
