holding: only an answer to the question of the present claim adopts a found run

Keep named neither the claim whose question it answered nor its age. A VM that had lost a target and claimed it again took a late answer to its first question for one to its second: it renewed a run whose coordinator may have counted it as over meanwhile.

Keep carries the token of the question that it answers, as its last field; a run without a coordinator is adopted only if this is the token of the present claim. A Keep that answers no question (update_run_origins) only changes a run that the sender has at the holder already. So far it could also adopt the run of another coordinator with the same number, while the sender's own request was blocked by that run. If it changes nothing, the holder reports no release: the end of a run that it had is always reported, and a late Released would say something wrong about a run that was found again meanwhile.

--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -271,6 +271,7 @@
                 target: self.registry.name(placed.target).clone(),
                 runs: vec![run],
                 losses: self.losses_declared_by(placed.holder),
+                claim: None,
             };
             self.send(placed.holder, keep);
         }
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -613,19 +613,23 @@
                     target: target.clone(),
                     runs: kept,
                     losses: self.losses_declared_by(from),
+                    claim: Some(token),
                 },
             );
         }
     }
 
     /// Adopts the found runs that a coordinator still wants, and tells the coordinator which of
-    /// these runs are not on the target.
+    /// these runs it has not adopted. The answer to a question under an earlier claim of this VM adopts
+    /// no run, because the coordinator may have lost the contact since. A message that answers no question
+    /// only changes runs that the coordinator has here; the coordinator learns otherwise of their end.
     pub(super) fn receive_keep(
         &mut self,
         from: VmIndex,
         target: &TargetName,
         runs: &[KeptRun],
         losses: LossCount,
+        claim: Option<FencingToken>,
     ) {
         let index = self.registry.intern(target);
         let link = self.links[from].as_ref();
@@ -635,9 +639,12 @@
             let expected = std::time::Duration::from_millis(kept.expected_ms.into());
             let held = self.held.get_mut(&index).filter(|_| admitted);
             let adopted = held.is_some_and(|held| {
-                held.adopt_run(kept.run, from, kept.resources, expected, kept.origin)
+                let known = held.ledger().get(&kept.run.task);
+                let own = known.is_some_and(|run| run.coordinator == Some(from));
+                (own || claim == Some(held.token()))
+                    && held.adopt_run(kept.run, from, kept.resources, expected, kept.origin)
             });
-            if !adopted {
+            if !adopted && claim.is_some() {
                 missed.push(kept.run);
             }
         }
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -305,7 +305,8 @@
                 target,
                 runs,
                 losses,
-            } => self.receive_keep(from, &target, &runs, losses),
+                claim,
+            } => self.receive_keep(from, &target, &runs, losses, claim),
             FleetMessage::Crashed(reports) => self.receive_crashes(&reports),
             FleetMessage::AskCapacities { asked_at, age_ms } => {
                 self.answer_capacities(from, asked_at, age_ms);
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -946,6 +946,9 @@
         runs: Vec<KeptRun>,
         /// As in [`PlaceRequest`].
         losses: LossCount,
+        /// The token of the question that this answers; absent if the message changes runs that the
+        /// holder has adopted.
+        claim: Option<FencingToken>,
     },
     /// From a VM to those that may get the jobs concerned: targets have crashed.
     Crashed(Vec<CrashReport>),
