jobs: the highest token that was named for a run orders what VMs say about it

A coordinator compared the token of a question about a run only with the present holdings of the recorded holder, which it forgets when it marks that holder lost. From then on a former holder with a lower token was told to keep the run and was recorded as its holder. Released carried no token at all: the report about an earlier claim of a VM that had claimed the target again since counted as one about the present claim, and the coordinator started the task again one lease later, while the holder renewed the run.

Each task records the highest token that was named for the target of its latest run: by the holding through which it was placed, and by each question since. Inquire and Released with a lower token are ignored; Released carries the token, as its last field, of the claim under which the run was held, or of the question whose answer came too late. A Released that names another target than the one on which the run was placed is applied as before, because tokens of different targets are not comparable and a holder may choose another target.

Why it works: a target accepts claims with rising tokens only, so that the VM with the highest token that was named is the latest holder that the coordinator knows of, whether it is heard or not. After a restart, which makes the target forget its token, the runs of before are gone.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -268,9 +268,14 @@
             let blocked = coordinators.entry(request.coordinator);
             blocked.or_default().push(request.run);
         }
+        let token = held.token();
         for (coordinator, runs) in coordinators {
-            let target = self.registry.name(target).clone();
-            self.send(coordinator, FleetMessage::Released { target, runs });
+            let released = FleetMessage::Released {
+                target: self.registry.name(target).clone(),
+                runs,
+                token,
+            };
+            self.send(coordinator, released);
         }
         self.placement_due = true;
     }
@@ -644,14 +649,19 @@
                 (own || claim == Some(held.token()))
                     && held.adopt_run(kept.run, from, kept.resources, expected, kept.origin)
             });
-            if !adopted && claim.is_some() {
+            if !adopted {
                 missed.push(kept.run);
             }
         }
-        if !missed.is_empty() {
-            let target = target.clone();
-            let runs = missed;
-            self.send(from, FleetMessage::Released { target, runs });
+        if let Some(token) = claim
+            && !missed.is_empty()
+        {
+            let released = FleetMessage::Released {
+                target: target.clone(),
+                runs: missed,
+                token,
+            };
+            self.send(from, released);
         }
         self.placement_due = true;
     }
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -384,9 +384,16 @@
         self.requeue_task(task);
     }
 
-    /// Handles a holder's report that it has released the target of these runs. They may go on
-    /// until their lease expires.
-    pub(super) fn receive_release(&mut self, from: VmIndex, target: &TargetName, runs: &[RunName]) {
+    /// Handles a holder's report that it has released the target of these runs, or has not kept them,
+    /// under a claim with this token. They may go on until their lease expires. The report says nothing
+    /// about a run that was named under a later claim since.
+    pub(super) fn receive_release(
+        &mut self,
+        from: VmIndex,
+        target: &TargetName,
+        runs: &[RunName],
+        token: FencingToken,
+    ) {
         let target = self.registry.intern(target);
         let over_at = self.lease_expiry_after(self.now());
         for run in runs {
@@ -394,7 +401,12 @@
                 continue;
             };
             let placement = self.placement_of(task, run.run);
-            if placement.is_some_and(|(holder, _)| holder == from) {
+            let Some((_, placed_on)) = placement.filter(|(holder, _)| *holder == from) else {
+                continue;
+            };
+            // The holder may have started the run on another target, whose tokens are not comparable.
+            let superseded = placed_on == target && self.is_superseded(task, token);
+            if !superseded {
                 self.orphan_task(task, from, target, over_at, "released");
             }
         }
@@ -482,8 +494,8 @@
 
     /// Returns whether a run that a new holder has found is still wanted; if so, assigns it to that
     /// holder. A poll that has waited at the target while the target changed its holder can show the
-    /// former holder the runs of the new one, so a VM with a lower token than the run's live holder
-    /// is not a new holder.
+    /// former holder the runs of the new one, so a VM with a lower token than one that was named for the
+    /// run is not a new holder.
     pub(super) fn reassign_run(
         &mut self,
         task: TaskRef,
@@ -496,6 +508,9 @@
         let Some((former, _)) = placement.filter(|(_, placed_on)| *placed_on == target) else {
             return false;
         };
+        if self.is_superseded(task, token) {
+            return false;
+        }
         if former != holder {
             if self.token_of(former, target) > Some(token) {
                 return false;
@@ -513,11 +528,17 @@
             requested_at: now,
         };
         self.jobs.set_phase(now, task, phase);
+        self.jobs.task_mut(task).holder_token = Some(token);
         true
     }
 
+    /// Whether a higher token than this one was named for the target of a task's latest run.
+    fn is_superseded(&self, task: TaskRef, token: FencingToken) -> bool {
+        self.jobs.task(task).holder_token > Some(token)
+    }
+
     /// The token with which a VM holds a target, as far as this VM knows.
-    fn token_of(&self, holder: VmIndex, target: TargetIndex) -> Option<FencingToken> {
+    pub(super) fn token_of(&self, holder: VmIndex, target: TargetIndex) -> Option<FencingToken> {
         let Some(link) = &self.links[holder] else {
             return self.held.get(&target).map(HeldTarget::token);
         };
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -295,7 +295,11 @@
             FleetMessage::Refused { run, refusal } => self.receive_refusal(from, run, refusal),
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
-            FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
+            FleetMessage::Released {
+                target,
+                runs,
+                token,
+            } => self.receive_release(from, &target, &runs, token),
             FleetMessage::Inquire {
                 target,
                 token,
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -458,6 +458,7 @@
                 requested_at: now,
             };
             self.jobs.set_phase(now, task, phase);
+            self.jobs.task_mut(task).holder_token = self.token_of(holder, target);
             let order = self.build_task_order(task, target);
             self.record_placement(task, holder, target);
             let step = self.jobs.task(task).name.step;
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -114,6 +114,9 @@
     pub phase: TaskPhase,
     /// The number of the current or next run.
     pub run: RunNumber,
+    /// The highest token that was named for the target of the latest run, by its holder when the run was
+    /// placed or by a VM that has found the run there.
+    pub holder_token: Option<FencingToken>,
     /// Before this time the latest runs do not count as over, whoever reports to hold their target.
     pub over_after: TimePoint,
     /// The number of failed runs.
@@ -416,6 +419,7 @@
                 },
                 phase: TaskPhase::Blocked,
                 run: first_run,
+                holder_token: None,
                 over_after: TimePoint(0),
                 failures: 0,
                 excluded: SmallVec::new(),
--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -5,15 +5,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_dispatch::entity::TargetIndex;
+use filbertpitch_dispatch::entity::{KindIndex, TargetIndex};
+use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{
     FleetAction, FleetEngine, FleetEvent, FleetNotice, FleetSettings,
 };
 use filbertpitch_fleet::held::PollPlan;
 use filbertpitch_types::fleet::{
     CapacityReport, DemandReport, EnvelopeAck, FleetConfiguration, FleetMessage, HoldingReport,
-    KeptRun, PeerEnvelope, PeerIdentity, PeerState, QueueSpec, RoutingReport, ServicePolicy,
-    TargetChange, TargetEntry, TargetState,
+    JobSpec, KeptRun, PeerEnvelope, PeerIdentity, PeerState, QueueSpec, RoutingReport,
+    ServicePolicy, StepSpec, TargetChange, TargetEntry, TargetState,
 };
 use filbertpitch_types::lease::{PollReport, PollResult, RunningEntry};
 use filbertpitch_types::prelude::*;
@@ -301,6 +302,44 @@
             .filter(|it| matches!(it, FleetMessage::Inquire { .. }));
         inquiries.count()
     }
+
+    /// Submits the job of the run and lets a peer that holds the target with this token run it.
+    fn place(&mut self, holder: usize, token: FencingToken) {
+        self.peers[holder].token = Some(token);
+        self.run_for(ms(200));
+        let step = StepSpec {
+            count: 1,
+            resources: resources(),
+            declared: ms(20_000),
+            after: Vec::new(),
+            required_label: None,
+            preferred_rack: None,
+            spread_limit: None,
+            unsupported: None,
+        };
+        self.handle(FleetEvent::JobSubmitted {
+            caller: CallerToken(1),
+            queue: KindIndex::from(0),
+            spec: JobSpec {
+                id: run().task.job,
+                payload: Rc::from("work"),
+                steps: vec![step],
+                ephemeral: true,
+                unsupported: None,
+            },
+            client_timeout: ms(60_000).into(),
+        });
+        let messages = self.take_received(holder);
+        let place = |it: &FleetMessage| matches!(it, FleetMessage::Place(_));
+        assert!(messages.iter().any(place), "{messages:?}");
+    }
+
+    fn orphaned(&self) -> usize {
+        let notices = self.notices.iter();
+        notices
+            .filter(|it| matches!(it, FleetNotice::RunOrphaned { .. }))
+            .count()
+    }
 }
 
 fn keep(claim: FencingToken) -> FleetMessage {
@@ -317,6 +356,14 @@
     }
 }
 
+fn inquire(token: FencingToken) -> FleetMessage {
+    FleetMessage::Inquire {
+        target: target_name(),
+        token,
+        runs: vec![run()],
+    }
+}
+
 /// Guards against a run that is renewed for a coordinator which does not know the claim under which it was
 /// found: an answer to a question under an earlier claim of the same VM arrives late.
 #[test_case(true; "an earlier claim")]
@@ -340,3 +387,40 @@
     assert_eq!(plan.request.token, second);
     assert_eq!(plan.request.lease_end.is_some(), !late, "{plan:?}");
 }
+
+/// Guards against a run that a former holder is told to keep after the coordinator has lost the contact with
+/// the present one, and has forgotten which targets it holds.
+#[test]
+fn question_under_a_token_of_before_the_placement_is_ignored() {
+    let mut bench = Bench::new(PEER_ZONE, 2);
+    bench.place(0, FencingToken(20));
+    bench.peers[0].silent = true;
+    bench.run_for(ms(1000));
+    assert_eq!(bench.orphaned(), 1);
+    bench.take_received(1);
+    bench.send(1, vec![inquire(FencingToken(10))]);
+    let messages = bench.take_received(1);
+    let kept = |it: &FleetMessage| matches!(it, FleetMessage::Keep { .. });
+    assert!(!messages.iter().any(kept), "{messages:?}");
+    bench.send(1, vec![inquire(FencingToken(30))]);
+    let messages = bench.take_received(1);
+    assert!(messages.iter().any(kept), "{messages:?}");
+}
+
+/// Guards against a run that counts as over because of the end of an earlier claim of its holder, which has
+/// claimed the target again and renews the run.
+#[test]
+fn report_about_an_earlier_claim_says_nothing_about_the_run() {
+    let mut bench = Bench::new(PEER_ZONE, 1);
+    bench.place(0, FencingToken(20));
+    bench.send(0, vec![inquire(FencingToken(30))]);
+    let released = |token| FleetMessage::Released {
+        target: target_name(),
+        runs: vec![run()],
+        token,
+    };
+    bench.send(0, vec![released(FencingToken(20))]);
+    assert_eq!(bench.orphaned(), 0);
+    bench.send(0, vec![released(FencingToken(30))]);
+    assert_eq!(bench.orphaned(), 1);
+}
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -927,6 +927,9 @@
         target: TargetName,
         /// The names of the runs.
         runs: Vec<RunName>,
+        /// The token of the claim under which the sender had the runs, or was told to keep them: a
+        /// coordinator ignores the message if it knows of a later claim.
+        token: FencingToken,
     },
     /// From a new holder to all VMs: asks for the coordinators of runs that it found on a target.
     Inquire {
