--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -295,7 +295,11 @@
             FleetMessage::Refused { run, refusal } => self.receive_refusal(from, run, refusal),
             FleetMessage::Ended(notice) => self.receive_end(from, &notice),
             FleetMessage::FoundEnd(notice) => self.receive_found_end(&notice),
-            FleetMessage::Released { target, runs } => self.receive_release(from, &target, &runs),
+            FleetMessage::Released {
+                target,
+                runs,
+                token,
+            } => self.receive_release(from, &target, &runs, token),
             FleetMessage::Inquire {
                 target,
                 token,
@@ -305,7 +309,8 @@
                 target,
                 runs,
                 losses,
-            } => self.receive_keep(from, &target, &runs, losses),
+                claim,
+            } => self.receive_keep(from, &target, &runs, losses, claim),
             FleetMessage::Crashed(reports) => self.receive_crashes(&reports),
             FleetMessage::AskCapacities { asked_at, age_ms } => {
                 self.answer_capacities(from, asked_at, age_ms);
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -283,6 +283,9 @@
     /// When the last response arrived.
     last_response_at: TimePoint,
     pending_starts: BTreeMap<TaskName, PendingStart>,
+    /// The tasks in the ledger whose start request was repeated: a copy of an earlier request may arrive
+    /// after the run has started.
+    repeated_starts: BTreeSet<TaskName>,
     /// When all leases granted to the target have certainly expired, on the local clock. The target may
     /// take `EXPIRY_TIME` more to end the runs.
     leases_expired_at: TimePoint,
@@ -329,6 +332,7 @@
             hedge_due: now,
             last_response_at: now,
             pending_starts: BTreeMap::new(),
+            repeated_starts: BTreeSet::new(),
             // A former holder may have granted a whole lease until now.
             leases_expired_at: now + max_lease_duration(settings.lease),
             adoption_due: None,
@@ -601,13 +605,13 @@
         }
     }
 
-    /// The lease that a poll grants now. The lease of an unreachable target is not extended, so that
+    /// The lease that a poll grants now. A poll that is to confirm a claim grants none: the target may
+    /// have runs that this VM does not know. The lease of an unreachable target is not extended, so that
     /// the runs on the target end in bounded time. Nor is it extended while the coordinator of a run
     /// is unknown, or beyond the lease limit of a run, because the coordinator relies on that.
     fn renewed_lease(&self, now: TimePoint) -> Option<Duration> {
-        let mut runs = self.ledger.runs();
-        let known = runs.all(|(_, run)| run.coordinator.is_some());
-        (self.is_reachable() && known).then(|| {
+        let confirmed = self.phase == HoldPhase::Confirmed;
+        (confirmed && self.is_reachable() && self.knows_coordinators()).then(|| {
             let limit = self.ledger.lease_limit();
             let lease = self.settings.lease;
             limit.map_or(lease, |limit| {
@@ -616,10 +620,17 @@
         })
     }
 
+    /// Whether the coordinators of all runs are known.
+    fn knows_coordinators(&self) -> bool {
+        let mut runs = self.ledger.runs();
+        runs.all(|(_, run)| run.coordinator.is_some())
+    }
+
     /// Whether a start request, which extends the lease, respects the lease limits of all runs.
     fn admits_start(&self, now: TimePoint) -> bool {
         let limit = self.ledger.lease_limit();
-        limit.is_none_or(|limit| limit >= self.start_expires_at(now))
+        let in_time = limit.is_none_or(|limit| limit >= self.start_expires_at(now));
+        in_time && self.knows_coordinators()
     }
 
     /// When the target certainly no longer accepts a start request that is planned now.
@@ -690,6 +701,7 @@
             sent_at: now,
         };
         self.pending_starts.insert(task, open);
+        self.repeated_starts.remove(&task);
         Some(StartPlan {
             request,
             options: self.request_options(false),
@@ -713,6 +725,7 @@
         open.sent_at = now;
         open.request.lease_end = lease_end;
         let request = open.request.clone();
+        self.repeated_starts.insert(name.task);
         Some(StartPlan { request, options })
     }
 
@@ -1013,7 +1026,10 @@
     }
 
     /// Removes the runs that the report does not list although the target had them, or could no
-    /// longer accept their start request, when the poll was sent.
+    /// longer accept their start request, when the poll was sent. A report that shows a restart does not
+    /// show that the new instance carries out no delayed copy of a start request: the clock on which the
+    /// request expires has begun anew, and the target refuses the copy only once it has seen the token of
+    /// the next claim.
     fn remove_missing(
         &mut self,
         sent_at: TimePoint,
@@ -1027,14 +1043,16 @@
             };
             report.running.iter().any(|entry| entry.run == name)
         };
+        let ledger = &self.ledger;
+        self.repeated_starts
+            .retain(|task| ledger.get(task).is_some());
         let missing = self.ledger.runs().filter(|(task, run)| {
+            if outcome.restarted && (!run.has_started() || self.repeated_starts.contains(*task)) {
+                return false;
+            }
             let was_known = match run.phase {
                 RunPhase::Requested { .. } => false,
-                // The clock of a new instance has begun anew: it accepts the request until a poll with a
-                // higher token has arrived.
-                RunPhase::Uncertain { expires_at, .. } => {
-                    sent_at >= expires_at && !outcome.restarted
-                }
+                RunPhase::Uncertain { expires_at, .. } => sent_at >= expires_at,
                 // A run confirmed after the poll was sent may belong to the new instance of the
                 // target.
                 RunPhase::Running { confirmed_at } => {
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -585,6 +585,61 @@
     assert_eq!(outcome.ended.len(), 1, "the run is no longer listed");
 }
 
+/// Guards against a run that counts as ended although a delayed copy of its start request may still be
+/// carried out: the new instance of the target has not seen a higher token yet.
+#[test_case(false; "start without a response")]
+#[test_case(true; "stop that the former instance has accepted")]
+fn start_without_a_response_is_not_over_before_the_next_claim(stopped: bool) {
+    let mut holder = Holder::confirmed();
+    let (name, _) = holder.start(0, StartAnswer::ConnectionLost);
+    if stopped {
+        holder.target.stop_run(holder.now, &name.task).unwrap();
+        holder.target.handle_stop_accepted(holder.now, name);
+    }
+    holder.now = holder.now + ms(400);
+    holder.target.poll_now(holder.now);
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    assert_eq!(ends(&outcome), [], "the poll has carried the former token");
+    holder.target.reclaim(holder.now, FencingToken(9));
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(ends(&outcome), [(name.task, RunEnd::LeaseExpired)]);
+}
+
+/// Guards against the same for a run of the former instance whose start request was repeated: a copy of the
+/// first request may still arrive.
+#[test]
+fn repeated_start_is_not_over_before_the_next_claim() {
+    let mut holder = Holder::confirmed();
+    let run = holder.request_start(0).run;
+    holder.now = holder.now + ms(30);
+    let timed_out = StartAnswer::TimedOut;
+    holder
+        .target
+        .handle_start_response(holder.now, run, timed_out);
+    let accepted = StartAnswer::Accepted(None);
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, run, accepted);
+    assert_eq!(outcome, StartOutcome::Started);
+    holder.pause();
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    assert_eq!(ends(&outcome), [], "the poll has carried the former token");
+    holder.target.reclaim(holder.now, FencingToken(9));
+    holder.now = holder.now + ms(1);
+    let plan = holder.plan();
+    let report = restart_report(&holder);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(ends(&outcome), [(run.task, RunEnd::LeaseExpired)]);
+}
+
 /// Guards against losing a start whose response was lost, and against a second run: the target
 /// starts a run only once, however often it is requested.
 #[test]
@@ -961,6 +1016,46 @@
     assert_eq!(expired.len(), 1);
 }
 
+/// Guards against a claim that renews the lease of runs which this VM does not know, and whose coordinators
+/// count on a lease that nobody renews.
+#[test_case(false; "the same claim after a pause")]
+#[test_case(true; "a new claim")]
+fn poll_that_claims_renews_no_lease(reclaimed: bool) {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    match reclaimed {
+        true => holder.target.reclaim(holder.now, FencingToken(9)),
+        false => holder.target.reconfirm(holder.now),
+    }
+    let plan = holder.plan();
+    assert_eq!(plan.request.lease_end, None, "the claim is not confirmed");
+    assert_eq!(plan.request.wait, Duration::ZERO);
+    let report = holder.report(vec![run], vec![]);
+    holder.answer(&plan, &report);
+    let lease_end = holder.plan().request.lease_end;
+    let lease = TargetTime(holder.target_time().0 + 1000);
+    assert_eq!(lease_end, Some(lease), "renewed without waiting");
+}
+
+/// Guards against a start request that extends the lease of a run whose coordinator is not known.
+#[test]
+fn start_is_not_repeated_beside_a_run_without_a_coordinator() {
+    let mut holder = Holder::confirmed();
+    let name = holder.request_start(0).run;
+    let found = RunName {
+        task: task(1),
+        run: RunNumber(1),
+    };
+    holder.now = holder.now + ms(30);
+    holder.exchange(vec![found], vec![]);
+    let timed_out = StartAnswer::TimedOut;
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, name, timed_out);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+}
+
 /// The time that a target may take to end a run whose lease has expired.
 const TARGET_EXPIRY_TIME: Duration = Duration::from_millis(50);
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -927,6 +927,9 @@
         target: TargetName,
         /// The names of the runs.
         runs: Vec<RunName>,
+        /// The token of the claim under which the sender had the runs, or was told to keep them: a
+        /// coordinator ignores the message if it knows of a later claim.
+        token: FencingToken,
     },
     /// From a new holder to all VMs: asks for the coordinators of runs that it found on a target.
     Inquire {
@@ -946,6 +949,9 @@
         runs: Vec<KeptRun>,
         /// As in [`PlaceRequest`].
         losses: LossCount,
+        /// The token of the question that this answers; absent if the message changes runs that the
+        /// holder has adopted.
+        claim: Option<FencingToken>,
     },
     /// From a VM to those that may get the jobs concerned: targets have crashed.
     Crashed(Vec<CrashReport>),
@@ -975,7 +981,7 @@
     /// The process that sends the envelope.
     pub from: PeerIdentity,
     /// The process that the envelope is addressed to; absent if the sender does not know one yet, and
-    /// then any process at the address accepts it.
+    /// then any process at the address accepts it. Always present if the envelope names a message.
     pub to: Option<IncarnationId>,
     /// How often the sender has declared the receiver lost. When the number increases, the sender
     /// has dropped all work that it did for the receiver.
