Bound the age of a peer's messages by exchanges instead of estimating it

Cause: a holder refuses requests that are more than 200 ms old, and the coordinator relies on it when it counts a run as over (`run_expiry_after`). The holder took for the age what the difference of the two clocks exceeds the least of the last 64 envelopes, and zero for the first one. A link or VM that is slow for longer hides its delay. The last sign of life of a VM that has forwarded a job, and the statement of its coordinator about it, rested on the same estimate.

Change: a message of the peer that was sent after it had received a message of this VM was not sent before the latter. `PeerClock` keeps the best such bound of the current process (acknowledgements, and the messages that envelopes name), less 0.1% for the different speeds of the steady clocks. The age of a message is at most the time since the earliest sending that the bound permits. It does not depend on how fast other messages were.

- `Place` and forwarded jobs: refused as stale unless certainly younger than 200 ms; also without a bound.
The first request of a peer has one: its coordinator sends it only after it has heard this VM, and its envelope names that message.
- Signs of life and statements about processes that have forwarded jobs count from their earliest possible sending; without a bound they do not count.
- `last_heard`, the time of the reported demand and the liveness of the sender use the bound too.
Without one the delay is taken as zero as before.
Nothing is concluded about a run from these.
- `heard_until` of an envelope that is addressed to nobody, or that lies in the future, bounds nothing.
An acknowledgement is paired with the time of the envelope in flight.

`run_expiry_after` needs no change: a request that is carried out is younger than 200 ms by the holder's clock, from the coordinator's decision on.

--- a/crates/fleet/src/engine/forwarding.rs
+++ b/crates/fleet/src/engine/forwarding.rs
@@ -151,11 +151,10 @@
     fn find_origin(&self, clock: ClockReading, origin: &ForwardOrigin) -> Option<VmIndex> {
         let peer = self.vms.get(&origin.vm)?;
         let link = self.links[peer].as_ref()?;
-        let delay = link.excess_delay(origin.sent_at, clock.time);
         let admitted = self.state == PeerState::Ready
             && link.identity().incarnation == origin.incarnation
             && link.admits_request(origin.losses)
-            && delay < self.settings.links.max_request_delay;
+            && !link.is_late_request(clock.time, origin.sent_at);
         admitted.then_some(peer)
     }
 
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -418,8 +418,8 @@
     }
 
     /// When a run has certainly ended if its holder gets no further sign of life of this VM. The
-    /// target may have had a whole lease when the run started; the holder has renewed it up to the
-    /// coordinator timeout.
+    /// holder carries out no request that may be older than the maximum delay, and the target may have
+    /// had a whole lease when the run started; the holder has renewed it up to the coordinator timeout.
     fn run_expiry_after(&self, placed: PlacedTask, contact: LostContact) -> TimePoint {
         let started_by = placed.requested_at + self.settings.links.max_request_delay;
         let renewed = contact.confirmed_at + self.settings.held.coordinator_timeout;
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -28,8 +28,7 @@
         }
         let now = self.now();
         let stale = self.links[coordinator].as_ref().is_some_and(|link| {
-            let delay = link.excess_delay(request.issued_at, now);
-            delay >= self.settings.links.max_request_delay || !link.admits_request(request.losses)
+            link.is_late_request(now, request.issued_at) || !link.admits_request(request.losses)
         });
         for order in &request.tasks {
             let run = RunName {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod link_table;
 pub mod listing;
 pub mod offers;
+pub mod peer_clock;
 pub mod rack_demand;
 pub mod registry;
 pub mod response_timeout;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -22,8 +22,8 @@
 };
 use filbertpitch_types::prelude::*;
 
-use crate::clock::DelayEstimator;
 use crate::heartbeat::{HeartbeatPacing, HeartbeatSettings, PeerCounts, PeerLocality};
+use crate::peer_clock::PeerClock;
 
 /// Intervals and time-outs of a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,9 +32,8 @@
     pub heartbeat: HeartbeatSettings,
     /// The time between envelopes to a peer that has been lost for long.
     pub lost_interval: Duration,
-    /// A request of a peer is refused if its delay exceeds the minimum delay of recent envelopes by
-    /// this time or more. With a whole lease, it must be shorter than the time after which a client
-    /// sends its job again.
+    /// A request of a peer is refused unless it is certainly younger than this time. With a whole
+    /// lease, it must be shorter than the time after which a client sends its job again.
     pub max_request_delay: Duration,
 }
 
@@ -162,6 +161,13 @@
     arrived_at: TimePoint,
 }
 
+/// An envelope to the peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SentEnvelope {
+    number: EnvelopeNumber,
+    sent_at: TimePoint,
+}
+
 /// A process that ran on the VM of the peer before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct FormerProcess {
@@ -186,11 +192,11 @@
     former: VecDeque<FormerProcess>,
     phase: LinkPhase,
     last_heard: TimePoint,
-    /// When the process has certainly sent a message last, apart from the shortest transit time.
+    /// The earliest time at which the process can have sent its latest message.
     last_sign_of_life: TimePoint,
     /// When each process that has forwarded jobs to the peer has given the peer its last sign of life.
     origins: BTreeMap<IncarnationId, TimePoint>,
-    delays: DelayEstimator,
+    clock: PeerClock,
     state: PeerState,
     /// When the peer's process started.
     started_at: TimePoint,
@@ -218,7 +224,7 @@
     first_message: u64,
     pending_requests: VecDeque<PendingRequest>,
     /// The envelope that is neither acknowledged nor known to have failed.
-    in_flight: Option<EnvelopeNumber>,
+    in_flight: Option<SentEnvelope>,
     next_envelope: EnvelopeNumber,
     /// Whether the latest envelope was not acknowledged and nothing was heard since.
     unacked: bool,
@@ -268,7 +274,7 @@
             last_heard: now,
             last_sign_of_life: TimePoint(0),
             origins: BTreeMap::new(),
-            delays: DelayEstimator::default(),
+            clock: PeerClock::default(),
             state: PeerState::Starting,
             started_at: now,
             demand: DemandReport::default(),
@@ -392,16 +398,17 @@
         self.last_heard
     }
 
-    /// When the process has sent its latest message, an envelope, an acknowledgement or a job, on the
-    /// local clock. The shortest transit time of recent envelopes is not subtracted.
+    /// The earliest local time at which the process can have sent its latest message: an envelope, an
+    /// acknowledgement or a job. Zero before the first exchange with the process.
     pub fn last_sign_of_life(&self) -> TimePoint {
         self.last_sign_of_life
     }
 
     /// Records a message that the process has sent at `sent_at` on its own clock.
     pub fn record_sign_of_life(&mut self, now: TimePoint, sent_at: TimePoint) {
-        let sent = now - self.delays.excess_delay(sent_at, now);
-        self.last_sign_of_life = self.last_sign_of_life.max(sent);
+        if let Some(sent) = self.clock.not_before(sent_at) {
+            self.last_sign_of_life = self.last_sign_of_life.max(sent.min(now));
+        }
     }
 
     /// Until when the peer has heard a process that has forwarded jobs to it, on the local clock, as the
@@ -410,6 +417,7 @@
         self.origins.get(&process).copied()
     }
 
+    /// Records what an envelope states that was sent at `sent` or later.
     fn record_origins(&mut self, sent: TimePoint, contacts: &[OriginContact]) {
         self.origins
             .retain(|_, heard| sent.since(*heard) < ORIGIN_RETENTION);
@@ -420,10 +428,17 @@
         }
     }
 
-    /// By how much the delay of a request exceeds the minimum delay of the peer's recent envelopes;
-    /// `issued` is the time of the request on the peer's clock.
-    pub fn excess_delay(&self, issued: TimePoint, now: TimePoint) -> Duration {
-        self.delays.excess_delay(issued, now)
+    /// The maximum age of a message that the process has sent at `sent_at` on its own clock; `None`
+    /// before the first exchange with the process.
+    fn max_age(&self, now: TimePoint, sent_at: TimePoint) -> Option<Duration> {
+        Some(now.since(self.clock.not_before(sent_at)?))
+    }
+
+    /// Whether a request that the process has made at `issued` on its own clock may be too old to be
+    /// carried out.
+    pub fn is_late_request(&self, now: TimePoint, issued: TimePoint) -> bool {
+        self.max_age(now, issued)
+            .is_none_or(|age| age >= self.settings.max_request_delay)
     }
 
     /// The free capacity of a target that the peer holds, less what was requested since the last
@@ -488,7 +503,7 @@
         self.heartbeat.reset_peer();
         self.last_sign_of_life = TimePoint(0);
         self.origins.clear();
-        self.delays = DelayEstimator::default();
+        self.clock = PeerClock::default();
         self.state = PeerState::Starting;
         self.demand = DemandReport::default();
         self.holdings_version = 0;
@@ -596,6 +611,11 @@
             self.phase = LinkPhase::NeverHeard { since: now };
         }
         self.heard = true;
+        // Without a receiver, the envelope may name a message of a former process of this VM.
+        let named = envelope.heard_until.filter(|named| *named <= now);
+        if let (Some(_), Some(named)) = (envelope.to, named) {
+            self.clock.observe(named, envelope.sent_at);
+        }
         self.record_message(now, envelope.sent_at);
         // Envelopes may overtake each other.
         let is_latest = self.latest_envelope <= Some(envelope.sent_at);
@@ -609,15 +629,19 @@
             }
         }
         // A delayed envelope shows that the peer was alive when it was sent, not that it is now.
-        let delay = self.delays.excess_delay(envelope.sent_at, now);
-        self.delays.observe(envelope.sent_at, now);
+        // Before the first exchange its delay is unknown and taken as zero: a peer that wrongly counts
+        // as live is noticed by the time-outs, and its requests are refused until then.
+        let age = self.max_age(now, envelope.sent_at);
+        let delay = age.unwrap_or_default();
         if envelope.losses > self.peer_losses {
             self.peer_losses = envelope.losses;
             update.work_dropped = update.work_dropped.or(Some(self.lose_contact(now)));
             self.pending_requests.clear();
         }
         let heard = now - delay;
-        self.record_origins(heard, &envelope.origins);
+        if age.is_some() {
+            self.record_origins(heard, &envelope.origins);
+        }
         self.peer_heard_until = self.peer_heard_until.max(envelope.heard_until);
         if self.is_unheard_too_long(now) {
             // The peer marks this VM live again when it knows that its envelopes arrive.
@@ -794,7 +818,10 @@
     ) -> (EnvelopeNumber, PeerEnvelope) {
         let number = self.next_envelope;
         self.next_envelope = number.next();
-        self.in_flight = Some(number);
+        self.in_flight = Some(SentEnvelope {
+            number,
+            sent_at: now,
+        });
         self.envelope_requested = false;
         self.last_sent = Some(now);
         self.advertised_class = envelope.demand.class();
@@ -817,13 +844,13 @@
     /// Whether the outcome of an envelope is awaited. The outcome of an envelope to a former process
     /// is not.
     pub fn is_in_flight(&self, number: EnvelopeNumber) -> bool {
-        self.in_flight == Some(number)
+        self.in_flight.is_some_and(|sent| sent.number == number)
     }
 
     /// Applies an acknowledgement. Returns the end of the contact with the former process if another
     /// one has sent the acknowledgement.
     pub fn handle_ack(&mut self, now: TimePoint, ack: &EnvelopeAck) -> Option<LostContact> {
-        self.in_flight = None;
+        let acked = self.in_flight.take();
         if ack.incarnation != self.identity.incarnation {
             let identity = PeerIdentity {
                 incarnation: ack.incarnation,
@@ -844,6 +871,9 @@
             self.heartbeat.record_missing_ack();
             return None;
         }
+        if let Some(acked) = acked {
+            self.clock.observe(acked.sent_at, ack.sent_at);
+        }
         self.record_message(now, ack.sent_at);
         self.request_confirmation(now);
         self.unacked = false;
