--- a/crates/fleet/tests/request_age.rs
+++ b/crates/fleet/tests/request_age.rs
@@ -100,3 +100,31 @@
         assert_eq!(stale.count() > 0, requested, "seed {seed}");
     }
 }
+
+/// Guards against a receiver that coordinates a forwarded job although the VM that has forwarded it may
+/// have given the job up: the link has been slow from the start.
+#[test]
+fn forwarded_job_that_arrives_late_is_not_taken() {
+    const FIRST: usize = 0;
+    const RECEIVER: usize = 1;
+    for seed in 1..=SEEDS {
+        let mut fleet = SimFleet::new(SimOptions {
+            seed,
+            vms: vec![2],
+            targets: vec![4],
+            forwarding: Some(vec![FIRST]),
+            ..SimOptions::default()
+        });
+        fleet.slow_links.insert((FIRST, RECEIVER), 230_000);
+        fleet.run_for(Duration::from_secs(3));
+        for _ in 0..20 {
+            fleet.submit(FIRST, JobShape::default());
+            fleet.run_for(ms(60));
+        }
+        fleet.run_for(ms(2000));
+        let forwarded = fleet.engine(FIRST).counters().jobs_forwarded;
+        let received = fleet.engine(RECEIVER).counters().jobs_received;
+        assert!(forwarded > 0, "seed {seed}");
+        assert_eq!(received, 0, "seed {seed}: {forwarded} forwarded");
+    }
+}
