--- a/crates/fleet/src/lease_limits.rs
+++ b/crates/fleet/src/lease_limits.rs
@@ -23,7 +23,7 @@
 use crate::target_clock::max_lease_duration;
 
 /// The time after the last possible end of a lease until its runs count as ended: `EXPIRY_TIME`, and 50 ms
-/// for the least transit time between two VMs, which the measured delay of a message leaves out.
+/// for the different speeds of the VMs' clocks and late timers of targets.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(100);
 
 /// The lease limits of the runs of all coordinators.
