--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -540,7 +540,6 @@
 /// Guards against a run that goes on after its holder or its coordinator has counted it as over,
 /// because an estimate of a target's clock or of the age of a message was wrong.
 #[test]
-#[ignore = "fails: see KNOWN-RED.txt"]
 fn invariants_hold_while_calls_are_slow() {
     for seed in SEEDS {
         check_invariants(seed, FleetKind::SlowCalls);
