Test what a holder takes for the end of a run on its target

A holder reports that a run has ended, or that nothing started, and the coordinator starts the task elsewhere at once. Ten of the conditions for these reports could be dropped or shortened by hand without a failure in `held_target`: the window of a start request and of its repetition, runs that are requested and not listed, reports that were overtaken or are older than an accepted stop, the number of an ended run, the latest lease of an unreachable target, the ends of runs of a target that answers, the lease that a former holder may have granted, and the adoption of a run that is being stopped.

One test for each.

--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -326,6 +326,87 @@
     assert_eq!(holder.target.ledger().len(), 1);
 }
 
+/// Guards against counting a run as ended while its start request is on its way.
+#[test]
+fn requested_run_that_is_not_listed_has_not_ended() {
+    let mut holder = Holder::confirmed();
+    holder.request_start(0);
+    holder.now = holder.now + ms(5);
+    holder.target.poll_now(holder.now);
+    let outcome = holder.exchange(vec![], vec![]);
+    assert!(outcome.ended.is_empty() && outcome.never_started.is_empty());
+    assert_eq!(holder.target.ledger().len(), 1);
+}
+
+/// Guards against giving a task to another target while the target may still accept the start request.
+#[test]
+fn start_without_a_response_is_uncertain_while_its_window_lasts() {
+    let mut holder = Holder::confirmed();
+    let requested_at = holder.now;
+    holder.start(0, StartAnswer::ConnectionLost);
+    holder.now = requested_at + holder.settings.start_window - ms(1);
+    holder.target.poll_now(holder.now);
+    let outcome = holder.exchange(vec![], vec![]);
+    assert!(outcome.never_started.is_empty());
+}
+
+/// Guards against the same after a repetition of the request, whose window begins anew.
+#[test]
+fn window_of_a_retried_start_begins_anew() {
+    let mut holder = Holder::confirmed();
+    let first = holder.request_start(0);
+    holder.now = holder.now + ms(150);
+    let timed_out = StartAnswer::TimedOut;
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, first.run, timed_out);
+    assert!(matches!(outcome, StartOutcome::Retry(_)), "{outcome:?}");
+    let repeated_at = holder.now;
+    let lost = StartAnswer::ConnectionLost;
+    let outcome = holder
+        .target
+        .handle_start_response(holder.now, first.run, lost);
+    assert_eq!(outcome, StartOutcome::Uncertain);
+    holder.now = repeated_at + holder.settings.start_window - ms(1);
+    holder.target.poll_now(holder.now);
+    let outcome = holder.exchange(vec![], vec![]);
+    assert!(outcome.never_started.is_empty());
+}
+
+/// Guards against taking the run in a report that a later one has overtaken for a run that another VM
+/// has started, after its end was reported.
+#[test]
+fn ended_run_in_an_overtaken_report_is_not_found() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    let regular = holder.plan();
+    let overtaken = holder.report(vec![run], vec![]);
+    holder.now = holder.now + ms(5);
+    holder.target.poll_now(holder.now);
+    let quick = holder.plan();
+    let later = holder.report(vec![], vec![ended(1, run, RunEnd::Done)]);
+    assert_eq!(ends(&holder.answer(&quick, &later)).len(), 1);
+    holder.answer(&regular, &overtaken);
+    assert!(holder.target.ledger().is_empty());
+}
+
+/// Guards against taking the end of an earlier run of a task for the end of the present one.
+#[test]
+fn end_of_an_earlier_run_does_not_end_the_present_one() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    let earlier = RunName {
+        run: RunNumber(0),
+        ..run
+    };
+    let outcome = holder.exchange(vec![run], vec![ended(1, earlier, RunEnd::Stopped)]);
+    assert_eq!(ends(&outcome), []);
+    assert_eq!(outcome.unknown_ends, [(earlier, RunEnd::Stopped)]);
+    assert_eq!(holder.target.ledger().len(), 1);
+}
+
 /// Guards against runs that stay in the ledger although the target no longer has them.
 #[test]
 fn confirmed_run_that_is_not_listed_has_ended() {
@@ -450,6 +531,36 @@
     assert_eq!(holder.free(), capacity());
 }
 
+/// Guards against taking a run for ended because a report from before its stop was accepted does not
+/// list it: its start request may have arrived in between.
+#[test]
+fn report_from_before_an_accepted_stop_ends_no_run() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::ConnectionLost);
+    holder.target.stop_run(holder.now, &task(0)).unwrap();
+    holder.target.poll_now(holder.now);
+    let plan = holder.plan();
+    let early = holder.report(vec![], vec![]);
+    holder.now = holder.now + ms(5);
+    holder.target.handle_stop_accepted(holder.now, run);
+    let outcome = holder.answer(&plan, &early);
+    assert!(outcome.ended.is_empty());
+    assert_eq!(holder.target.ledger().len(), 1);
+}
+
+/// Guards against keeping a run that is being stopped for a coordinator that counts on it.
+#[test]
+fn run_that_is_being_stopped_is_not_adopted() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.target.stop_run(holder.now, &task(0)).unwrap();
+    let coordinator = VmIndex::from(0);
+    let adopted = holder
+        .target
+        .adopt_run(run, coordinator, resources(), ms(100), None);
+    assert!(!adopted);
+}
+
 /// Guards against applying the response to a request under the former token to the new claim.
 #[test]
 fn starts_before_a_new_claim_are_uncertain() {
@@ -926,3 +1037,46 @@
     let expired = holder.target.advance(confirmed_at + lease * 2);
     assert_eq!(expired.len(), 1);
 }
+
+/// Guards against counting the runs of an unreachable target as ended while the lease lasts that the
+/// latest poll has granted.
+#[test]
+fn runs_of_an_unreachable_target_last_as_long_as_the_latest_lease() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    for _ in 0..3 {
+        holder.pause();
+        holder.exchange(vec![run], vec![]);
+    }
+    holder.pause();
+    let granted_at = holder.now;
+    assert!(holder.plan().request.lease_end.is_some());
+    holder.target.reconfirm(holder.now);
+    while !holder.lose_poll() {}
+    let lease = holder.settings.lease;
+    assert!(holder.now < granted_at + lease);
+    assert_eq!(holder.target.advance(granted_at + lease), []);
+    assert_eq!(holder.target.advance(granted_at + lease * 2).len(), 1);
+}
+
+/// Guards against counting the runs of a target that answers as ended because no lease was granted for
+/// a while.
+#[test]
+fn runs_of_a_reachable_target_do_not_end_with_the_time() {
+    let mut holder = Holder::confirmed();
+    holder.start(0, StartAnswer::Accepted(None));
+    assert_eq!(holder.target.advance(holder.now + ms(9000)), []);
+}
+
+/// Guards against starting a run whose forwarded job limits it on a target that still has the lease of a
+/// former holder.
+#[test]
+fn claimed_target_may_have_the_lease_of_a_former_holder() {
+    let mut holder = Holder::claiming();
+    holder.now = holder.now + ms(500);
+    holder.exchange(vec![], vec![]);
+    let lease = holder.settings.lease;
+    let until = holder.now + lease;
+    assert!(!holder.target.lease_ends_by(holder.now, until - ms(1)));
+    assert!(holder.target.lease_ends_by(holder.now, until));
+}
