Test what a link keeps of a former process and of delayed envelopes

A link that went on to name messages of a former process, or to count what this process had named, made no test fail; nor did a link that counted a delayed envelope, and what it states about other VMs, from its arrival. A lease would have followed the clock of another process, or a VM that has sent nothing since.

--- a/crates/fleet/tests/link_exchange.rs
+++ b/crates/fleet/tests/link_exchange.rs
@@ -6,8 +6,8 @@
 use filbertpitch_fleet::heartbeat::{HeartbeatSettings, PeerCounts, PeerLocality};
 use filbertpitch_fleet::link::{LinkPhase, LinkSettings, LinkUpdate, LossReason, PeerLink};
 use filbertpitch_types::fleet::{
-    CapacityReport, DemandReport, FleetMessage, HoldingReport, PeerEnvelope, PeerIdentity,
-    PeerState, RoutingReport, TaskTimeliness,
+    CapacityReport, DemandReport, FleetMessage, HoldingReport, OriginContact, PeerEnvelope,
+    PeerIdentity, PeerState, RoutingReport, TaskTimeliness,
 };
 use filbertpitch_types::prelude::*;
 
@@ -238,6 +238,43 @@
     );
 }
 
+/// A new process runs on the VM of a peer, with a clock that has begun anew. Guards against naming a
+/// message of the former process to it, which it would take for one of its own, and against leases that
+/// follow what the former process has named.
+#[test]
+fn new_process_is_named_no_message_of_the_former_one() {
+    let mut pair = Pair::new();
+    pair.deliver();
+    assert!(pair.b.peer_heard_until().is_some());
+    pair.now = START + ms(500);
+    let started_at = START - ms(4000);
+    let first = template(identity("vm-a", 11), started_at);
+    pair.take(first);
+    assert_eq!(pair.b.peer_heard_until(), None);
+    let (_, envelope) = pair
+        .b
+        .complete_envelope(pair.now, template(identity("vm-b", 2), pair.now));
+    assert_eq!(envelope.heard_until, Some(started_at));
+}
+
+/// Guards against taking the arrival of a delayed message for the last sign of life of its sender, and
+/// against counting a delayed statement about another VM from its arrival.
+#[test]
+fn delayed_envelope_shows_signs_of_life_at_its_sending() {
+    let mut pair = Pair::new();
+    let mut delayed = pair.envelope();
+    let process = IncarnationId(55);
+    delayed.origins = vec![OriginContact {
+        process,
+        silence_ms: 100,
+    }];
+    pair.now = START + ms(400);
+    pair.take(delayed);
+    assert!(pair.b.last_sign_of_life() <= START + ms(1));
+    let heard_at = pair.b.origin_heard_at(process).expect("it was stated");
+    assert!(heard_at <= START - ms(99));
+}
+
 fn lose_peer(link: &mut PeerLink) -> TimePoint {
     let lost_at = START + LOST_AFTER;
     assert!(link.check_liveness(lost_at, None).is_some());
