KNOWN-RED: an adopted run that is stopped at once has no lease limit

A holder that adopts a found run records its coordinator, but not until when a lease may last for it: `adopt_run` leaves the limit unlimited, and `advance_lease_limits`, which runs with each poll and each check of the peers, leaves out runs that are being stopped. If the run is stopped in between, by a withdrawal or because the coordinator has failed, polls renew the lease by a whole second each until the stop is confirmed. The coordinator, and a client that sends the job again, count the run as over 1.2 s after the contact.

Evidence: the test, which is ignored, fails with `Some(TargetTime(11400)), not 11200`. Not fixed here.

--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -53,6 +53,10 @@
     Duration::from_millis(millis)
 }
 
+fn millis_of(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap()
+}
+
 fn capacity() -> ResourceVector {
     ResourceVector::from((32_000, 1024, 0))
 }
@@ -1018,6 +1022,40 @@
     assert_eq!(holder.plan().request.lease_end, Some(lease_end));
 }
 
+/// A new holder is told to keep a run that it has found, and stops it before its next poll. Guards
+/// against a lease without a limit for a run that its coordinator counts as dropped.
+#[test]
+#[ignore = "fails: a run that is stopped right after its adoption has no lease limit (issue 32)"]
+fn adopted_run_to_be_stopped_has_a_lease_limit() {
+    let mut holder = Holder::claiming();
+    let found = RunName {
+        task: task(0),
+        run: RunNumber(1),
+    };
+    holder.exchange(vec![found], vec![]);
+    let named = holder.now;
+    let coordinator = VmIndex::from(0);
+    holder.limit_coordinator(named);
+    assert!(
+        holder
+            .target
+            .adopt_run(found, coordinator, resources(), ms(9000), None)
+    );
+    holder.target.stop_run(holder.now, &found.task).unwrap();
+    let limit = holder.target_time().0 + millis_of(holder.settings.coordinator_timeout);
+    for _ in 0..5 {
+        let plan = holder.plan();
+        let lease_end = plan.request.lease_end;
+        assert!(
+            lease_end <= Some(TargetTime(limit)),
+            "{lease_end:?}, not {limit}"
+        );
+        let report = holder.report(vec![found], vec![]);
+        holder.now = holder.now + ms(400);
+        holder.answer(&plan, &report);
+    }
+}
+
 /// A target that was taken over cannot be reached any more. Guards against counting its runs as ended
 /// while the lease of the former holder lasts.
 #[test]
