held: a found run gets its lease limits with its adoption

Callers: a task could run twice. A new holder that was told to keep a run, and to stop it before its next poll or check (a withdrawal in the same envelope, a replaced process, a refused connection), renewed whole leases until the stop was confirmed, while the coordinator counted the run as over.

Cause: adoption left both limits of the run unlimited until the next poll, and a run that is to be stopped keeps the limit that it has.

Change: the holder computes the limits when it adopts the run.

Other ways in which a run gets its coordinator: a new run has its limits from the start (start_task), and a message that only changes the origin recomputes both.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -19,7 +19,7 @@
 
 use super::{FleetAction, FleetEngine, FleetNotice, TimerTopic, TokenRefusal};
 use crate::assignment::{AssignableTarget, HolderCandidate, assign_targets};
-use crate::held::{EndedRun, HeldTarget, HoldPhase, PollNumber, PollOutcome};
+use crate::held::{EndedRun, HeldTarget, HoldPhase, PollNumber, PollOutcome, RunOwner};
 use crate::lease_limits::LeaseLimits;
 use crate::ledger::TargetRun;
 
@@ -642,12 +642,17 @@
         let mut missed = Vec::new();
         for kept in runs {
             let expected = std::time::Duration::from_millis(kept.expected_ms.into());
+            let owner = RunOwner {
+                coordinator: from,
+                origin: kept.origin,
+            };
+            let limits = LeaseLimits::new(&self.links, &self.settings.held);
             let held = self.held.get_mut(&index).filter(|_| admitted);
             let adopted = held.is_some_and(|held| {
                 let known = held.ledger().get(&kept.run.task);
                 let own = known.is_some_and(|run| run.coordinator == Some(from));
                 (own || claim == Some(held.token()))
-                    && held.adopt_run(kept.run, from, kept.resources, expected, kept.origin)
+                    && held.adopt_run(kept.run, owner, kept.resources, expected, &limits)
             });
             if !adopted {
                 missed.push(kept.run);
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -140,6 +140,15 @@
     Immediate,
 }
 
+/// Who wants a run that was found on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunOwner {
+    /// The coordinator of the job.
+    pub coordinator: VmIndex,
+    /// The process of the VM that has forwarded the job, if one has.
+    pub origin: Option<IncarnationId>,
+}
+
 /// A run that has ended on the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedRun {
@@ -1189,15 +1198,16 @@
         unadopted.map(|(task, _)| *task).collect()
     }
 
-    /// Assigns a run that was found on the target to the coordinator that still wants the run.
-    /// Returns false if the run is not in the ledger or is being stopped.
+    /// Assigns a run that was found on the target to the coordinator that still wants the run, whose
+    /// contact limits the lease from then on. Returns false if the run is not in the ledger or is being
+    /// stopped.
     pub fn adopt_run(
         &mut self,
         name: RunName,
-        coordinator: VmIndex,
+        owner: RunOwner,
         resources: ResourceVector,
         expected: Duration,
-        origin: Option<IncarnationId>,
+        limits: &LeaseLimits<'_>,
     ) -> bool {
         let Some(run) = self.ledger.get_mut(&name.task) else {
             return false;
@@ -1206,10 +1216,11 @@
         if run.run != name.run || stopping {
             return false;
         }
-        run.coordinator = Some(coordinator);
+        run.coordinator = Some(owner.coordinator);
+        run.origin = owner.origin;
         run.resources = Some(resources);
         run.expected = expected;
-        run.origin = origin;
+        run.advance_limits(limits);
         true
     }
 }
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -82,6 +82,12 @@
         )
     }
 
+    /// Sets the lease limits to what the signs of life permit by now.
+    pub fn advance_limits(&mut self, limits: &LeaseLimits<'_>) {
+        self.lease_limit = limits.coordinator_limit(self);
+        self.origin_limit = limits.origin_limit(self.coordinator, self.origin);
+    }
+
     /// Whether the target has certainly started the run.
     pub fn has_started(&self) -> bool {
         match self.phase {
@@ -166,8 +172,7 @@
     pub fn advance_lease_limits(&mut self, limits: &LeaseLimits<'_>) {
         for run in self.runs.values_mut() {
             if !matches!(run.phase, RunPhase::Stopping { .. }) {
-                run.lease_limit = limits.coordinator_limit(run);
-                run.origin_limit = limits.origin_limit(run.coordinator, run.origin);
+                run.advance_limits(limits);
             }
         }
     }
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -6,7 +6,7 @@
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_fleet::heartbeat::PeerLocality;
 use filbertpitch_fleet::held::{
-    EndedRun, HeldSettings, HeldTarget, HoldPhase, PollOutcome, PollPlan, StartOutcome,
+    EndedRun, HeldSettings, HeldTarget, HoldPhase, PollOutcome, PollPlan, RunOwner, StartOutcome,
 };
 use filbertpitch_fleet::lease_limits::LeaseLimits;
 use filbertpitch_fleet::ledger::{RunPhase, TargetRun};
@@ -119,6 +119,17 @@
         self.poll(false).expect("a poll is due")
     }
 
+    /// Assigns a found run to a coordinator.
+    fn adopt(&mut self, run: RunName, coordinator: VmIndex, expected: Duration) -> bool {
+        let owner = RunOwner {
+            coordinator,
+            origin: None,
+        };
+        let limits = LeaseLimits::new(&self.links, &self.settings);
+        let target = &mut self.target;
+        target.adopt_run(run, owner, resources(), expected, &limits)
+    }
+
     /// Makes the coordinator of all runs a peer that has last named a message sent at `heard_until`.
     fn limit_coordinator(&mut self, heard_until: TimePoint) {
         let peer = PeerIdentity {
@@ -512,16 +523,8 @@
         ..found
     };
     let coordinator = VmIndex::from(1);
-    assert!(
-        !holder
-            .target
-            .adopt_run(former, coordinator, resources(), ms(100), None)
-    );
-    assert!(
-        holder
-            .target
-            .adopt_run(found, coordinator, resources(), ms(100), None)
-    );
+    assert!(!holder.adopt(former, coordinator, ms(100)));
+    assert!(holder.adopt(found, coordinator, ms(100)));
     assert!(holder.target.take_unadopted(holder.now + ms(59)).is_empty());
     assert_eq!(holder.target.take_unadopted(holder.now + ms(60)), [task(1)]);
 }
@@ -571,9 +574,7 @@
     let (run, _) = holder.start(0, StartAnswer::Accepted(None));
     holder.target.stop_run(holder.now, &task(0)).unwrap();
     let coordinator = VmIndex::from(0);
-    let adopted = holder
-        .target
-        .adopt_run(run, coordinator, resources(), ms(100), None);
+    let adopted = holder.adopt(run, coordinator, ms(100));
     assert!(!adopted);
 }
 
@@ -1115,7 +1116,6 @@
 /// A new holder is told to keep a run that it has found, and stops it before its next poll. Guards
 /// against a lease without a limit for a run that its coordinator counts as dropped.
 #[test]
-#[ignore = "fails: a run that is stopped right after its adoption has no lease limit (issue 32)"]
 fn adopted_run_to_be_stopped_has_a_lease_limit() {
     let mut holder = Holder::claiming();
     let found = RunName {
@@ -1126,11 +1126,7 @@
     let named = holder.now;
     let coordinator = VmIndex::from(0);
     holder.limit_coordinator(named);
-    assert!(
-        holder
-            .target
-            .adopt_run(found, coordinator, resources(), ms(9000), None)
-    );
+    assert!(holder.adopt(found, coordinator, ms(9000)));
     holder.target.stop_run(holder.now, &found.task).unwrap();
     let limit = holder.target_time().0 + millis_of(holder.settings.coordinator_timeout);
     for _ in 0..5 {
