held: a run that is to be stopped limits the lease, whoever its coordinator is

Callers: a task could run twice. A VM that is both coordinator and holder answers a job as unknown, or its client leaves; the stop does not reach the target, but polls do. The run then goes on for as long as the polls renew the lease, while the client sends the job again after 1.3 s, to any VM.

Cause: the lease limit follows the contact with the coordinator, and a VM has no contact with itself, so that its own runs had no limit. For a run of another coordinator the limit ends 1.2 s after its last sign of life at the latest.

Change: the first stop request limits the lease to the coordinator time-out. The price is that the other runs on the target lapse with it if stops stay without an answer for that long, as they did before for the runs of other coordinators.

Evidence: own_run_to_be_stopped_has_a_lease_limit failed before with "Some(TargetTime(11785)), not 11602".

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -833,6 +833,11 @@
     /// request got no response.
     pub fn retry_stop(&mut self, now: TimePoint, task: &TaskName) -> Option<StopRequest> {
         let run = self.ledger.get_mut(task)?;
+        if !matches!(run.phase, RunPhase::Stopping { .. }) {
+            // Nothing else limits the runs of this VM itself.
+            let limit = now + self.settings.coordinator_timeout;
+            run.lease_limit = run.lease_limit.min(limit);
+        }
         run.phase = RunPhase::Stopping {
             requested_at: now,
             accepted_at: None,
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -1113,6 +1113,29 @@
     assert_eq!(holder.plan().request.lease_end, Some(lease_end));
 }
 
+/// Guards against a lease that goes on for a run that is to be stopped, because this VM is its coordinator
+/// and the stop requests are lost: its client sends the job again after a fixed time.
+#[test]
+fn own_run_to_be_stopped_has_a_lease_limit() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    holder.target.stop_run(holder.now, &run.task).unwrap();
+    let limit = holder.target_time().0 + millis_of(holder.settings.coordinator_timeout);
+    for _ in 0..12 {
+        let plan = holder.plan();
+        let lease_end = plan.request.lease_end;
+        assert!(
+            lease_end <= Some(TargetTime(limit)),
+            "{lease_end:?}, not {limit}"
+        );
+        holder.target.retry_stop(holder.now, &run.task).unwrap();
+        let report = holder.report(vec![run], vec![]);
+        holder.now = holder.now + plan.request.wait;
+        holder.answer(&plan, &report);
+    }
+}
+
 /// A new holder is told to keep a run that it has found, and stops it before its next poll. Guards
 /// against a lease without a limit for a run that its coordinator counts as dropped.
 #[test]
