--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -132,10 +132,10 @@
         "A published configuration is in effect on this VM."
         "None.";
     216 StoreUnreachable "store_unreachable" Warning
-        "The platform's store does not answer; what was read from it stays in use."
+        "The platform's store does not answer; what was read from it stays in use. `unread_ms` is the time since the latest successful call for the topic."
         "Check the platform if the state lasts for longer than a minute.";
     217 StoreReachable "store_reachable" Info
-        "The platform's store answers again."
+        "The platform's store answers again, after `failures` failed calls and `unread_ms` without a successful one."
         "None.";
     218 RecordUnreadable "record_unreadable" Warning
         "A record in the platform's store cannot be read; it is ignored."
--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -6,16 +6,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
-use filbertpitch_fleet::listing::{FeedGap, ListEntry, ListFollower};
+use filbertpitch_fleet::listing::{FeedGap, ListEntry, ListFollower, claim_record, is_claim};
+use filbertpitch_fleet::store_reads::{
+    FeedProgress, ListCall, ListOutcome, ListReads, PageReader, PlannedCall, ReadSchedule,
+    RecordPage,
+};
 use filbertpitch_platform::closed_zones::read_zone_change;
 use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
 use filbertpitch_platform::listing::read_target;
 use filbertpitch_platform::store::{
-    FEED_TOPIC, KeyedRecord, OPERATOR_TOPIC, ReadResult, StoreError, TARGET_TOPIC, VM_TOPIC,
-    decode_value, encode_value,
+    FEED_TOPIC, KeyedRecord, NewestPage, OPERATOR_TOPIC, ReadOptions, ReadResult, StoreError,
+    TARGET_TOPIC, VM_TOPIC, decode_value, encode_value,
+};
+use filbertpitch_types::fleet::{
+    FeedRecord, ListRecord, PeerObservation, PeerRecord, TargetChange, ZoneRead,
 };
-use filbertpitch_types::fleet::{ListRecord, PeerObservation, PeerRecord, TargetChange, ZoneRead};
 use filbertpitch_types::prelude::*;
 use slog::b;
 
@@ -30,20 +37,9 @@
 /// wait and the margin of a read.
 const STALE_READ_AGE: Duration = Duration::from_secs(2);
 
-/// The time between reads of the list of targets. Targets write every second or two, so that a
-/// read that waits for a change would return at once nearly always.
-const LISTING_INTERVAL: Duration = Duration::from_millis(500);
-
 /// The key of the feed of changes in the list of targets.
 const FEED_KEY: &str = "changes";
 
-/// How long the feed is waited for before a VM reads the list itself: one read of the list and an answer
-/// of a slow store. A target that drains must get no work two seconds later.
-const FEED_WAIT: Duration = Duration::from_millis(800);
-
-/// A random part of that time, so that VMs do not all turn to the list at once.
-const FEED_SPREAD: Duration = Duration::from_millis(300);
-
 /// The time between reads of the list of entry VMs. New VMs make themselves known directly.
 const VM_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -53,92 +49,201 @@
 /// The time between reads and announcements while some VM is not heard.
 const WITNESS_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The time before a failed call is repeated.
+/// The time before a failed round of [`FleetNode::follow_vms`] is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Whether the feed of changes has brought what there is to know.
-enum FeedState {
-    Moved,
-    Still,
-}
+/// How often a follower looks whether the configuration has been read.
+const FIRST_READ_POLL: Duration = Duration::from_millis(10);
+
+/// Failed reads in a row after which the newest configuration is read instead of all that were missed.
+const FAILURES_BEFORE_NEWEST: u32 = 2;
+
+/// The part of a response by which it may be below the limit and still count as full: more than the
+/// longest record.
+const FULL_MARGIN: usize = 4;
 
 /// What a follower keeps: the topic, and whether the store answers.
 struct TopicState {
     topic: &'static str,
     reachable: bool,
+    read_at: TimePoint,
+    failures: u64,
 }
 
 impl TopicState {
-    fn new(topic: &'static str) -> Self {
+    fn new(topic: &'static str, now: TimePoint) -> Self {
         Self {
             topic,
             reachable: true,
+            read_at: now,
+            failures: 0,
         }
     }
 
-    /// Logs a change of reachability.
+    /// Counts the call and logs a change of reachability.
     fn note(&mut self, node: &FleetNode, error: Option<&StoreError>) {
+        let now = node.driver().now().time;
+        let unread = now.since(self.read_at);
         let reachable = error.is_none();
+        if reachable {
+            self.read_at = now;
+            node.metrics().see_store_read(self.topic, now);
+        } else {
+            self.failures += 1;
+            node.metrics().see_store_failure(self.topic);
+        }
         if reachable == std::mem::replace(&mut self.reachable, reachable) {
             return;
         }
+        let unread_ms = u64::try_from(unread.as_millis()).unwrap_or(u64::MAX);
         match error {
             Some(error) => {
                 let text = error.to_string();
                 node.log().record(
                     LogEvent::StoreUnreachable,
-                    b!("topic" => self.topic, "error" => &text),
+                    b!("topic" => self.topic, "error" => &text, "unread_ms" => unread_ms),
+                );
+            }
+            None => {
+                let failures = std::mem::take(&mut self.failures);
+                node.log().record(
+                    LogEvent::StoreReachable,
+                    b!("topic" => self.topic, "failures" => failures, "unread_ms" => unread_ms),
                 );
             }
-            None => node
-                .log()
-                .record(LogEvent::StoreReachable, b!("topic" => self.topic)),
         }
     }
 }
 
+/// The newest record of each key, up to the offset `through` at least.
+struct WholeRead {
+    records: Vec<KeyedRecord>,
+    through: LogOffset,
+    /// When the first page was requested.
+    requested_at: TimePoint,
+}
+
+/// What a VM knows of the list of targets, and where it reads on.
+#[derive(Default)]
+struct ListPosition {
+    list: ListFollower,
+    pages: PageReader<KeyedRecord>,
+    /// The offset in the feed.
+    feed: LogOffset,
+}
+
+/// Where a VM reads on in the records of entry VMs, and from when on after a failure.
+#[derive(Default)]
+struct VmReads {
+    next: Option<LogOffset>,
+    pages: PageReader<KeyedRecord>,
+    schedule: ReadSchedule,
+    due: TimePoint,
+}
+
 impl FleetNode {
     /// Keeps the configuration and the closed zones in force up to date. Runs forever.
     pub(super) async fn follow_configuration(self: Rc<Self>) {
-        let mut state = TopicState::new(OPERATOR_TOPIC);
+        let mut state = TopicState::new(OPERATOR_TOPIC, self.driver().now().time);
+        let mut schedule = ReadSchedule::default();
+        loop {
+            let whole = self.read_operator(&mut schedule, &mut state).await;
+            self.apply_zones(
+                &whole.records,
+                ZoneRead {
+                    through: whole.through,
+                    complete: true,
+                    requested_at: whole.requested_at,
+                    ..ZoneRead::default()
+                },
+            );
+            self.apply_configuration(&whole.records);
+            self.read_configurations(&mut schedule, &mut state, whole.through)
+                .await;
+        }
+    }
+
+    /// Reads the newest record of each key that the operator publishes. A failed page is repeated until
+    /// it succeeds; earlier pages are kept.
+    async fn read_operator(
+        &self,
+        schedule: &mut ReadSchedule,
+        state: &mut TopicState,
+    ) -> WholeRead {
+        let mut pages = PageReader::default();
+        let mut first_requested_at = None;
         loop {
             let requested_at = self.driver().now().time;
-            match self.store().newest(OPERATOR_TOPIC).await {
-                Ok(newest) => {
-                    state.note(&self, None);
-                    self.apply_zones(
-                        &newest.records,
-                        ZoneRead {
-                            through: newest.next,
-                            complete: true,
-                            requested_at,
-                            ..ZoneRead::default()
-                        },
-                    );
-                    self.apply_configuration(&newest.records);
-                    self.read_configurations(&mut state, newest.next).await;
+            let page = self.configuration_store().newest_page(
+                OPERATOR_TOPIC,
+                pages.after(),
+                schedule.timeout(),
+            );
+            let delay = match page.await {
+                Ok(page) => {
+                    state.note(self, None);
+                    let response_time = self.driver().now().time.since(requested_at);
+                    let first_requested_at = *first_requested_at.get_or_insert(requested_at);
+                    let delay = schedule.record_response(response_time, rand::random());
+                    if let Some((records, through)) = pages.add_page(page_records(page)) {
+                        self.note_configuration_read(response_time);
+                        return WholeRead {
+                            records,
+                            through,
+                            requested_at: first_requested_at,
+                        };
+                    }
+                    delay
                 }
                 Err(error) => {
-                    state.note(&self, Some(&error));
-                    monoio::time::sleep(RETRY_INTERVAL).await;
+                    state.note(self, Some(&error));
+                    schedule.record_failure(rand::random())
                 }
+            };
+            monoio::time::sleep(delay).await;
+        }
+    }
+
+    /// Waits for the first read of the configuration, which must not wait for larger reads. Returns its
+    /// response time.
+    async fn wait_for_first_read(&self) -> Duration {
+        loop {
+            match self.first_response() {
+                Some(response_time) => return response_time,
+                None => monoio::time::sleep(FIRST_READ_POLL).await,
             }
         }
     }
 
     /// Reads changes until some were missed.
-    async fn read_configurations(&self, state: &mut TopicState, mut next: LogOffset) {
+    async fn read_configurations(
+        &self,
+        schedule: &mut ReadSchedule,
+        state: &mut TopicState,
+        mut next: LogOffset,
+    ) {
         let mut read_at = self.driver().now().time;
-        loop {
+        while schedule.failures() < FAILURES_BEFORE_NEWEST {
             let requested_at = self.driver().now().time;
-            // After a pause or an outage, the response must not wait for a change: starts may wait for it.
-            let wait = match requested_at.since(read_at) < STALE_READ_AGE {
+            // After a failure, a pause or an outage, the response must not wait for a change: starts may
+            // wait for it.
+            let recent = requested_at.since(read_at) < STALE_READ_AGE;
+            let wait = match recent && schedule.failures() == 0 {
                 true => CONFIGURATION_WAIT,
                 false => Duration::ZERO,
             };
-            match self.store().read(OPERATOR_TOPIC, next, wait).await {
+            let options = ReadOptions {
+                wait,
+                timeout: schedule.timeout(),
+                ..ReadOptions::default()
+            };
+            let read = self
+                .configuration_store()
+                .read_with(OPERATOR_TOPIC, next, &options);
+            match read.await {
                 Ok(ReadResult::Records { records, next: end }) => {
                     state.note(self, None);
+                    schedule.record_response(Duration::ZERO, rand::random());
                     read_at = requested_at;
                     self.apply_zones(
                         &records,
@@ -154,7 +259,7 @@
                 Ok(ReadResult::Expired) => return,
                 Err(error) => {
                     state.note(self, Some(&error));
-                    monoio::time::sleep(RETRY_INTERVAL).await;
+                    monoio::time::sleep(schedule.record_failure(rand::random())).await;
                 }
             }
         }
@@ -211,27 +316,86 @@
 
     /// Keeps the list of targets up to date. Runs forever.
     pub(super) async fn follow_targets(self: Rc<Self>) {
-        let mut state = TopicState::new(TARGET_TOPIC);
-        let mut list = ListFollower::default();
+        let mut position = ListPosition::default();
+        let first_response = self.wait_for_first_read().await;
+        let mut reads = ListReads::new(first_response, rand::random());
+        let mut state = TopicState::new(TARGET_TOPIC, self.driver().now().time);
         loop {
-            // The feed is looked up first, so that it does not end after the list that is read.
-            let read = async {
-                let feed = self.store().newest(FEED_TOPIC).await?;
-                let list = self.store().newest(TARGET_TOPIC).await?;
-                Ok((feed.next, list))
-            };
-            match read.await {
-                Ok((feed, newest)) => {
+            let planned = reads.next_call();
+            if !planned.delay.is_zero() {
+                monoio::time::sleep(planned.delay).await;
+            }
+            let started_at = self.driver().now().time;
+            let outcome = match self.perform_list_call(&planned, &mut position).await {
+                Ok(outcome) => {
                     state.note(&self, None);
-                    let entries = newest.records.iter().map(read_entry).collect();
-                    self.change_targets(list.apply_list(entries, newest.next));
-                    self.confirm_list();
-                    self.follow_feed(&mut state, &mut list, feed).await;
+                    outcome
                 }
                 Err(error) => {
                     state.note(&self, Some(&error));
-                    monoio::time::sleep(RETRY_INTERVAL).await;
+                    ListOutcome::Failed
                 }
+            };
+            let response_time = self.driver().now().time.since(started_at);
+            reads.record_outcome(outcome, response_time, rand::random());
+        }
+    }
+
+    async fn perform_list_call(
+        &self,
+        planned: &PlannedCall,
+        position: &mut ListPosition,
+    ) -> Result<ListOutcome, StoreError> {
+        let timeout = planned.timeout;
+        match planned.call {
+            // The feed is looked up first, so that it does not end after the list that is read.
+            ListCall::FindFeed => {
+                let page = self.store().newest_page(FEED_TOPIC, None, timeout);
+                position.feed = page.await?.end;
+                position.pages = PageReader::default();
+                Ok(ListOutcome::FeedFound)
+            }
+            ListCall::ReadPage => {
+                let after = position.pages.after();
+                let page = self.store().newest_page(TARGET_TOPIC, after, timeout);
+                let page = page_records(page.await?);
+                let whole = position.pages.add_page(page);
+                let last = whole.is_some();
+                if let Some((records, through)) = whole {
+                    let entries = records.iter().map(read_entry).collect();
+                    self.change_targets(position.list.apply_list(entries, through));
+                    self.confirm_list();
+                }
+                Ok(ListOutcome::PageRead(last))
+            }
+            ListCall::ReadFeed(wait) => {
+                let options = ReadOptions {
+                    wait,
+                    timeout,
+                    ..ReadOptions::default()
+                };
+                self.read_feed(position, &options).await
+            }
+            ListCall::ReadChanges(until) => {
+                let missing = until.map_or(u64::MAX, |until| position.list.missing_bytes(until));
+                let bytes = missing.min(u64::from(planned.max_bytes));
+                let options = ReadOptions {
+                    timeout,
+                    max_kib: u32::try_from(bytes.div_ceil(1 << 10))
+                        .unwrap_or(u32::MAX)
+                        .max(1),
+                    ..ReadOptions::default()
+                };
+                self.read_list(&mut position.list, &options).await
+            }
+            ListCall::ClaimFeed => self.append_feed(position, &claim_record()).await,
+            ListCall::PublishChanges => {
+                let record = position.list.next_record();
+                let outcome = self.append_feed(position, &record).await?;
+                if outcome == ListOutcome::FeedAppended(true) {
+                    position.list.mark_published(record.through);
+                }
+                Ok(outcome)
             }
         }
     }
@@ -247,121 +411,98 @@
         self.driver().feed(FleetEvent::TargetsListed);
     }
 
-    /// Follows the feed of changes, from `next` on, until some changes were missed. When the feed stands
-    /// still, this VM reads the list itself and tries to go on with the feed.
-    async fn follow_feed(&self, state: &mut TopicState, list: &mut ListFollower, next: LogOffset) {
-        let mut next = next;
-        let mut publishing = false;
-        loop {
-            if publishing {
-                monoio::time::sleep(LISTING_INTERVAL).await;
-            } else {
-                let spread = FEED_SPREAD.mul_f64(rand::random::<f64>());
-                match self.read_feed(list, &mut next, FEED_WAIT + spread).await {
-                    Ok(FeedState::Moved) => {
-                        self.confirm_list();
-                        state.note(self, None);
-                        continue;
-                    }
-                    Ok(FeedState::Still) => {}
-                    Err(error) => {
-                        state.note(self, Some(&error));
-                        monoio::time::sleep(RETRY_INTERVAL).await;
-                    }
-                }
-            }
-            match self.read_list(list).await {
-                Ok(true) => state.note(self, None),
-                Ok(false) => return,
-                Err(error) => {
-                    state.note(self, Some(&error));
-                    continue;
-                }
-            }
-            match self.publish_feed(list, next).await {
-                Ok(Some(end)) => {
-                    next = end;
-                    publishing = true;
-                }
-                // Another VM goes on with the feed.
-                Ok(None) => publishing = false,
-                Err(error) => {
-                    state.note(self, Some(&error));
-                    publishing = false;
-                }
-            }
-        }
-    }
-
-    /// Waits for records of the feed and takes them over.
+    /// Waits for records of the feed and takes them over up to the first gap.
     async fn read_feed(
         &self,
-        list: &mut ListFollower,
-        next: &mut LogOffset,
-        wait: Duration,
-    ) -> Result<FeedState, StoreError> {
-        let records = match self.store().read(FEED_TOPIC, *next, wait).await? {
-            ReadResult::Records { records, next: end } => {
-                *next = end;
-                records
-            }
+        position: &mut ListPosition,
+        options: &ReadOptions,
+    ) -> Result<ListOutcome, StoreError> {
+        let read = self.store().read_with(FEED_TOPIC, position.feed, options);
+        let (records, end) = match read.await? {
+            ReadResult::Records { records, next } => (records, next),
             ReadResult::Expired => {
-                *next = self.store().newest(FEED_TOPIC).await?.next;
-                return Ok(FeedState::Still);
+                let page = self.store().newest_page(FEED_TOPIC, None, options.timeout);
+                position.feed = page.await?.end;
+                return Ok(ListOutcome::FeedExpired);
             }
         };
-        if records.is_empty() {
-            return Ok(FeedState::Still);
-        }
-        let mut followed = FeedState::Moved;
+        let mut progress = match records.is_empty() {
+            true => FeedProgress::Still,
+            false => FeedProgress::Claimed,
+        };
         for record in &records {
-            // A record that cannot be read leaves a gap.
-            let Some(feed) = record.value.as_ref().and_then(|value| decode_value(value)) else {
+            // A record that cannot be read leaves a gap before the next one.
+            let Some(feed) = record
+                .value
+                .as_ref()
+                .and_then(|value| decode_value::<FeedRecord>(value))
+            else {
                 continue;
             };
-            match list.apply_feed(feed, read_record) {
+            let (from, claims) = (feed.from, is_claim(&feed));
+            match position.list.apply_feed(feed, read_record) {
                 Ok(notices) => self.change_targets(notices),
-                Err(FeedGap) => followed = FeedState::Still,
+                Err(FeedGap) => {
+                    // The record is read again once the part before it is known.
+                    position.feed = record.offset;
+                    return Ok(ListOutcome::FeedRead(FeedProgress::Gap(from)));
+                }
             }
+            if !claims {
+                progress = FeedProgress::Moved;
+            }
+        }
+        position.feed = end;
+        if progress == FeedProgress::Moved {
+            self.confirm_list();
         }
-        Ok(followed)
+        Ok(ListOutcome::FeedRead(progress))
     }
 
-    /// Reads the list itself from where it is known. False if that part is not kept any more.
-    async fn read_list(&self, list: &mut ListFollower) -> Result<bool, StoreError> {
+    /// Reads the list itself from where it is known.
+    async fn read_list(
+        &self,
+        list: &mut ListFollower,
+        options: &ReadOptions,
+    ) -> Result<ListOutcome, StoreError> {
         let read = self
             .store()
-            .read(TARGET_TOPIC, list.through(), Duration::ZERO);
+            .read_with(TARGET_TOPIC, list.through(), options);
         match read.await? {
             ReadResult::Records { records, next } => {
+                let bytes = records.iter().map(record_bytes).sum::<usize>();
                 let entries = records.iter().map(read_entry).collect();
                 self.change_targets(list.apply_changes(entries, next));
-                self.confirm_list();
-                Ok(true)
+                // A response that is nearly full has left something out.
+                let limit = options.max_kib as usize * 1024;
+                let more = bytes + bytes / FULL_MARGIN >= limit;
+                if !more {
+                    self.confirm_list();
+                }
+                let through = list.through();
+                Ok(ListOutcome::ChangesRead { through, more })
             }
-            ReadResult::Expired => Ok(false),
+            ReadResult::Expired => Ok(ListOutcome::ChangesExpired),
         }
     }
 
-    /// Goes on with the feed, which this VM has read up to `end`. Returns its new end; nothing if another
-    /// VM has gone on with it.
-    async fn publish_feed(
+    /// Appends a record to the feed, unless another VM has gone on with it.
+    async fn append_feed(
         &self,
-        list: &mut ListFollower,
-        end: LogOffset,
-    ) -> Result<Option<LogOffset>, StoreError> {
-        let record = list.next_record();
-        let Some(value) = encode_value(&record) else {
-            return Ok(None);
+        position: &mut ListPosition,
+        record: &FeedRecord,
+    ) -> Result<ListOutcome, StoreError> {
+        let Some(value) = encode_value(record) else {
+            return Ok(ListOutcome::FeedAppended(false));
         };
-        let published = self
-            .store()
-            .publish_if_unchanged(FEED_TOPIC, FEED_KEY, &value, end);
+        let published =
+            self.store()
+                .publish_if_unchanged(FEED_TOPIC, FEED_KEY, &value, position.feed);
         let published = published.await?;
-        if published.is_some() {
-            list.mark_published(record.through);
+        if let Some(end) = published {
+            position.feed = end;
         }
-        Ok(published)
+        Ok(ListOutcome::FeedAppended(published.is_some()))
     }
 
     /// Makes this VM known and finds the others. Runs forever.
@@ -369,10 +510,10 @@
     /// While some VM is not heard, both are done often: a VM that makes itself known again is alive,
     /// even if it is cut off from this one.
     pub(super) async fn follow_vms(self: Rc<Self>) {
-        let mut state = TopicState::new(VM_TOPIC);
+        let mut state = TopicState::new(VM_TOPIC, self.driver().now().time);
         let mut announced = false;
         let mut written_at = TimePoint(0);
-        let mut next = None;
+        let mut reads = VmReads::default();
         loop {
             let witness = self.driver().inspect(FleetEngine::needs_record_renewal);
             let now = self.driver().now();
@@ -380,12 +521,30 @@
                 announced = self.announce(&mut state, now.wall).await;
                 written_at = now.time;
             }
-            match self.read_vms(&mut next).await {
-                Ok(peers) => {
-                    state.note(&self, None);
-                    self.driver().feed(FleetEvent::PeersFound(peers));
+            if self.first_response().is_none() {
+                let first_read = self.wait_for_first_read();
+                if monoio::time::timeout(RETRY_INTERVAL, first_read)
+                    .await
+                    .is_err()
+                {
+                    continue;
+                }
+            }
+            // Announcements go on while reads are delayed: other VMs rely on them.
+            let now = self.driver().now().time;
+            if now >= reads.due {
+                match self.read_vms(&mut reads).await {
+                    Ok(peers) => {
+                        state.note(&self, None);
+                        reads.schedule.record_response(Duration::ZERO, 0.0);
+                        self.driver().feed(FleetEvent::PeersFound(peers));
+                    }
+                    Err(error) => {
+                        state.note(&self, Some(&error));
+                        let delay = reads.schedule.record_failure(rand::random());
+                        reads.due = self.driver().now().time + delay;
+                    }
                 }
-                Err(error) => state.note(&self, Some(&error)),
             }
             let calm = announced && state.reachable;
             self.wait_for_alarm(if calm { VM_INTERVAL } else { RETRY_INTERVAL })
@@ -393,24 +552,31 @@
         }
     }
 
-    /// The records of entry VMs that were written since `next`, or the newest of each VM if some were
-    /// missed.
-    async fn read_vms(
-        &self,
-        next: &mut Option<LogOffset>,
-    ) -> Result<Vec<PeerObservation>, StoreError> {
-        if let Some(from) = *next {
-            match self.store().read(VM_TOPIC, from, Duration::ZERO).await? {
-                ReadResult::Records { records, next: end } => {
-                    *next = Some(end);
+    /// The records of entry VMs that were written since the latest read, or the newest of each VM if some
+    /// were missed.
+    async fn read_vms(&self, reads: &mut VmReads) -> Result<Vec<PeerObservation>, StoreError> {
+        let timeout = reads.schedule.timeout();
+        if let Some(from) = reads.next {
+            let options = ReadOptions {
+                timeout,
+                ..ReadOptions::default()
+            };
+            match self.store().read_with(VM_TOPIC, from, &options).await? {
+                ReadResult::Records { records, next } => {
+                    reads.next = Some(next);
                     return Ok(read_sightings(&records));
                 }
-                ReadResult::Expired => *next = None,
+                ReadResult::Expired => reads.next = None,
+            }
+        }
+        loop {
+            let after = reads.pages.after();
+            let page = self.store().newest_page(VM_TOPIC, after, timeout).await?;
+            if let Some((records, next)) = reads.pages.add_page(page_records(page)) {
+                reads.next = Some(next);
+                return Ok(read_sightings(&records));
             }
         }
-        let newest = self.store().newest(VM_TOPIC).await?;
-        *next = Some(newest.next);
-        Ok(read_sightings(&newest.records))
     }
 
     /// Waits, but not for long while some VM is not heard.
@@ -455,6 +621,18 @@
     sightings.collect()
 }
 
+fn page_records(page: NewestPage) -> RecordPage<KeyedRecord> {
+    RecordPage {
+        records: page.records,
+        end: page.end,
+        next_after: page.next_after,
+    }
+}
+
+fn record_bytes(record: &KeyedRecord) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
+
 fn read_entry(record: &KeyedRecord) -> ListEntry {
     let offset = record.offset;
     let value = record.value.as_ref();
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and histograms of an entry VM of a fleet, served over HTTP in the text format of
 //! Prometheus.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 
 use filbertpitch_fleet::engine::{FleetCounters, FleetEngine, FleetNotice};
 use filbertpitch_types::fleet::JobReply;
+use filbertpitch_types::prelude::*;
 use filbertpitch_wire::message::{ServerRequest, ServerResponse};
 use filbertpitch_wire::server::RequestHandler;
 use http::{HeaderValue, StatusCode};
@@ -32,9 +35,18 @@
     kind: String,
 }
 
-/// The histograms.
+/// The label of a metric that exists for each topic of the platform's store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TopicLabels {
+    topic: &'static str,
+}
+
+/// The histograms and what is measured outside the engine.
 #[derive(Debug)]
 pub struct FleetMetrics {
+    store_failures: Family<TopicLabels, Counter>,
+    /// The time of the latest successful call for each topic.
+    store_reads: RefCell<BTreeMap<&'static str, TimePoint>>,
     answered: Histogram,
     placed: Histogram,
     refused: Histogram,
@@ -44,6 +56,8 @@
     fn default() -> Self {
         let histogram = || Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKETS));
         Self {
+            store_failures: Family::default(),
+            store_reads: RefCell::default(),
             answered: histogram(),
             placed: histogram(),
             refused: histogram(),
@@ -71,11 +85,43 @@
         }
     }
 
+    /// Records a successful call to the store.
+    pub(super) fn see_store_read(&self, topic: &'static str, now: TimePoint) {
+        self.store_reads.borrow_mut().insert(topic, now);
+    }
+
+    /// Counts a failed call to the store.
+    pub(super) fn see_store_failure(&self, topic: &'static str) {
+        self.store_failures
+            .get_or_create(&TopicLabels { topic })
+            .inc();
+    }
+
+    fn register_store(&self, registry: &mut Registry, now: TimePoint) {
+        registry.register(
+            "store_failures",
+            "Calls to the platform's store without a usable response, each of which is repeated",
+            self.store_failures.clone(),
+        );
+        let ages = Family::<TopicLabels, Gauge<f64, AtomicU64>>::default();
+        for (topic, read_at) in self.store_reads.borrow().iter() {
+            let age = now.since(*read_at).as_secs_f64();
+            ages.get_or_create(&TopicLabels { topic }).set(age);
+        }
+        registry.register_with_unit(
+            "store_read_age",
+            "Since the latest successful call for a topic of the platform's store",
+            Unit::Seconds,
+            ages,
+        );
+    }
+
     /// All metrics as text.
-    fn page(&self, engine: &FleetEngine) -> String {
+    fn page(&self, engine: &FleetEngine, now: TimePoint) -> String {
         let mut registry = Registry::with_prefix("filbertpitch");
         register_counters(&mut registry, &engine.counters());
         register_gauges(&mut registry, engine);
+        self.register_store(&mut registry, now);
         registry.register_with_unit(
             "job_time",
             "From the arrival of a completed job to its answer",
@@ -314,7 +360,11 @@
 
     fn metrics(&self) -> ServerResponse {
         let metrics = self.node.metrics();
-        let page = self.node.driver().inspect(|engine| metrics.page(engine));
+        let now = self.node.driver().now().time;
+        let page = self
+            .node
+            .driver()
+            .inspect(|engine| metrics.page(engine, now));
         ServerResponse {
             content_type: Some(HeaderValue::from_static(
                 "application/openmetrics-text; version=1.0.0; charset=utf-8",
--- a/crates/filbertpitch/src/fleet/node.rs
+++ b/crates/filbertpitch/src/fleet/node.rs
@@ -1,6 +1,6 @@
 //! The state of one entry VM of a fleet that its tasks share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +26,10 @@
     identity: PeerIdentity,
     driver: Rc<FleetDriver>,
     store: StoreClient,
+    /// With connections of its own, so that the configuration does not wait for pages of the list.
+    configuration_store: StoreClient,
+    /// The response time of the first read of the configuration.
+    first_response: Cell<Option<Duration>>,
     log: EventLog,
     metrics: Rc<FleetMetrics>,
     /// The configuration in force as the operator has published it.
@@ -60,6 +64,8 @@
             identity,
             driver,
             store: StoreClient::new(settings.store),
+            configuration_store: StoreClient::new(settings.store),
+            first_response: Cell::new(None),
             log,
             metrics,
             published: RefCell::default(),
@@ -79,6 +85,22 @@
         &self.store
     }
 
+    pub(super) fn configuration_store(&self) -> &StoreClient {
+        &self.configuration_store
+    }
+
+    /// The response time of the first read of the configuration; `None` before it.
+    pub(super) fn first_response(&self) -> Option<Duration> {
+        self.first_response.get()
+    }
+
+    /// Records a successful read of the configuration.
+    pub(super) fn note_configuration_read(&self, response_time: Duration) {
+        if self.first_response.get().is_none() {
+            self.first_response.set(Some(response_time));
+        }
+    }
+
     pub(super) fn log(&self) -> &EventLog {
         &self.log
     }
