run_endings: require the time in which a target ends its runs

What callers would see: none; the code is unchanged. The lower bounds in the tests of the coordinator were 1,200 ms after the contact, 200 + 1,000 ms after a request and 1,020 ms after a release, without the 50 ms (EXPIRY_TIME) that a target may take to end the runs, and with an age of 200 ms where a request is refused from 175 ms on. With LEASE_MARGIN removed from run_expiry_after, or from lease_expiry_after, all tests of run_endings, held_target, target_clock, request_age, link_exchange, peer_clock, former_holder, link_partitions, job_queue and waiting_polls passed.

The bounds now include EXPIRY_TIME, a whole lease on a slow clock and the age in force. With the first margin removed, 9 tests fail ("started again 50ms before the lease has ended"), with the second one run_on_a_released_target_is_over_after_a_lease ("45ms before the lease has ended"). Without these changes all 47 tests of run_endings pass.

--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -12,6 +12,7 @@
 use filbertpitch_fleet::engine::{
     FleetAction, FleetEngine, FleetEvent, FleetSettings, ForwardOrigin,
 };
+use filbertpitch_fleet::held::EXPIRY_TIME;
 use filbertpitch_types::fleet::{
     CapacityReport, DemandReport, EndNotice, EnvelopeAck, FleetConfiguration, FleetMessage,
     HoldingReport, JobSpec, KeptRun, OriginContact, PeerEnvelope, PeerIdentity, PeerObservation,
@@ -43,10 +44,11 @@
 const TARGET_CLOCK_BEHIND: Duration = Duration::from_secs(40);
 
 /// What the promises about the end of runs rest on: the longest lease, the time after the contact for
-/// which a lease may last, the greatest age of a request, and the slowest clock of a target.
+/// which a lease may last, the greatest age of a request, and the slowest clock of a target. A target may
+/// take `EXPIRY_TIME` more to end the runs.
 const LEASE: Duration = Duration::from_millis(1000);
 const COORDINATOR_TIMEOUT: Duration = Duration::from_millis(1200);
-const MAX_REQUEST_AGE: Duration = Duration::from_millis(200);
+const MAX_REQUEST_AGE: Duration = Duration::from_millis(175);
 const SLOW_LEASE: Duration = Duration::from_millis(1020);
 
 /// By when a task whose run is over must run again: the margin of the lease, and some ticks.
@@ -734,7 +736,7 @@
     let mut rig = Rig::coordinator();
     let contact = loss.apply(&mut rig);
     assert!(rig.now.since(contact) < ms(700), "{loss:?}");
-    rig.assert_restart_after(contact + COORDINATOR_TIMEOUT);
+    rig.assert_restart_after(contact + COORDINATOR_TIMEOUT + EXPIRY_TIME);
 }
 
 /// Guards against a second run of a task whose request has reached the holder late, and has used the
@@ -753,7 +755,7 @@
     rig.submit(1);
     rig.vms[SPARE].free = capacity();
     assert!(requested_at.since(rig.vms[HOLDER].contact) >= ms(135));
-    rig.assert_restart_after(requested_at + MAX_REQUEST_AGE + LEASE);
+    rig.assert_restart_after(requested_at + MAX_REQUEST_AGE + SLOW_LEASE + EXPIRY_TIME);
 }
 
 /// Guards against a second run of a task while the lease that a former holder has granted lasts on a
@@ -768,7 +770,7 @@
         token: HOLDER_TOKEN,
     };
     rig.send(HOLDER, vec![released]);
-    rig.assert_restart_after(released_at + SLOW_LEASE);
+    rig.assert_restart_after(released_at + SLOW_LEASE + EXPIRY_TIME);
 }
 
 /// Guards against a second run of a task because the release by a later holder ends sooner than what
@@ -801,7 +803,7 @@
         token,
     };
     rig.send(SPARE, vec![released]);
-    rig.assert_restart_after(contact + COORDINATOR_TIMEOUT);
+    rig.assert_restart_after(contact + COORDINATOR_TIMEOUT + EXPIRY_TIME);
 }
 
 /// Guards against a second run of a task when the time is over that the loss of its first holder has
@@ -828,7 +830,7 @@
         );
         rig.run_for(TICK);
     }
-    assert!(rig.now >= contact + COORDINATOR_TIMEOUT);
+    assert!(rig.now >= contact + COORDINATOR_TIMEOUT + EXPIRY_TIME);
 }
 
 fn inquiry(target: &TargetName, token: u64, runs: &[RunName]) -> FleetMessage {
@@ -985,7 +987,7 @@
 
 /// Guards against a start that the coordinator no longer counts on: the request is too old, or from
 /// before the holder has dropped the coordinator's work.
-#[test_case(ms(200), 0; "too old")]
+#[test_case(MAX_REQUEST_AGE, 0; "too old")]
 #[test_case(ms(0), 1; "other loss count")]
 fn outdated_request_is_refused(age: Duration, more_losses: u64) {
     let mut rig = Rig::holder();
