KNOWN-RED: a run of an earlier claim is renewed without a question

A holder whose start was refused as late confirms its claim and cannot reach the target. Another VM, which it does not hear, claims the target, finds the run and is told to keep it. After a second the holder claims the target again with a higher token (retry_claims, HeldTarget::reclaim), which fences the other VM. That VM reports the release of the run, and its coordinator counts the run as over one lease later. The holder still has the run and its coordinator in its ledger, asks nobody and renews the run.

Cause: reclaim keeps the runs of the earlier claim with their coordinators. The ledger is emptied only when all leases have certainly ended (1,070.4 ms after the latest grant), but the claim is repeated after 1,000 ms.

The other VM's side is not played; that a release by the recorded holder ends the run is what statement_about_the_run_is_applied shows.

--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -13,10 +13,10 @@
 use filbertpitch_fleet::held::PollPlan;
 use filbertpitch_types::fleet::{
     CapacityReport, DemandReport, EnvelopeAck, FleetConfiguration, FleetMessage, HoldingReport,
-    JobSpec, KeptRun, PeerEnvelope, PeerIdentity, PeerState, QueueSpec, RoutingReport,
-    ServicePolicy, StepSpec, TargetChange, TargetEntry, TargetState,
+    JobSpec, KeptRun, PeerEnvelope, PeerIdentity, PeerState, PlaceRequest, QueueSpec,
+    RoutingReport, ServicePolicy, StepSpec, TargetChange, TargetEntry, TargetState, TaskPlacement,
 };
-use filbertpitch_types::lease::{PollReport, PollResult, RunningEntry};
+use filbertpitch_types::lease::{PollReport, PollResult, RunningEntry, StartAnswer, StartRefusal};
 use filbertpitch_types::prelude::*;
 use filbertpitch_types::time::ClockReading;
 use test_case::test_case;
@@ -84,6 +84,8 @@
     received: BTreeMap<SocketAddr, Vec<FleetMessage>>,
     notices: Vec<FleetNotice>,
     polls: Vec<(TargetIndex, PollPlan)>,
+    /// Whether a start request was sent.
+    started: bool,
 }
 
 impl Bench {
@@ -109,6 +111,7 @@
             received: BTreeMap::new(),
             notices: Vec::new(),
             polls: Vec::new(),
+            started: false,
         };
         let queue = QueueSpec {
             name: "queue-0".parse().unwrap(),
@@ -174,6 +177,7 @@
                 match action {
                     FleetAction::Notice(notice) => self.notices.push(notice),
                     FleetAction::Poll { target, plan, .. } => self.polls.push((target, plan)),
+                    FleetAction::Start { .. } => self.started = true,
                     FleetAction::SendEnvelope {
                         peer: Some((peer, number)),
                         address,
@@ -424,3 +428,79 @@
     bench.send(0, vec![released(FencingToken(30))]);
     assert_eq!(bench.orphaned(), 1);
 }
+
+fn other_run() -> RunName {
+    let task = TaskName {
+        job: JobId(8),
+        ..run().task
+    };
+    RunName { task, ..run() }
+}
+
+/// Guards against a run that goes on after its coordinator has counted it as over: the holder cannot reach
+/// the target for a second, another VM may hold it meanwhile, be told to keep the run and release it, and the
+/// holder then claims the target again with a higher token and renews the run without asking.
+#[test]
+#[ignore = "fails: a run that the holder knows from an earlier claim is renewed without a question (issue 32)"]
+fn run_of_an_earlier_claim_is_not_renewed_before_its_coordinator_is_asked() {
+    let mut bench = Bench::new(OWN_ZONE, 1);
+    bench.run_for(STEP);
+    let first = bench.token_of_poll();
+    bench.answer_poll(bench.report());
+    assert_eq!(bench.inquiries(0), 1);
+    bench.send(0, vec![keep(first)]);
+    bench.answer_poll(bench.report());
+    bench.run_for(ms(700));
+    bench.answer_poll(bench.report());
+    let (target, plan) = *bench.polls.last().unwrap();
+    assert!(plan.request.lease_end.is_some(), "the run is adopted");
+    // The target refuses a start, so that the holder confirms its claim, and is then out of reach.
+    bench.send(0, vec![place_other(bench.now)]);
+    assert!(bench.started, "the request is carried out");
+    bench.handle(FleetEvent::StartResult {
+        target,
+        token: first,
+        run: other_run(),
+        answer: StartAnswer::Refused(StartRefusal::Late, None),
+    });
+    for until_next_poll in [ms(0), ms(0), ms(150)] {
+        bench.run_for(until_next_poll);
+        bench.run_for(plan.options.timeout - plan.request.wait);
+        assert_eq!(bench.token_of_poll(), first);
+        bench.answer_poll(PollResult::TimedOut);
+    }
+    bench.run_for(ms(100));
+    assert!(bench.token_of_poll() > first);
+    bench.take_received(0);
+    bench.answer_poll(bench.report());
+    let asked = bench.inquiries(0);
+    let (_, plan) = bench.polls.last().unwrap();
+    assert_eq!(
+        plan.request.lease_end, None,
+        "asked {asked} times, {plan:?}"
+    );
+    assert_eq!(asked, 1);
+}
+
+fn place_other(now: TimePoint) -> FleetMessage {
+    FleetMessage::Place(PlaceRequest {
+        queue: "queue-0".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        payload: Rc::from("work"),
+        required_label: None,
+        offer: None,
+        issued_at: now,
+        tasks: vec![TaskPlacement {
+            task: other_run().task,
+            run: other_run().run,
+            resources: resources(),
+            target: target_name(),
+            excluded: Vec::new(),
+            expected_ms: 1000,
+            on_trial: false,
+        }],
+        losses: LossCount(0),
+        origin: None,
+        preferred_rack: None,
+    })
+}
