holding: a claim that stays unconfirmed with runs is released and begun anew

Callers: a task could run twice. A holder whose start was refused as late confirms its claim and cannot reach the target; another VM claims the target, finds the run and is told to keep it. After a second the holder took a higher token, fenced that VM, which reported the release, and renewed the run without asking, while the coordinator counted it as over one lease later.

Cause: retry_claims kept the runs of the earlier claim with their coordinators, although another VM may have had them since.

Change: such a holder releases the target, which tells the coordinators, and claims it as any other: what it finds there gets no lease until its coordinator has answered. A claim without runs is repeated with a higher token as before.

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -351,7 +351,7 @@
     }
 
     /// For each claim that was not confirmed in time: claims the target again with a new token, or
-    /// releases the target if a peer holds it by now.
+    /// releases the target if a peer holds it by now. Runs of the earlier claim are released.
     fn retry_claims(&mut self) {
         let now = self.now();
         let old = self
@@ -364,6 +364,13 @@
                 self.release_target(target, "held_elsewhere");
                 continue;
             }
+            let held = self.held.get(&target);
+            if held.is_some_and(|held| !held.ledger().is_empty()) {
+                // Another VM may have had the runs meanwhile, so their coordinators must be asked again.
+                self.release_target(target, "unconfirmed");
+                self.claim_target(target);
+                continue;
+            }
             let token = self.next_token(target);
             if let Some(held) = self.held.get_mut(&target) {
                 held.reclaim(now, token);
--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -441,7 +441,6 @@
 /// the target for a second, another VM may hold it meanwhile, be told to keep the run and release it, and the
 /// holder then claims the target again with a higher token and renews the run without asking.
 #[test]
-#[ignore = "fails: a run that the holder knows from an earlier claim is renewed without a question (issue 32)"]
 fn run_of_an_earlier_claim_is_not_renewed_before_its_coordinator_is_asked() {
     let mut bench = Bench::new(OWN_ZONE, 1);
     bench.run_for(STEP);
