held: a run that a former instance has listed is over after a restart

H has run 1 of a task for coordinator A on a target, which restarts. G claims the new instance and starts run 1 of the same task for coordinator B, to which the client has sent the job again. A poll of H that has reached the new instance before G's claim lists that run. H took it for A's run, claimed the target again and renewed the lease for A; G was fenced and told B that it has released the target, and B started run 2 one lease later.

Cause: a run that a report lists under a known number was always taken for the known run, also if another instance has sent the report.

Evidence: run_that_a_former_instance_had_is_not_that_of_the_next_one (the former instance has listed the run) failed before: "left: [] right: [(TaskName { job: JobId(7), occurrence: 0, step: 0, index: 0 }, LeaseExpired)]".

Why it works: a report of the former instance has listed the run, and its request was sent once, so that the new instance cannot carry it out again. The run has ended and is reported; the listed one counts as found: no lease is renewed before its coordinator has answered.

A run without a response, or whose request was repeated, may be the listed one, as before. So may a run that only the response to its start request has confirmed: this response does not say which instance has sent it, and run_that_the_next_instance_lists_is_blamed_for_its_crash has such a run that the new instance has accepted. The sequence above remains possible for such runs.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -286,6 +286,9 @@
     /// The tasks in the ledger whose start request was repeated: a copy of an earlier request may arrive
     /// after the run has started.
     repeated_starts: BTreeSet<TaskName>,
+    /// The tasks in the ledger whose run a report of the target has listed. The response to a start request
+    /// does not say which instance has sent it; a report does.
+    listed_runs: BTreeSet<TaskName>,
     /// When all leases granted to the target have certainly expired, on the local clock. The target may
     /// take `EXPIRY_TIME` more to end the runs.
     leases_expired_at: TimePoint,
@@ -333,6 +336,7 @@
             last_response_at: now,
             pending_starts: BTreeMap::new(),
             repeated_starts: BTreeSet::new(),
+            listed_runs: BTreeSet::new(),
             // A former holder may have granted a whole lease until now.
             leases_expired_at: now + max_lease_duration(settings.lease),
             adoption_due: None,
@@ -702,6 +706,7 @@
         };
         self.pending_starts.insert(task, open);
         self.repeated_starts.remove(&task);
+        self.listed_runs.remove(&task);
         Some(StartPlan {
             request,
             options: self.request_options(false),
@@ -967,11 +972,16 @@
     fn apply_running(&mut self, now: TimePoint, report: &PollReport, outcome: &mut PollOutcome) {
         for entry in &report.running {
             let RunName { task, run: number } = entry.run;
+            let was_listed = self.listed_runs.contains(&task);
+            let sent_once = !self.repeated_starts.contains(&task);
             match self.ledger.get_mut(&task) {
-                Some(run) if run.run == number => {
+                Some(run)
+                    if run.run == number && !(run.target_restarted && was_listed && sent_once) =>
+                {
                     // The instance that responds has the run, even if it was requested before the
                     // restart was known.
                     run.target_restarted = false;
+                    self.listed_runs.insert(task);
                     if let RunPhase::Requested { .. } | RunPhase::Uncertain { .. } = run.phase {
                         run.phase = RunPhase::Running { confirmed_at: now };
                     }
@@ -980,7 +990,8 @@
                 Some(run) if run.run > number => {}
                 known => {
                     // Another VM has held the target meanwhile and has started a later run of the
-                    // task.
+                    // task, or one with the same number after a restart: the only request for the known
+                    // run was carried out by the former instance, which has listed the run.
                     if known.is_some()
                         && let Some(run) = self.ledger.remove(&task)
                     {
@@ -1002,6 +1013,7 @@
                         phase: RunPhase::Running { confirmed_at: now },
                     };
                     self.ledger.insert(task, run);
+                    self.listed_runs.insert(task);
                     outcome.unknown_runs.push(entry.run);
                 }
             }
@@ -1046,6 +1058,7 @@
         let ledger = &self.ledger;
         self.repeated_starts
             .retain(|task| ledger.get(task).is_some());
+        self.listed_runs.retain(|task| ledger.get(task).is_some());
         let missing = self.ledger.runs().filter(|(task, run)| {
             if outcome.restarted && (!run.has_started() || self.repeated_starts.contains(*task)) {
                 return false;
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -1017,6 +1017,55 @@
     assert_eq!(crash.tasks, [task(0)]);
 }
 
+/// What a former instance of a target had done with the run that its next instance lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FormerStart {
+    /// It had listed the run.
+    Listed,
+    /// It had listed the run, whose start request was repeated.
+    Repeated,
+    /// The start request got no response.
+    Unanswered,
+}
+
+/// Another VM has held the restarted target meanwhile and has started a run there for another coordinator,
+/// which counts it as over one lease after its release. Guards against a lease that is renewed for the
+/// coordinator of the former instance's run because both runs have the same number.
+#[test_case(FormerStart::Listed, true; "the former instance has listed the run")]
+#[test_case(FormerStart::Repeated, false; "a copy of its start request may have arrived late")]
+#[test_case(FormerStart::Unanswered, false; "its start request may have arrived late")]
+fn run_that_a_former_instance_had_is_not_that_of_the_next_one(start: FormerStart, ended: bool) {
+    let mut holder = Holder::confirmed();
+    let run = holder.request_start(0).run;
+    let answers = match start {
+        FormerStart::Listed => vec![StartAnswer::Accepted(None)],
+        FormerStart::Repeated => vec![StartAnswer::TimedOut, StartAnswer::Accepted(None)],
+        FormerStart::Unanswered => vec![StartAnswer::ConnectionLost],
+    };
+    for answer in answers {
+        holder.now = holder.now + ms(30);
+        holder.target.handle_start_response(holder.now, run, answer);
+    }
+    if start != FormerStart::Unanswered {
+        holder.pause();
+        holder.exchange(vec![run], vec![]);
+    }
+    holder.pause();
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 1, vec![run]);
+    let outcome = holder.answer(&plan, &report);
+    assert!(outcome.restarted);
+    let expected = ended.then_some((run.task, RunEnd::LeaseExpired));
+    assert_eq!(ends(&outcome), Vec::from_iter(expected));
+    holder.target.reclaim(holder.now, FencingToken(9));
+    let plan = holder.plan();
+    let report = report_of_instance(&holder, BOOT.0 + 1, vec![run]);
+    let outcome = holder.answer(&plan, &report);
+    assert_eq!(outcome.unknown_runs, Vec::from_iter(ended.then_some(run)));
+    let renewal = holder.plan().request.lease_end;
+    assert_eq!(renewal.is_none(), ended, "{renewal:?}");
+}
+
 /// Guards against a crash that counts for no task because the target was silent, so that its runs had
 /// ended with their lease before its next instance responded.
 #[test_case(BOOT, false; "the same instance")]
