held: a poll after a failed connection renews no lease

The first poll after a broken connection renewed the lease, although another instance may answer it. That instance may have runs of another holder, which counts on a lease that nobody else renews, and it measures the named end on a clock of its own.

Change: after a poll, start or stop request whose connection was broken or refused, or to which another instance has responded, no poll renews the lease until the same instance has answered a poll sent later. Until then no run is started either, because a start request extends the lease. The poll that finds out is sent at once and does not wait at the target. A time-out without a failure of the connection is a lost response and changes nothing.

Evidence: four cases of lease_is_not_renewed_before_the_same_instance_has_answered failed before, for example "left: false right: true: PollPlan { number: PollNumber(2), request: PollRequest { ..., lease_end: Some(TargetTime(11398)), wait: 0ns }, ... }", and broken_stop_request_delays_the_renewal_of_the_lease with "left: [(false, true)] right: [(false, true), (true, false)]".

--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -364,6 +364,7 @@
             StopResult::Fenced => self.release_fenced_target(target),
             StopResult::OtherInstance => held.reconfirm(now),
             StopResult::ConnectionLost => {
+                held.record_connection_failure(now);
                 if held.ledger().get(&name.task).is_some() && held.is_reachable() {
                     self.stop_run(target, &name.task);
                 }
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -271,6 +271,9 @@
     failed_polls: u32,
     /// When the latest failed poll was noticed.
     last_failure_at: TimePoint,
+    /// When a connection to the target was last broken or refused, or another instance responded, unless the
+    /// same instance has answered a later poll. The target may have restarted since.
+    doubted_at: Option<TimePoint>,
     reachable: bool,
     /// Round-trip times of the calls that the target answers without waiting.
     round_trips: RttEstimator,
@@ -328,6 +331,7 @@
             poll_due: now,
             failed_polls: 0,
             last_failure_at: now,
+            doubted_at: None,
             reachable: true,
             round_trips: RttEstimator::default(),
             response_missing: false,
@@ -390,6 +394,15 @@
         self.response_lost |= std::mem::take(&mut self.response_missing);
     }
 
+    /// Records that the connection of a start or stop request was broken or refused, and polls the target
+    /// at once.
+    pub fn record_connection_failure(&mut self, now: TimePoint) {
+        self.doubted_at = Some(now);
+        if self.reachable {
+            self.poll_now(now);
+        }
+    }
+
     fn record_timeout(&mut self) {
         self.round_trips.record_timeout();
         self.response_missing = true;
@@ -550,9 +563,10 @@
         (hedge && due).then_some(PollSlot::Hedge)
     }
 
-    /// Whether the target has confirmed this VM and answers.
+    /// Whether the target has confirmed this VM and answers, and no connection has failed since.
     fn is_steady(&self) -> bool {
-        self.phase == HoldPhase::Confirmed && self.failed_polls == 0
+        let confirmed = self.phase == HoldPhase::Confirmed;
+        confirmed && self.failed_polls == 0 && self.doubted_at.is_none()
     }
 
     /// How long the target may hold a poll open that grants `lease`. A shorter lease needs more polls
@@ -610,11 +624,13 @@
     }
 
     /// The lease that a poll grants now. A poll that is to confirm a claim grants none: the target may
-    /// have runs that this VM does not know. The lease of an unreachable target is not extended, so that
+    /// have runs that this VM does not know. Nor does one after a failed connection until the same instance
+    /// has answered: another one may have another holder's runs, and counts the end of the lease on another
+    /// clock. The lease of an unreachable target is not extended, so that
     /// the runs on the target end in bounded time. Nor is it extended while the coordinator of a run
     /// is unknown, or beyond the lease limit of a run, because the coordinator relies on that.
     fn renewed_lease(&self, now: TimePoint) -> Option<Duration> {
-        let confirmed = self.phase == HoldPhase::Confirmed;
+        let confirmed = self.phase == HoldPhase::Confirmed && self.doubted_at.is_none();
         (confirmed && self.is_reachable() && self.knows_coordinators()).then(|| {
             let limit = self.ledger.lease_limit();
             let lease = self.settings.lease;
@@ -777,6 +793,9 @@
                 return StartOutcome::Retry(plan);
             }
         }
+        if let StartAnswer::ConnectionLost | StartAnswer::NotSent = answer {
+            self.record_connection_failure(now);
+        }
         self.pending_starts.remove(&name.task);
         let Some(run) = self.ledger.get_mut(&name.task) else {
             return StartOutcome::Ignored;
@@ -920,6 +939,7 @@
         }
         self.crash_noticed = false;
         self.silent_crash = None;
+        self.doubted_at.take_if(|doubted| poll.sent_at >= *doubted);
         if let Some(time) = report.time {
             self.clock.observe(now, time);
         }
@@ -934,7 +954,8 @@
         }
         // A target that answers without waiting although no run has ended is not polled again at
         // once.
-        let waits = report.ended.is_empty() && self.unconfirmed_runs.is_empty();
+        let steady = self.unconfirmed_runs.is_empty() && self.doubted_at.is_none();
+        let waits = report.ended.is_empty() && steady;
         let early = waits && now.since(poll.sent_at) < poll.wait / 2;
         let due = match early {
             true => poll.sent_at + poll.wait,
@@ -1104,6 +1125,9 @@
         number: PollNumber,
         silent: bool,
     ) -> bool {
+        if !silent {
+            self.doubted_at = Some(now);
+        }
         let Some(poll) = self.take_poll(number) else {
             return false;
         };
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -21,6 +21,8 @@
 use filbertpitch_types::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use test_case::{test_case, test_matrix};
 use typed_index_collections::TiVec;
 
@@ -1296,6 +1298,143 @@
     assert_eq!(lease_end, Some(lease), "renewed without waiting");
 }
 
+/// A call that has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailedCall {
+    /// The connection of a poll was broken or refused, or another instance has responded to it.
+    Poll,
+    /// As `Poll`, while another poll, which was sent before, is open.
+    ImmediatePoll,
+    /// The connection of a start request was broken.
+    BrokenStart,
+    /// The connection for a start request could not be made.
+    RefusedStart,
+    /// The response to a poll was lost.
+    SilentPoll,
+}
+
+/// Guards against a lease that is renewed on the next instance of a target, which may have another holder's
+/// runs and counts the end of the lease on another clock.
+#[test_case(FailedCall::Poll, true)]
+#[test_case(FailedCall::ImmediatePoll, true)]
+#[test_case(FailedCall::BrokenStart, true)]
+#[test_case(FailedCall::RefusedStart, true)]
+#[test_case(FailedCall::SilentPoll, false; "a lost response shows no restart")]
+fn lease_is_not_renewed_before_the_same_instance_has_answered(call: FailedCall, doubted: bool) {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    let open = holder.plan();
+    let early = holder.report(vec![run], vec![]);
+    holder.now = holder.now + ms(5);
+    match call {
+        FailedCall::Poll | FailedCall::SilentPoll => {
+            let silent = call == FailedCall::SilentPoll;
+            holder
+                .target
+                .handle_poll_failure(holder.now, open.number, silent);
+        }
+        FailedCall::ImmediatePoll => {
+            holder.target.poll_now(holder.now);
+            let immediate = holder.plan();
+            holder
+                .target
+                .handle_poll_failure(holder.now, immediate.number, false);
+            holder.answer(&open, &early);
+        }
+        FailedCall::BrokenStart | FailedCall::RefusedStart => {
+            let answer = match call {
+                FailedCall::BrokenStart => StartAnswer::ConnectionLost,
+                _ => StartAnswer::NotSent,
+            };
+            holder.start(1, answer);
+            holder.answer(&open, &early);
+        }
+    }
+    holder.now = holder.now.max(holder.target.next_due());
+    let poll = holder.plan();
+    assert_eq!(poll.request.lease_end.is_none(), doubted, "{poll:?}");
+    assert_eq!(poll.request.wait, Duration::ZERO, "answered at once");
+    holder.now = holder.now + ms(2);
+    let report = holder.report(vec![run], vec![]);
+    holder.answer(&poll, &report);
+    let renewed = Some(TargetTime(holder.target_time().0 + 1000));
+    assert_eq!(holder.plan().request.lease_end, renewed);
+}
+
+/// The lease end of a target whose connections are reset, and what its polls do.
+struct ResetTarget {
+    holder: Holder,
+    random: ChaCha8Rng,
+    lease_end: TargetTime,
+}
+
+impl ResetTarget {
+    /// The time in which connections are reset, and that between the starts of two such times.
+    const RESETS: Duration = Duration::from_millis(200);
+    const PERIOD: Duration = Duration::from_millis(1000);
+
+    /// Whether a poll that is sent now, or is open now, loses its connection.
+    fn resets(&mut self) -> bool {
+        let micros = (self.holder.now.0 - START.0) % Self::PERIOD.as_micros() as u64;
+        micros < Self::RESETS.as_micros() as u64 && self.random.random_bool(0.5)
+    }
+
+    /// Sends a poll and applies its result; returns how long the lease lasts after it.
+    fn poll(&mut self, run: RunName) -> Duration {
+        self.holder.now = self.holder.now.max(self.holder.target.next_due());
+        let plan = self.holder.plan();
+        // A connection is reset before or after the request has arrived, or while the poll waits.
+        let reset = self.resets();
+        let arrives = !reset || self.random.random_bool(0.5);
+        self.holder.now = self.holder.now + ms(1);
+        if arrives {
+            let renewed = plan.request.lease_end.unwrap_or_default();
+            self.lease_end = self.lease_end.max(renewed);
+        }
+        if !reset {
+            self.holder.now = self.holder.now + plan.request.wait;
+        }
+        let left = self.lease_end.0.saturating_sub(self.holder.target_time().0);
+        let report = self.holder.report(vec![run], vec![]);
+        self.holder.now = self.holder.now + ms(1);
+        match reset || self.resets() {
+            true => {
+                let now = self.holder.now;
+                let target = &mut self.holder.target;
+                target.handle_poll_failure(now, plan.number, false);
+            }
+            false => {
+                self.holder.answer(&plan, &report);
+            }
+        }
+        ms(left)
+    }
+}
+
+/// Guards against runs that end because each broken connection delays the renewal of their lease: one poll
+/// in two loses its connection for 200 ms in each second.
+#[test]
+fn runs_outlast_times_in_which_connections_are_reset() {
+    for seed in 0..50 {
+        let mut holder = Holder::confirmed();
+        let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+        holder.pause();
+        let lease_end = TargetTime(holder.target_time().0 + 600);
+        let random = ChaCha8Rng::seed_from_u64(seed);
+        let mut target = ResetTarget {
+            holder,
+            random,
+            lease_end,
+        };
+        while target.holder.now < START + ms(30_000) {
+            let left = target.poll(run);
+            assert!(left > ms(0), "seed {seed}: the lease has ended");
+        }
+        assert_eq!(target.holder.target.ledger().len(), 1, "seed {seed}");
+    }
+}
+
 /// Guards against a start request that extends the lease of a run whose coordinator is not known.
 #[test]
 fn start_is_not_repeated_beside_a_run_without_a_coordinator() {
--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpitch_dispatch::entity::{KindIndex, VmIndex};
+use filbertpitch_dispatch::entity::{KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
 use filbertpitch_fleet::engine::{
     FleetAction, FleetEngine, FleetEvent, FleetSettings, ForwardOrigin,
@@ -1244,6 +1244,27 @@
     );
 }
 
+/// Guards against a lease that is renewed on the next instance of a target, whose restart has broken the
+/// connection of a stop request.
+#[test]
+fn broken_stop_request_delays_the_renewal_of_the_lease() {
+    let mut rig = Rig::holder_with_run();
+    rig.target.loses_stops = true;
+    let run = run_of(1, 1);
+    rig.send(FIRST, vec![FleetMessage::Withdraw(vec![run.task])]);
+    let (_, _, open) = rig.target.polls.last().expect("a poll is open");
+    let token = open.token;
+    rig.feed(FleetEvent::StopResult {
+        target: TargetIndex::from(0),
+        token,
+        run,
+        answer: StopResult::ConnectionLost,
+    });
+    let polls = rig.target.polls.iter().map(|(_, _, request)| request);
+    let polls = polls.map(|request| (request.wait.is_zero(), request.lease_end.is_some()));
+    assert_eq!(polls.collect::<Vec<_>>(), [(false, true), (true, false)]);
+}
+
 /// Guards against a second run of a task at the request of another coordinator, and against an early
 /// answer by which that coordinator would start it elsewhere.
 #[test]
