peers: forget the coordinator of a run when its process is replaced

A holder has run 1 of a task for the former process, and stops it. The new process, whose run numbers begin at 1 again, places run 1 of the same task with the same holder. The holder sent the end of the former run to the new process. If that report crossed the request, the holder started run 1 for the new process, which took the report for the end of this run and started run 2.

Cause: a run names its coordinator by the VM, whichever process runs there.

Evidence: the three cases of new_process_is_not_told_of_the_runs_of_the_former_one (envelope, acknowledgement, record in the store) failed before: "left: [Ended(EndNotice { ..., run: RunNumber(1) }, target: TargetName("target-2"), end: LeaseExpired, took_ms: Some(3100) })] right: []". They show that the report is sent; the crossing was not played.

Why it works: the runs are stopped and have no coordinator from then on, so that nobody is told of their end; the request of the new process is answered by itself (StillRunning). Their lease limits stay as they were, so that the lease of the target is renewed up to these limits: the test checks that the lease ends within the coordinator timeout after the message that the former process has named, not later and not at once. A found run without a coordinator still gets no renewal.

--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -58,6 +58,7 @@
             return refusal;
         }
         let was_candidate = link.is_holder_candidate();
+        let replaced = link.identity().incarnation != envelope.from.incarnation;
         let zones = std::mem::take(&mut envelope.zones);
         let (sent_at, routing) = (envelope.sent_at, envelope.routing);
         let update = link.receive(now, envelope, |name| registry.intern(name));
@@ -84,6 +85,9 @@
         if let Some(contact) = update.work_dropped {
             self.drop_peer_work(peer, contact, "work_dropped");
         }
+        if replaced {
+            self.forget_replaced_coordinator(peer);
+        }
         if candidacy_changed {
             self.invalidate_assignment();
         }
@@ -142,6 +146,7 @@
                 .expect("an interned peer has a link");
             if let Some(contact) = link.observe_record(&identity, revision, now) {
                 self.drop_peer_work(peer, contact, "replaced");
+                self.forget_replaced_coordinator(peer);
                 self.invalidate_assignment();
             }
         }
@@ -167,6 +172,7 @@
         self.placement_due |= silent && self.router.has_received_from(peer);
         if let Some(contact) = contact {
             self.handle_peer_loss(peer, true, contact);
+            self.forget_replaced_coordinator(peer);
         }
     }
 
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -83,6 +83,7 @@
             run: order.run,
             resources: Some(order.resources),
             coordinator: Some(coordinator),
+            coordinator_replaced: false,
             queue: self.catalog.index(&request.queue),
             expected: Duration::from_millis(order.expected_ms.into())
                 .mul_f64(self.rack_factor(request.preferred_rack, target)),
@@ -220,6 +221,16 @@
         }
     }
 
+    /// Stops all runs of a coordinator that another process of its VM has replaced, and forgets the
+    /// coordinator: the run numbers of the new process begin anew, so that it would take the end of such a
+    /// run for that of one of its own.
+    pub(super) fn forget_replaced_coordinator(&mut self, coordinator: VmIndex) {
+        self.stop_runs_for(coordinator);
+        for held in self.held.values_mut() {
+            held.ledger_mut().forget_coordinator(coordinator);
+        }
+    }
+
     /// Stops the runs of forwarded jobs whose leases end soon because the VM that has forwarded the job
     /// may be lost. The lease of the target limits its other runs as well.
     pub(super) fn stop_runs_of_silent_origins(&mut self, stop_by: TimePoint) {
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -640,10 +640,11 @@
         })
     }
 
-    /// Whether the coordinators of all runs are known.
+    /// Whether the coordinators of all runs are known. The lease limits of a run whose coordinator was
+    /// replaced by another process stay as they were.
     fn knows_coordinators(&self) -> bool {
         let mut runs = self.ledger.runs();
-        runs.all(|(_, run)| run.coordinator.is_some())
+        runs.all(|(_, run)| run.coordinator.is_some() || run.coordinator_replaced)
     }
 
     /// Whether a start request, which extends the lease, respects the lease limits of all runs.
@@ -1023,6 +1024,7 @@
                         run: number,
                         resources: None,
                         coordinator: None,
+                        coordinator_replaced: false,
                         queue: None,
                         expected: Duration::ZERO,
                         since: now,
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -52,6 +52,9 @@
     pub resources: Option<ResourceVector>,
     /// The coordinator of the job, if known.
     pub coordinator: Option<VmIndex>,
+    /// Whether the coordinator is no longer known because another process has replaced it. The run is to be
+    /// stopped and keeps its lease limits.
+    pub coordinator_replaced: bool,
     /// The queue of the job, if known.
     pub queue: Option<KindIndex>,
     /// The expected run time.
@@ -162,6 +165,16 @@
         self.runs.iter()
     }
 
+    /// Forgets the coordinator of all runs that it has requested, which must have been told to stop.
+    pub fn forget_coordinator(&mut self, coordinator: VmIndex) {
+        for run in self.runs.values_mut() {
+            if run.coordinator == Some(coordinator) {
+                run.coordinator = None;
+                run.coordinator_replaced = true;
+            }
+        }
+    }
+
     /// Advances the lease limits of the runs that are not to be stopped.
     pub fn advance_lease_limits(&mut self, limits: &LeaseLimits<'_>) {
         for run in self.runs.values_mut() {
--- a/crates/fleet/tests/capacity_changes.rs
+++ b/crates/fleet/tests/capacity_changes.rs
@@ -199,6 +199,7 @@
         lease_limit: TimePoint(u64::MAX),
         origin: None,
         origin_limit: TimePoint(u64::MAX),
+        coordinator_replaced: false,
         target_restarted: false,
         trial_until: None,
         phase: RunPhase::Running {
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -198,6 +198,7 @@
             lease_limit: TimePoint(u64::MAX),
             origin: None,
             origin_limit: TimePoint(u64::MAX),
+            coordinator_replaced: false,
             target_restarted: false,
             trial_until: None,
             phase: RunPhase::Running {
--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -1265,6 +1265,36 @@
     assert_eq!(polls.collect::<Vec<_>>(), [(false, true), (true, false)]);
 }
 
+/// Another process runs on the coordinator's VM and requests run 1 of the same task. Guards against a
+/// second run that starts because the end of the former process's run is taken for that of the new one, and
+/// against a lease that the new process extends.
+#[test_case(Loss::OtherEnvelope; "another process sends an envelope")]
+#[test_case(Loss::OtherAck; "another process acknowledges")]
+#[test_case(Loss::OtherRecord; "the store has a record of another process")]
+fn new_process_is_not_told_of_the_runs_of_the_former_one(loss: Loss) {
+    let mut rig = Rig::holder_with_run();
+    rig.target.loses_stops = true;
+    let named = rig.vms[FIRST].heard_until.expect("the engine was heard");
+    loss.apply(&mut rig);
+    let vm = &mut rig.vms[FIRST];
+    vm.identity = identity_of(FIRST, 77);
+    vm.heard_until = None;
+    vm.received.clear();
+    (vm.sends, vm.hears) = (true, true);
+    rig.run_for(ms(300));
+    rig.request(FIRST, 1, |request| request);
+    let lapsed_at = rig.run_until_lapse().expect("the lease ends");
+    let lasts = lapsed_at.since(named);
+    assert!(lasts <= COORDINATOR_TIMEOUT + TICK, "{lasts:?}");
+    assert!(lasts >= COORDINATOR_TIMEOUT - ms(300), "{lasts:?}");
+    rig.target.loses_stops = false;
+    rig.run_for(ms(1000));
+    let received = rig.vms[FIRST].received.iter();
+    let ends = received.filter(|message| matches!(message, FleetMessage::Ended(_)));
+    assert_eq!(ends.collect::<Vec<_>>(), Vec::<&FleetMessage>::new());
+    assert_eq!(rig.refusals(FIRST), [PlaceRefusal::StillRunning]);
+}
+
 /// Guards against a second run of a task at the request of another coordinator, and against an early
 /// answer by which that coordinator would start it elsewhere.
 #[test]
