--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -280,6 +280,9 @@
     failed_polls: u32,
     /// When the latest failed poll was noticed.
     last_failure_at: TimePoint,
+    /// When a connection to the target was last broken or refused, or another instance responded, unless the
+    /// same instance has answered a later poll. The target may have restarted since.
+    doubted_at: Option<TimePoint>,
     reachable: bool,
     /// Round-trip times of the calls that the target answers without waiting.
     round_trips: RttEstimator,
@@ -295,6 +298,9 @@
     /// The tasks in the ledger whose start request was repeated: a copy of an earlier request may arrive
     /// after the run has started.
     repeated_starts: BTreeSet<TaskName>,
+    /// The tasks in the ledger whose run a report of the target has listed. The response to a start request
+    /// does not say which instance has sent it; a report does.
+    listed_runs: BTreeSet<TaskName>,
     /// When all leases granted to the target have certainly expired, on the local clock. The target may
     /// take `EXPIRY_TIME` more to end the runs.
     leases_expired_at: TimePoint,
@@ -334,6 +340,7 @@
             poll_due: now,
             failed_polls: 0,
             last_failure_at: now,
+            doubted_at: None,
             reachable: true,
             round_trips: RttEstimator::default(),
             response_missing: false,
@@ -342,6 +349,7 @@
             last_response_at: now,
             pending_starts: BTreeMap::new(),
             repeated_starts: BTreeSet::new(),
+            listed_runs: BTreeSet::new(),
             // A former holder may have granted a whole lease until now.
             leases_expired_at: now + max_lease_duration(settings.lease),
             adoption_due: None,
@@ -395,6 +403,15 @@
         self.response_lost |= std::mem::take(&mut self.response_missing);
     }
 
+    /// Records that the connection of a start or stop request was broken or refused, and polls the target
+    /// at once.
+    pub fn record_connection_failure(&mut self, now: TimePoint) {
+        self.doubted_at = Some(now);
+        if self.reachable {
+            self.poll_now(now);
+        }
+    }
+
     fn record_timeout(&mut self) {
         self.round_trips.record_timeout();
         self.response_missing = true;
@@ -555,9 +572,10 @@
         (hedge && due).then_some(PollSlot::Hedge)
     }
 
-    /// Whether the target has confirmed this VM and answers.
+    /// Whether the target has confirmed this VM and answers, and no connection has failed since.
     fn is_steady(&self) -> bool {
-        self.phase == HoldPhase::Confirmed && self.failed_polls == 0
+        let confirmed = self.phase == HoldPhase::Confirmed;
+        confirmed && self.failed_polls == 0 && self.doubted_at.is_none()
     }
 
     /// How long the target may hold a poll open that grants `lease`. A shorter lease needs more polls
@@ -617,11 +635,13 @@
     }
 
     /// The lease that a poll grants now. A poll that is to confirm a claim grants none: the target may
-    /// have runs that this VM does not know. The lease of an unreachable target is not extended, so that
+    /// have runs that this VM does not know. Nor does one after a failed connection until the same instance
+    /// has answered: another one may have another holder's runs, and counts the end of the lease on another
+    /// clock. The lease of an unreachable target is not extended, so that
     /// the runs on the target end in bounded time. Nor is it extended while the coordinator of a run
     /// is unknown, or beyond the lease limit of a run, because the coordinator relies on that.
     fn renewed_lease(&self, now: TimePoint) -> Option<Duration> {
-        let confirmed = self.phase == HoldPhase::Confirmed;
+        let confirmed = self.phase == HoldPhase::Confirmed && self.doubted_at.is_none();
         (confirmed && self.is_reachable() && self.knows_coordinators()).then(|| {
             let limit = self.ledger.lease_limit();
             let lease = self.settings.lease;
@@ -631,10 +651,11 @@
         })
     }
 
-    /// Whether the coordinators of all runs are known.
+    /// Whether the coordinators of all runs are known. The lease limits of a run whose coordinator was
+    /// replaced by another process stay as they were.
     fn knows_coordinators(&self) -> bool {
         let mut runs = self.ledger.runs();
-        runs.all(|(_, run)| run.coordinator.is_some())
+        runs.all(|(_, run)| run.coordinator.is_some() || run.coordinator_replaced)
     }
 
     /// Whether a start request, which extends the lease, respects the lease limits of all runs.
@@ -713,6 +734,7 @@
         };
         self.pending_starts.insert(task, open);
         self.repeated_starts.remove(&task);
+        self.listed_runs.remove(&task);
         Some(StartPlan {
             request,
             options: self.request_options(false),
@@ -783,6 +805,9 @@
                 return StartOutcome::Retry(plan);
             }
         }
+        if let StartAnswer::ConnectionLost | StartAnswer::NotSent = answer {
+            self.record_connection_failure(now);
+        }
         self.pending_starts.remove(&name.task);
         let Some(run) = self.ledger.get_mut(&name.task) else {
             return StartOutcome::Ignored;
@@ -931,6 +956,7 @@
         }
         self.crash_noticed = false;
         self.silent_crash = None;
+        self.doubted_at.take_if(|doubted| poll.sent_at >= *doubted);
         if let Some(time) = report.time {
             self.clock.observe(now, time);
         }
@@ -945,7 +971,8 @@
         }
         // A target that answers without waiting although no run has ended is not polled again at
         // once.
-        let waits = report.ended.is_empty() && self.unconfirmed_runs.is_empty();
+        let steady = self.unconfirmed_runs.is_empty() && self.doubted_at.is_none();
+        let waits = report.ended.is_empty() && steady;
         let early = waits && now.since(poll.sent_at) < poll.wait / 2;
         let due = match early {
             true => poll.sent_at + poll.wait,
@@ -983,11 +1010,16 @@
     fn apply_running(&mut self, now: TimePoint, report: &PollReport, outcome: &mut PollOutcome) {
         for entry in &report.running {
             let RunName { task, run: number } = entry.run;
+            let was_listed = self.listed_runs.contains(&task);
+            let sent_once = !self.repeated_starts.contains(&task);
             match self.ledger.get_mut(&task) {
-                Some(run) if run.run == number => {
+                Some(run)
+                    if run.run == number && !(run.target_restarted && was_listed && sent_once) =>
+                {
                     // The instance that responds has the run, even if it was requested before the
                     // restart was known.
                     run.target_restarted = false;
+                    self.listed_runs.insert(task);
                     if let RunPhase::Requested { .. } | RunPhase::Uncertain { .. } = run.phase {
                         run.phase = RunPhase::Running { confirmed_at: now };
                     }
@@ -996,7 +1028,8 @@
                 Some(run) if run.run > number => {}
                 known => {
                     // Another VM has held the target meanwhile and has started a later run of the
-                    // task.
+                    // task, or one with the same number after a restart: the only request for the known
+                    // run was carried out by the former instance, which has listed the run.
                     if known.is_some()
                         && let Some(run) = self.ledger.remove(&task)
                     {
@@ -1007,6 +1040,7 @@
                         run: number,
                         resources: None,
                         coordinator: None,
+                        coordinator_replaced: false,
                         queue: None,
                         expected: Duration::ZERO,
                         since: now,
@@ -1018,6 +1052,7 @@
                         phase: RunPhase::Running { confirmed_at: now },
                     };
                     self.ledger.insert(task, run);
+                    self.listed_runs.insert(task);
                     outcome.unknown_runs.push(entry.run);
                 }
             }
@@ -1062,6 +1097,7 @@
         let ledger = &self.ledger;
         self.repeated_starts
             .retain(|task| ledger.get(task).is_some());
+        self.listed_runs.retain(|task| ledger.get(task).is_some());
         let missing = self.ledger.runs().filter(|(task, run)| {
             if outcome.restarted && (!run.has_started() || self.repeated_starts.contains(*task)) {
                 return false;
@@ -1107,6 +1143,9 @@
         number: PollNumber,
         silent: bool,
     ) -> bool {
+        if !silent {
+            self.doubted_at = Some(now);
+        }
         let Some(poll) = self.take_poll(number) else {
             return false;
         };
