Report runs that outlive their reported end

A holder that has counted a run as over without a statement of the target (the lease has expired on an unreachable target, the start request has expired, a report has not listed the run) and finds it in the report to a poll that it has sent later has proof that a bound did not hold. This went unnoticed: the run was adopted, stopped or left to its lease like any run that is found.

Change: event 916 run_outlived (warning) with the run, the target and the time since the end was reported, and the counter runs_outlived_total. The simulated fleet panics on it. The holder keeps these ends only until the report to the next poll, and only of the present instance of the target.

No alarm without proof: a report of another instance, or to a poll sent before the conclusion, counts for nothing. A target refuses a run number that it has started before, so that a listed run that was started is the same one. One that was never started may have been started by another holder with the same number: it counts only in the report to a poll that the target has answered at once, and only under the same claim, and not if this holder has requested it again.

--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -278,6 +278,9 @@
     915 ForwardingFailed "forwarding_failed" Info
         "The receiver of a forwarded job has given no answer; `end` says whether this VM coordinates the job (`not_taken`, `not_sent`) or the client was told that the outcome is unknown (`broken`)."
         "None; check the receiver if this repeats.";
+    916 RunOutlived "run_outlived" Warning
+        "A target has a run that this VM had reported as over `over_for_ms` ago, because its lease or its start request had expired or the target had not listed it. A bound on which the product relies did not hold; the task may have run twice."
+        "Report it with the log of this VM. Check whether the clock of the target runs more than 2% slow.";
 }
 
 impl EventSpec {
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -186,6 +186,11 @@
             "Runs that ended otherwise",
             counters.runs_not_done,
         ),
+        (
+            "runs_outlived",
+            "Runs that a target had although they had counted as over",
+            counters.runs_outlived,
+        ),
         (
             "offers_sent",
             "Offers of room to other VMs",
--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -151,6 +151,18 @@
             LogEvent::RunEnded,
             b!("run" => %run, "target" => target.as_str(), "end" => %end),
         ),
+        FleetNotice::RunOutlived {
+            run,
+            target,
+            over_for,
+        } => log.record(
+            LogEvent::RunOutlived,
+            b!(
+                "run" => %run,
+                "target" => target.as_str(),
+                "over_for_ms" => millis(*over_for)
+            ),
+        ),
         FleetNotice::RunOrphaned {
             run,
             holder,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -327,6 +327,15 @@
         /// How it ended.
         end: RunEnd,
     },
+    /// A target has a run that had counted as over, without a statement of the target.
+    RunOutlived {
+        /// The run.
+        run: RunName,
+        /// The target.
+        target: TargetName,
+        /// The time since the run counts as over.
+        over_for: Duration,
+    },
     /// The coordinator does not know whether a run goes on, and counts it as over after a while.
     RunOrphaned {
         /// The run.
--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -495,6 +495,14 @@
                 self.holdings_version += 1;
             }
         }
+        for outlived in outcome.outlived {
+            self.counters.runs_outlived += 1;
+            self.notice(FleetNotice::RunOutlived {
+                run: outlived.run,
+                target: name.clone(),
+                over_for: self.now().since(outlived.concluded_at),
+            });
+        }
         for ended in outcome.ended {
             self.report_end(target, ended);
         }
--- a/crates/fleet/src/engine/view.rs
+++ b/crates/fleet/src/engine/view.rs
@@ -50,6 +50,8 @@
     pub runs_done: u64,
     /// Runs that ended in any other way.
     pub runs_not_done: u64,
+    /// Runs that a target had although they had counted as over.
+    pub runs_outlived: u64,
     /// Offers of free capacity to other coordinators.
     pub offers_sent: u64,
     /// Envelopes to known peers.
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -151,6 +151,25 @@
     pub end: RunEnd,
 }
 
+/// A run that counted as over without a statement of the target: its lease had expired, its start
+/// request had, or a report had not listed it.
+#[derive(Clone, Copy, Debug)]
+struct InferredEnd {
+    run: RunName,
+    concluded_at: TimePoint,
+    /// Whether the target had certainly started the run.
+    started: bool,
+}
+
+/// A run that a target has although it had counted as over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutlivedRun {
+    /// The run.
+    pub run: RunName,
+    /// When the run had counted as over.
+    pub concluded_at: TimePoint,
+}
+
 /// A crash of a target that had runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetCrash {
@@ -208,6 +227,8 @@
     pub unknown_ends: Vec<(RunName, RunEnd)>,
     /// Runs that the ledger did not have; the report has added them.
     pub unknown_runs: Vec<RunName>,
+    /// Runs that the target has although they had counted as over.
+    pub outlived: Vec<OutlivedRun>,
     /// Whether the target has restarted.
     pub restarted: bool,
     /// The crash that the restart shows, unless it was noticed before.
@@ -254,6 +275,9 @@
     /// Runs that a poll which has waited at the target has shown, and that were not known before. The
     /// target may have had another holder by the time of the response.
     unconfirmed_runs: Vec<RunName>,
+    /// The runs of the instance in `boot` that count as over without a statement of the target, until the
+    /// report to a poll sent later has shown whether they are.
+    inferred_ends: Vec<InferredEnd>,
     /// Whether further runs wait until one was tried.
     reserved_for_trial: bool,
     health: TargetHealth,
@@ -321,6 +345,7 @@
             acked_through: 0,
             ledger,
             unconfirmed_runs: Vec::new(),
+            inferred_ends: Vec::new(),
             reserved_for_trial: false,
             pending_poll: None,
             hedge_poll: None,
@@ -491,6 +516,9 @@
         self.token = token;
         self.reconfirm(now);
         self.pending_starts.clear();
+        // Another VM may have held the target meanwhile. The target refuses a run number that has been
+        // started there before, but not one of which only a request was lost.
+        self.inferred_ends.retain(|end| end.started);
         let open = self
             .ledger
             .runs()
@@ -724,6 +752,7 @@
         self.pending_starts.insert(task, open);
         self.repeated_starts.remove(&task);
         self.listed_runs.remove(&task);
+        self.inferred_ends.retain(|end| end.run != request.run);
         Some(StartPlan {
             request,
             options: self.request_options(false),
@@ -934,6 +963,7 @@
             self.acked_through = 0;
             self.reported_at = TargetTime(0);
             self.clock.reset();
+            self.inferred_ends.clear();
             if outcome.restarted {
                 self.ledger.mark_target_restart();
             }
@@ -944,13 +974,14 @@
         if let Some(time) = report.time {
             self.clock.observe(now, time);
         }
+        outcome.outlived = self.find_outlived(&poll, report);
         self.apply_ends(report, &mut outcome);
         // A report that arrives after a more recent one may list runs that have ended since.
         if report.time.is_none_or(|time| time >= self.reported_at) {
             self.reported_at = report.time.unwrap_or_default();
             self.apply_running(now, report, &mut outcome);
             self.confirm_unknown_runs(now, poll.wait, &mut outcome);
-            self.remove_missing(poll.sent_at, report, &mut outcome);
+            self.remove_missing(now, poll.sent_at, report, &mut outcome);
             outcome.missing_starts = self.missing_starts(poll.sent_at, report);
         }
         // A target that answers without waiting although no run has ended is not polled again at
@@ -969,6 +1000,42 @@
         outcome
     }
 
+    /// The runs that the target lists although they had counted as over when the poll was sent. The report
+    /// to a poll that has waited may list runs of another holder, which may have the number of a run that
+    /// was never started.
+    fn find_outlived(&mut self, poll: &PendingPoll, report: &PollReport) -> Vec<OutlivedRun> {
+        let mut outlived = Vec::new();
+        self.inferred_ends.retain(|end| {
+            if end.concluded_at > poll.sent_at {
+                return true;
+            }
+            if !report.running.iter().any(|entry| entry.run == end.run) {
+                return false;
+            }
+            let certain = end.started || poll.wait.is_zero();
+            if certain {
+                outlived.push(OutlivedRun {
+                    run: end.run,
+                    concluded_at: end.concluded_at,
+                });
+            }
+            !certain
+        });
+        outlived
+    }
+
+    /// Records that a run counts as over. A run that an earlier instance may have started proves nothing
+    /// about the present one.
+    fn record_inferred_end(&mut self, now: TimePoint, task: TaskName, run: &TargetRun) {
+        if !run.target_restarted {
+            self.inferred_ends.push(InferredEnd {
+                run: RunName { task, run: run.run },
+                concluded_at: now,
+                started: run.has_started(),
+            });
+        }
+    }
+
     fn apply_ends(&mut self, report: &PollReport, outcome: &mut PollOutcome) {
         for entry in &report.ended {
             if entry.number <= self.acked_through {
@@ -1067,6 +1134,7 @@
     /// the next claim.
     fn remove_missing(
         &mut self,
+        now: TimePoint,
         sent_at: TimePoint,
         report: &PollReport,
         outcome: &mut PollOutcome,
@@ -1105,6 +1173,7 @@
             let Some(run) = self.ledger.remove(&task) else {
                 continue;
             };
+            self.record_inferred_end(now, task, &run);
             match run.phase {
                 // The run may have started before the restart.
                 RunPhase::Uncertain { .. } if !run.target_restarted => {
@@ -1202,6 +1271,9 @@
             self.silent_crash = Some(crash);
         }
         let runs = self.ledger.take_runs();
+        for (task, run) in &runs {
+            self.record_inferred_end(now, *task, run);
+        }
         runs.into_iter()
             .map(|(task, run)| EndedRun {
                 task,
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -6,7 +6,7 @@
 use filbertpitch_dispatch::entity::{TargetIndex, VmIndex};
 use filbertpitch_fleet::heartbeat::PeerLocality;
 use filbertpitch_fleet::held::{
-    EndedRun, HeldSettings, HeldTarget, HoldPhase, PollOutcome, PollPlan, StartOutcome,
+    EndedRun, HeldSettings, HeldTarget, HoldPhase, OutlivedRun, PollOutcome, PollPlan, StartOutcome,
 };
 use filbertpitch_fleet::lease_limits::LeaseLimits;
 use filbertpitch_fleet::ledger::{RunPhase, TargetRun};
@@ -902,6 +902,126 @@
     );
 }
 
+/// How a holder has concluded that a run is over, and what it is shown then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Conclusion {
+    /// The lease has expired on an unreachable target.
+    LeaseExpired,
+    /// A report has not listed the run.
+    Missing,
+    /// The start request got no response and has expired.
+    NeverStarted,
+}
+
+impl Conclusion {
+    /// A holder that has come to the conclusion about a run.
+    fn reach(self) -> (Holder, RunName) {
+        let mut holder = Holder::confirmed();
+        let answer = match self {
+            Self::NeverStarted => StartAnswer::ConnectionLost,
+            _ => StartAnswer::Accepted(None),
+        };
+        let (run, _) = holder.start(0, answer);
+        match self {
+            Self::LeaseExpired => {
+                while holder.target.is_reachable() {
+                    holder.lose_poll();
+                }
+                holder.now = holder.now + ms(3000);
+                assert_eq!(holder.target.advance(holder.now).len(), 1);
+            }
+            Self::Missing => {
+                holder.pause();
+                assert_eq!(holder.exchange(vec![], vec![]).ended.len(), 1);
+            }
+            Self::NeverStarted => {
+                holder.pause();
+                assert_eq!(holder.exchange(vec![], vec![]).never_started.len(), 1);
+            }
+        }
+        (holder, run)
+    }
+
+    /// Sends a poll that returns at once; its report lists `run`.
+    fn look(holder: &mut Holder, boot: TargetBoot, run: RunName) -> PollOutcome {
+        holder.target.poll_now(holder.now);
+        let mut plan = holder.plan();
+        if !plan.request.wait.is_zero() {
+            holder.target.poll_now(holder.now);
+            plan = holder.plan();
+        }
+        holder.now = holder.now + ms(1);
+        let report = report_of_instance(holder, boot.0, vec![run]);
+        holder.answer(&plan, &report)
+    }
+}
+
+/// Guards against a broken bound that nobody notices: the target has a run that had counted as over.
+#[test_case(Conclusion::LeaseExpired)]
+#[test_case(Conclusion::Missing)]
+#[test_case(Conclusion::NeverStarted)]
+fn run_that_outlives_its_reported_end_is_noticed(conclusion: Conclusion) {
+    let (mut holder, run) = conclusion.reach();
+    let concluded_at = holder.now;
+    let outcome = Conclusion::look(&mut holder, BOOT, run);
+    assert_eq!(outcome.outlived, [OutlivedRun { run, concluded_at }]);
+    let outcome = Conclusion::look(&mut holder, BOOT, run);
+    assert_eq!(outcome.outlived, [], "noticed once");
+}
+
+/// Guards against a false alarm about a run with the same number on the next instance.
+#[test_case(Conclusion::LeaseExpired)]
+#[test_case(Conclusion::Missing)]
+#[test_case(Conclusion::NeverStarted)]
+fn run_of_the_next_instance_has_not_outlived_its_end(conclusion: Conclusion) {
+    let (mut holder, run) = conclusion.reach();
+    let outcome = Conclusion::look(&mut holder, TargetBoot(BOOT.0 + 1), run);
+    assert!(outcome.restarted && outcome.outlived.is_empty());
+}
+
+/// Guards against a false alarm about a run with the number of one that was never started, which another
+/// holder has started.
+#[test]
+fn run_of_another_holder_has_not_outlived_its_end() {
+    let (mut holder, run) = Conclusion::NeverStarted.reach();
+    let waiting = holder.plan();
+    assert!(!waiting.request.wait.is_zero());
+    holder.now = holder.now + ms(100);
+    let report = holder.report(vec![run], vec![]);
+    assert_eq!(holder.answer(&waiting, &report).outlived, []);
+    holder.target.reclaim(holder.now, FencingToken(9));
+    let outcome = Conclusion::look(&mut holder, BOOT, run);
+    assert_eq!(outcome.outlived, []);
+}
+
+/// Guards against a false alarm about a run with the number of one that was never started, which this holder
+/// has started at another request.
+#[test]
+fn run_that_is_requested_again_has_not_outlived_its_end() {
+    let (mut holder, run) = Conclusion::NeverStarted.reach();
+    let (again, _) = holder.start(0, StartAnswer::Accepted(None));
+    assert_eq!(again, run);
+    let outcome = Conclusion::look(&mut holder, BOOT, run);
+    assert_eq!(outcome.outlived, []);
+}
+
+/// Guards against a false alarm by a report to a poll that was sent before the end was reported.
+#[test]
+fn report_to_an_earlier_poll_shows_no_outlived_run() {
+    let mut holder = Holder::confirmed();
+    let (run, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.pause();
+    let regular = holder.plan();
+    let overtaken = holder.report(vec![run], vec![]);
+    holder.now = holder.now + ms(5);
+    holder.target.poll_now(holder.now);
+    let quick = holder.plan();
+    holder.now = holder.now + ms(1);
+    let later = holder.report(vec![], vec![]);
+    assert_eq!(holder.answer(&quick, &later).ended.len(), 1);
+    assert_eq!(holder.answer(&regular, &overtaken).outlived, []);
+}
+
 /// Guards against a crash that counts for no task because an earlier refused connection, after which the
 /// same instance has responded, was taken for it.
 #[test]
--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -1295,6 +1295,20 @@
     assert_eq!(rig.refusals(FIRST), [PlaceRefusal::StillRunning]);
 }
 
+/// Guards against a broken bound that is not counted: the target has a run that the holder has reported as
+/// over.
+#[test]
+fn run_that_outlives_its_reported_end_is_counted() {
+    let mut rig = Rig::holder_with_run();
+    let running = std::mem::take(&mut rig.target.running);
+    rig.run_for(ms(600));
+    assert_eq!(rig.engine.counters().runs_not_done, 1);
+    assert_eq!(rig.engine.counters().runs_outlived, 0);
+    rig.target.running = running;
+    rig.run_for(ms(600));
+    assert_eq!(rig.engine.counters().runs_outlived, 1);
+}
+
 /// Guards against a second run of a task at the request of another coordinator, and against an early
 /// answer by which that coordinator would start it elsewhere.
 #[test]
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -1411,7 +1411,7 @@
             }
             FleetAction::EndForwarding(job) => self.give_up_exchange(vm, job),
             FleetAction::Disconnect(_) => {}
-            FleetAction::Notice(notice) => self.notices.push((self.now, vm, notice)),
+            FleetAction::Notice(notice) => self.record_notice(vm, notice),
         }
     }
 
@@ -1677,6 +1677,18 @@
         }
     }
 
+    fn record_notice(&mut self, vm: usize, notice: FleetNotice) {
+        self.notices.push((self.now, vm, notice.clone()));
+        if let FleetNotice::RunOutlived { run, target, .. } = &notice {
+            self.print_job(run.task.job);
+            panic!(
+                "seed {}: vm-{vm} has counted {run} on {target} as over at {} us: {notice:?}",
+                self.seed(),
+                self.now
+            );
+        }
+    }
+
     /// Prints the notices and the calls of a job in order of time.
     pub fn print_job(&self, id: JobId) {
         let name = format!("JobId({})", id.0);
