Simulated fleet: targets that come back as others

No simulated fleet had targets that change kind or service, so that nothing drew the related sequences: list ahead or behind, two restarts between two reads, a restart behind a cut, offers, forwarded requests.

The new kind of fleet, Replacing, restarts targets as another kind, of another service or with half of their capacity, some twice within moments, while VMs cannot read the list or reach the target. Each start is checked against the label and the service of the target's present instance.

--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::Rng;
-use support::{CallDelay, HEARTBEAT_US, JobShape, SimFleet, SimOptions, TargetFault};
+use support::{CallDelay, HEARTBEAT_US, JobShape, SimFleet, SimOptions, TargetFault, TargetKind};
 
 /// The seeds that each test runs.
 const SEEDS: std::ops::Range<u64> = 0..24;
@@ -85,9 +85,14 @@
         work,
         declared: work,
         client_timeout: Duration::from_millis(rng.random_range(1500..2800)),
-        deadly: 0,
+        ..JobShape::default()
     };
     match kind {
+        FleetKind::Replacing => JobShape {
+            label: [None, Some("kind-a"), Some("kind-b")][rng.random_range(0..3)],
+            spread_limit: None,
+            ..shape
+        },
         FleetKind::Deadly => JobShape {
             deadly: u16::from(rng.random_bool(DEADLY_SHARE)),
             ..shape
@@ -165,6 +170,9 @@
     }
     for target in 0..fleet.targets.len() {
         fleet.resize_target(target, 100);
+        if fleet.targets[target].service.as_str() != TargetKind::default().service {
+            fleet.replace_target(target, &TargetKind::default());
+        }
         fleet.targets[target].draining = false;
         match fleet.targets[target].is_down() {
             true => fleet.restart_target(target),
@@ -194,6 +202,8 @@
     Forwarding,
     /// As the small fleet, with calls to targets, VMs and links that are slow for less than any time-out.
     SlowCalls,
+    /// As the small fleet, with targets that come back as others: of another kind or service, or smaller.
+    Replacing,
 }
 
 fn options(seed: u64, kind: FleetKind) -> SimOptions {
@@ -232,6 +242,7 @@
             FleetKind::Resizing => resize_targets(&mut fleet),
             FleetKind::ClosedZones => close_zones(&mut fleet),
             FleetKind::SlowCalls => slow_down(&mut fleet),
+            FleetKind::Replacing => replace_targets(&mut fleet),
             FleetKind::Small | FleetKind::Large => {}
         }
         if fleet.rng.random_bool(fault_rate(kind)) {
@@ -426,6 +437,42 @@
     }
 }
 
+/// Lets some targets come back as others, some twice within moments, while VMs cannot read the list or cannot
+/// reach the target.
+fn replace_targets(fleet: &mut SimFleet) {
+    for target in 0..fleet.targets.len() {
+        if !fleet.rng.random_bool(0.06) {
+            continue;
+        }
+        let vm = fleet.rng.random_range(0..fleet.vm_count());
+        match fleet.rng.random_range(0..6) {
+            0 => fleet.cut_list(vm, true),
+            1 => (0..fleet.vm_count()).for_each(|vm| fleet.cut_list(vm, true)),
+            2 => fleet.cut_target(vm, target, true),
+            3 => fleet.crash_target(target),
+            _ => {}
+        }
+        let pause = [0, 0, 1, 30, 400][fleet.rng.random_range(0..5)];
+        fleet.run_for(Duration::from_millis(pause));
+        let kind = fleet.draw_kind();
+        fleet.replace_target(target, &kind);
+        if fleet.rng.random_bool(0.3) {
+            let pause = [1, 10, 200][fleet.rng.random_range(0..3)];
+            fleet.run_for(Duration::from_millis(pause));
+            let kind = fleet.draw_kind();
+            fleet.replace_target(target, &kind);
+        }
+        if fleet.rng.random_bool(0.5) {
+            let pause = fleet.rng.random_range(0..300);
+            fleet.run_for(Duration::from_millis(pause));
+            fleet.cut_target(vm, target, false);
+        }
+        if fleet.rng.random_bool(0.5) {
+            (0..fleet.vm_count()).for_each(|vm| fleet.cut_list(vm, false));
+        }
+    }
+}
+
 /// Closes or opens a zone now and then, and cuts a VM off from the store or reconnects it just then. A zone
 /// stays closed for 7 s on average, longer than the limit after which the simulation panics at a start
 /// there.
@@ -546,6 +593,15 @@
     }
 }
 
+/// Guards against tasks that start on a target which has come back as another one, by what is known of a
+/// former instance of it, and against tasks of a step beyond the limit on one target.
+#[test]
+fn invariants_hold_while_targets_come_back_as_others() {
+    for seed in SEEDS {
+        check_invariants(seed, FleetKind::Replacing);
+    }
+}
+
 #[test]
 fn regression_seeds_pass() {
     for seed in REGRESSION_SEEDS {
@@ -593,6 +649,7 @@
         FleetKind::Forwarding,
         FleetKind::ClosedZones,
         FleetKind::SlowCalls,
+        FleetKind::Replacing,
     ];
     let chosen = std::env::var("FLEET_KIND").ok();
     let chosen = |kind: &FleetKind| chosen.as_ref().is_none_or(|it| *it == format!("{kind:?}"));
--- a/crates/fleet/tests/support/client.rs
+++ b/crates/fleet/tests/support/client.rs
@@ -31,6 +31,10 @@
     pub client_timeout: Duration,
     /// The number of its tasks, from the first one on, that crash the targets that start them.
     pub deadly: u16,
+    /// A label that the targets of its tasks must have.
+    pub label: Option<&'static str>,
+    /// How many of its tasks may run on one target at the same time.
+    pub spread_limit: Option<u16>,
 }
 
 impl Default for JobShape {
@@ -43,6 +47,8 @@
             declared: Duration::from_millis(100),
             client_timeout: Duration::from_millis(2000),
             deadly: 0,
+            label: None,
+            spread_limit: None,
         }
     }
 }
@@ -94,9 +100,9 @@
                 resources: ResourceVector::from((self.shape.cores * 1000, 64, 0)),
                 declared: self.shape.declared,
                 after: Vec::new(),
-                required_label: None,
+                required_label: self.shape.label.map(Box::from),
                 preferred_rack: self.rack.map(rack_label),
-                spread_limit: None,
+                spread_limit: self.shape.spread_limit,
                 unsupported: None,
             }],
             ephemeral: true,
--- a/crates/fleet/tests/support/load.rs
+++ b/crates/fleet/tests/support/load.rs
@@ -163,7 +163,7 @@
         work: Duration::from_secs_f64(work / 1000.0),
         declared: Duration::from_secs_f64(declared / 1000.0),
         client_timeout: Duration::from_secs_f64((1500.0 + LATE_OBJECTIVES * objective) / 1000.0),
-        deadly: 0,
+        ..JobShape::default()
     }
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -21,5 +21,5 @@
 pub use target::{HEARTBEAT_US, RunSpan, SimTarget, TargetFault};
 pub use world::{
     CallDelay, LateCalls, LinkEnd, MessageKind, NetFault, NoticeDelay, PlannedFault, SentMessage,
-    SimFleet, SimOptions,
+    SimFleet, SimOptions, TargetKind, UnawareStarts,
 };
--- a/crates/fleet/tests/support/target.rs
+++ b/crates/fleet/tests/support/target.rs
@@ -89,6 +89,8 @@
     pub speed_percent: u64,
     /// Its labels in the list of targets.
     pub labels: Vec<Box<str>>,
+    /// Its service in the list of targets.
+    pub service: ServiceName,
     /// Whether the token of a poll is checked only when the poll arrives, so that a poll which waits
     /// is answered with a report although a later holder has claimed the target meanwhile.
     pub reports_to_former_holder: bool,
@@ -122,6 +124,7 @@
             max_lease_ms: 1000,
             speed_percent: 100,
             labels: Vec::new(),
+            service: "desk".parse().unwrap(),
             reports_to_former_holder: false,
             spans: Vec::new(),
             log: Vec::new(),
@@ -133,6 +136,11 @@
         7_000 + elapsed * (100 - self.drift_percent) / 100
     }
 
+    /// When the present instance has started.
+    pub fn boot_us(&self) -> u64 {
+        self.boot_us
+    }
+
     /// The simulated time at which the lease expires.
     pub fn lease_end_us(&self) -> u64 {
         let left = self.lease_end_ms.saturating_sub(7_000);
@@ -209,11 +217,14 @@
             .map_or(self.capacity, |(_, capacity)| *capacity)
     }
 
-    /// Whether the runs fit the capacity, or one that was replaced within the last `former_us`.
-    pub fn is_within_capacity(&self, now: u64, former_us: u64) -> bool {
+    /// Whether the runs fit the capacity, or one that was replaced within the last `former_us`. A capacity
+    /// of an earlier instance counts only if `of_earlier_instances`.
+    pub fn is_within_capacity(&self, now: u64, former_us: u64, of_earlier_instances: bool) -> bool {
         let allocated = self.allocated();
         let former = self.former_capacities.iter();
-        let mut recent = former.filter(|(until, _)| now <= *until + former_us);
+        let mut recent = former.filter(|(until, _)| {
+            now <= *until + former_us && (of_earlier_instances || *until > self.boot_us)
+        });
         allocated.fits(&self.capacity) || recent.any(|(_, capacity)| allocated.fits(capacity))
     }
 
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -4,6 +4,7 @@
 mod departures;
 mod forwarding;
 mod perturbation;
+mod routes;
 mod slowness;
 
 use std::cmp::Reverse;
@@ -34,6 +35,8 @@
 use self::forwarding::{ExchangeEvent, SimExchange};
 use self::perturbation::{FaultPlan, PlanEvent};
 pub use self::perturbation::{LateCalls, LinkEnd, MessageKind, PlannedFault, SentMessage};
+use self::routes::RouteAudit;
+pub use self::routes::{TargetKind, UnawareStarts};
 pub use self::slowness::CallDelay;
 use self::slowness::Slowness;
 use super::client::{ClientJob, JobShape};
@@ -131,6 +134,7 @@
     index: TargetIndex,
     target: usize,
     request: RunRequest,
+    sent_at: u64,
     /// For a delayed call, the instance of the target that executes it.
     late_instance: Option<u64>,
 }
@@ -321,6 +325,7 @@
     slowness: Slowness,
     departures: Departures,
     plan: FaultPlan,
+    routes: RouteAudit,
     /// The VM to which clients send jobs again; any VM if there is none.
     pub resend_vm: Option<usize>,
     /// Reads the processor time of this thread, if the time of the engines is measured.
@@ -427,6 +432,7 @@
             slowness: Slowness::new(seed),
             departures: Departures::default(),
             plan: FaultPlan::default(),
+            routes: RouteAudit::default(),
             resend_vm: None,
             rng,
             processor_clock: None,
@@ -974,6 +980,7 @@
             SimEvent::Answer { call, vm, event } => {
                 if self.is_call_live(call, vm) {
                     self.open_calls.remove(&call);
+                    self.record_report(call, vm);
                     self.feed(vm, *event);
                 }
             }
@@ -1018,6 +1025,7 @@
         let state = &mut self.vms[vm];
         state.generation += 1;
         state.unresponsive = false;
+        self.routes.forget_vm(vm);
         self.list_cuts.remove(&vm);
         state.known_targets = vec![false; self.targets.len()];
         let incarnation = incarnation_of(vm, state.generation);
@@ -1350,6 +1358,7 @@
                         index,
                         target,
                         request,
+                        sent_at: self.now,
                         late_instance,
                     }),
                 );
@@ -1557,6 +1566,7 @@
             index,
             target,
             request,
+            sent_at,
             late_instance,
         } = arrival;
         // A request that waits at a target is lost when the target ends.
@@ -1600,7 +1610,10 @@
         if let StartAnswer::Accepted(_) = answer
             && !before
         {
-            self.check_start_invariants(target, request.run);
+            let place = &self.targets[target];
+            let known = self.routes.knows_instance(vm, target, place, sent_at);
+            self.check_start_invariants(target, request.run, known);
+            self.check_route(vm, target, request.run, sent_at);
             self.check_zone(vm, target, task);
             self.jobs.get_mut(&task.job).unwrap().started = true;
             self.record_start(vm, target, request.run, late_instance.is_some());
@@ -1769,11 +1782,12 @@
     }
 
     /// Checks the invariants that must hold at each start: capacity, and one run per task.
-    fn check_start_invariants(&self, target: usize, run: RunName) {
+    /// A VM that has heard the target's present instance has no excuse to use a capacity of an earlier one.
+    fn check_start_invariants(&self, target: usize, run: RunName, knows_instance: bool) {
         let started = &self.targets[target];
         let allocated = started.allocated();
         let former_us = self.options.former_capacity.as_micros() as u64;
-        if !started.is_within_capacity(self.now, former_us) {
+        if !started.is_within_capacity(self.now, former_us, !knows_instance) {
             self.print_history(&started.name);
             panic!(
                 "{} exceeds its capacity at {} us: {allocated}",
@@ -1912,6 +1926,8 @@
                 number: poll.plan.number,
                 answer,
             };
+            let instance = self.targets[target].instance;
+            self.routes.record_answer(poll.call, target, instance);
             let at = self.answer_arrival(poll.call, poll.vm, target);
             self.schedule_answer(at, poll.call, poll.vm, event);
         }
@@ -2118,7 +2134,7 @@
 fn entry_of(index: usize, target: &SimTarget) -> TargetEntry {
     TargetEntry {
         name: target.name.clone(),
-        service: "desk".parse().unwrap(),
+        service: target.service.clone(),
         address: SocketAddr::from(([10, 1, 0, 1], 2000 + index as u16)),
         zone: target.zone.clone(),
         state: match target.draining {
