A holder states which target it has chosen for a run

What callers saw: nothing that was reported. A holder may start a task on another of its targets than the coordinator has suggested, and did not say so. The coordinator compared all statements about the run with the suggested target: - a run of the same number of another coordinator of the job, found on the suggested target, was taken for its own and kept; - after a change of the holder, the question about its own run on the chosen target was not answered, so that the run was stopped and started anew; - the limit on the tasks of a step on one target was counted where the tasks were not.

The holder now sends `Redirected` with the chosen target and its token, only where the target differs. The message goes before any other statement about the run, because messages of a link keep their order.

--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -408,6 +408,38 @@
         self.requeue_task(task);
     }
 
+    /// Records the target that the holder has chosen for a run in place of the suggested one, and its token for
+    /// that target. Statements about runs on the suggested target are not about this run.
+    pub(super) fn receive_redirection(
+        &mut self,
+        from: VmIndex,
+        run: RunName,
+        target: &TargetName,
+        token: FencingToken,
+    ) {
+        let Some(task) = self.jobs.find_task(&run.task) else {
+            return;
+        };
+        let target = self.registry.intern(target);
+        let state = self.jobs.task(task);
+        match state.phase {
+            TaskPhase::Placed {
+                holder,
+                requested_at,
+                ..
+            } if holder == from && state.run == run.run => {
+                let phase = TaskPhase::Placed {
+                    holder,
+                    target,
+                    requested_at,
+                };
+                self.jobs.set_phase(self.now(), task, phase);
+                self.jobs.task_mut(task).holder_token = Some(token);
+            }
+            _ => {}
+        }
+    }
+
     /// Handles a holder's report that it has released the target of these runs, or has not kept them,
     /// under a claim with this token. They may go on until their lease expires. The report says nothing
     /// about a run that was named under a later claim since.
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -334,6 +334,9 @@
             FleetMessage::Abandon { job, forwarded_at } => {
                 self.receive_abandonment(from, job, forwarded_at);
             }
+            FleetMessage::Redirected { run, target, token } => {
+                self.receive_redirection(from, run, &target, token);
+            }
         }
     }
 
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -110,8 +110,19 @@
         let Some(address) = self.registry.address(target) else {
             return Err(PlaceRefusal::NoCapacity);
         };
+        let name = start.request.run;
+        let token = start.request.token;
         self.counters.starts_sent += 1;
         self.send_start(target, address, start);
+        let target = self.registry.name(target);
+        if *target != order.target {
+            let redirected = FleetMessage::Redirected {
+                run: name,
+                target: target.clone(),
+                token,
+            };
+            self.send(coordinator, redirected);
+        }
         Ok(())
     }
 
--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -978,6 +978,55 @@
     assert_eq!(rig.run_until_restart(), None, "{statement:?}");
 }
 
+/// Guards against a coordinator that takes its run for one on the target which it has suggested, while the holder
+/// has chosen another one.
+#[test]
+fn holder_states_a_target_other_than_the_suggested_one() {
+    let mut rig = Rig::holder();
+    rig.request(FIRST, 1, |mut request| {
+        request.tasks[0].target = target_name(7);
+        request
+    });
+    rig.run_for(ms(50));
+    assert_eq!(rig.target.starts, 1);
+    let redirected = |message: &FleetMessage| {
+        matches!(message, FleetMessage::Redirected { run, target, .. }
+            if *run == run_of(1, 1) && *target == target_name(2))
+    };
+    assert!(rig.vms[FIRST].received.iter().any(redirected));
+    rig.vms[FIRST].received.clear();
+    rig.request(FIRST, 2, |mut request| {
+        request.tasks[0].task = run_of(2, 2).task;
+        request
+    });
+    rig.run_for(ms(50));
+    assert_eq!(rig.target.starts, 2);
+    assert!(
+        !rig.vms[FIRST].received.iter().any(redirected),
+        "only where the target differs"
+    );
+}
+
+/// Guards against a coordinator that adopts the run of another coordinator of its job: it has the same number and
+/// was found on the target that the coordinator has suggested, while its holder has started the task on another one.
+#[test_case(HOLDER, false; "on the suggested target")]
+#[test_case(9, true; "on the target that the holder has chosen")]
+fn found_run_is_kept_only_on_the_target_that_the_holder_has_chosen(target: usize, kept: bool) {
+    let mut rig = Rig::coordinator();
+    let redirected = FleetMessage::Redirected {
+        run: run_of(1, 1),
+        target: target_name(9),
+        token: HOLDER_TOKEN,
+    };
+    rig.send(HOLDER, vec![redirected]);
+    let question = inquiry(&target_name(target), 9, &[run_of(1, 1)]);
+    rig.send(SPARE, vec![question]);
+    rig.run_for(ms(100));
+    let answers = rig.vms[SPARE].received.iter();
+    let answers = answers.filter(|message| matches!(message, FleetMessage::Keep { .. }));
+    assert_eq!(answers.count(), usize::from(kept));
+}
+
 /// Requests run `number` for a target of this kind. Returns whether it has started.
 fn starts_on_kind(rig: &mut Rig, number: u32, kind: &str) -> bool {
     let starts = rig.target.starts;
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -981,6 +981,15 @@
         /// When the job was forwarded, on the sender's clock: tells the exchanges of a job apart.
         forwarded_at: TimePoint,
     },
+    /// From a holder to a coordinator: a run was requested of another target than the suggested one.
+    Redirected {
+        /// The run.
+        run: RunName,
+        /// The target that the holder has chosen.
+        target: TargetName,
+        /// The sender's token for this target.
+        token: FencingToken,
+    },
 }
 
 /// What one entry VM sends to another: its pending messages and its current state.
