The holder keeps the limit on the tasks of a step on one target

Cause: the coordinator alone knew the limit. A holder that finds the suggested target full chooses another one, on which the step may have a task already. Requests now carry the limit, and the holder counts the runs of the step in the ledger of the target, whoever coordinates them: also those that it has found after a takeover, and those of a former coordinator of the job. If the suggested target has reached the limit and no other one suits, the request is refused as `spread_limit`, and the coordinator avoids this target for the task.

--- a/crates/filbertpitch/src/fleet/notices.rs
+++ b/crates/filbertpitch/src/fleet/notices.rs
@@ -31,6 +31,7 @@
         PlaceRefusal::StillRunning => "still_running",
         PlaceRefusal::NeverStarted => "never_started",
         PlaceRefusal::ZoneClosed => "zone_closed",
+        PlaceRefusal::SpreadLimit => "spread_limit",
     }
 }
 
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -271,6 +271,7 @@
                 state.next_run();
                 state.exclude(target);
             }
+            PlaceRefusal::SpreadLimit => state.exclude(target),
             PlaceRefusal::NoCapacity
             | PlaceRefusal::Stale
             | PlaceRefusal::StillRunning
--- a/crates/fleet/src/engine/placement.rs
+++ b/crates/fleet/src/engine/placement.rs
@@ -527,6 +527,7 @@
             losses: self.losses_declared_by(holder),
             origin: None,
             preferred_rack: job.step_of(task.position).rack(),
+            spread_limit: job.step_of(task.position).spread_limit,
         })
     }
 
--- a/crates/fleet/src/engine/runs.rs
+++ b/crates/fleet/src/engine/runs.rs
@@ -77,7 +77,7 @@
         let origin_limit = limits.origin_limit(Some(coordinator), request.origin);
         let target = self
             .choose_held_target(request, order, origin_limit)
-            .ok_or_else(|| self.placement_refusal(order))?;
+            .ok_or_else(|| self.placement_refusal(request, order))?;
         let now = self.now();
         let mut run = TargetRun {
             run: order.run,
@@ -166,6 +166,7 @@
                 && label.is_none_or(|label| entry.labels.contains(label))
                 && !order.excluded.contains(&entry.name)
                 && !self.offers.is_offered(*target)
+                && is_within_spread_limit(request, order, held)
                 && held.lease_ends_by(now, lease_limit);
             if !suits {
                 continue;
@@ -191,6 +192,21 @@
         best.map(|(_, target)| target)
     }
 
+    /// Why no held target takes a task.
+    fn placement_refusal(&self, request: &PlaceRequest, order: &TaskPlacement) -> PlaceRefusal {
+        let Some(suggested) = self.registry.find(&order.target) else {
+            return PlaceRefusal::NoCapacity;
+        };
+        let held = self.held.get(&suggested);
+        if !self.closed_zones.is_in_open_zone(&self.registry, suggested) {
+            PlaceRefusal::ZoneClosed
+        } else if held.is_some_and(|held| !is_within_spread_limit(request, order, held)) {
+            PlaceRefusal::SpreadLimit
+        } else {
+            PlaceRefusal::NoCapacity
+        }
+    }
+
     pub(super) fn report_refusal(
         &mut self,
         run: RunName,
@@ -418,3 +434,21 @@
         }
     }
 }
+
+/// Whether the limit on concurrent tasks of one step on one target permits another one. The holder decides: all
+/// runs on the target are in its ledger, whoever coordinates them.
+fn is_within_spread_limit(
+    request: &PlaceRequest,
+    order: &TaskPlacement,
+    held: &HeldTarget,
+) -> bool {
+    let Some(limit) = request.spread_limit else {
+        return true;
+    };
+    let of_step = |name: &TaskName| {
+        let task = order.task;
+        (name.job, name.occurrence, name.step) == (task.job, task.occurrence, task.step)
+    };
+    let runs = held.ledger().runs();
+    runs.filter(|(name, _)| of_step(name)).count() < usize::from(limit)
+}
--- a/crates/fleet/src/engine/zones.rs
+++ b/crates/fleet/src/engine/zones.rs
@@ -7,7 +7,7 @@
 
 use filbertpitch_dispatch::entity::{JobKey, TargetIndex, VmIndex};
 use filbertpitch_types::fleet::{
-    JobReply, PlaceRefusal, QueueSpec, RejectReason, StepSpec, TaskPlacement, ZoneRead, ZoneReport,
+    JobReply, QueueSpec, RejectReason, StepSpec, ZoneRead, ZoneReport,
 };
 
 use super::{FleetEngine, FleetNotice, ZoneSource};
@@ -119,15 +119,4 @@
         };
         self.answer_job(key, reply);
     }
-
-    /// Why no held target takes a task.
-    pub(super) fn placement_refusal(&self, order: &TaskPlacement) -> PlaceRefusal {
-        let suggested = self.registry.find(&order.target);
-        let open = suggested
-            .is_none_or(|target| self.closed_zones.is_in_open_zone(&self.registry, target));
-        match open {
-            true => PlaceRefusal::NoCapacity,
-            false => PlaceRefusal::ZoneClosed,
-        }
-    }
 }
--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -505,5 +505,6 @@
         losses: LossCount(0),
         origin: None,
         preferred_rack: None,
+        spread_limit: None,
     })
 }
--- a/crates/fleet/tests/run_endings.rs
+++ b/crates/fleet/tests/run_endings.rs
@@ -694,6 +694,7 @@
             losses: self.vms[vm].engine_losses,
             origin: None,
             preferred_rack: None,
+            spread_limit: None,
         };
         self.send(vm, vec![FleetMessage::Place(edit(request))]);
     }
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -817,6 +817,8 @@
     pub origin: Option<IncarnationId>,
     /// The rack away from which the tasks run longer.
     pub preferred_rack: Option<RackId>,
+    /// How many tasks of the step may run on one target at the same time.
+    pub spread_limit: Option<u16>,
 }
 
 /// Why a holder does not run a task. The task has certainly not started and will not start.
@@ -840,6 +842,8 @@
     NeverStarted,
     /// The availability zone of the target is closed.
     ZoneClosed,
+    /// As many tasks of the step as permitted are on the target.
+    SpreadLimit,
 }
 
 /// Tells a coordinator how a run has ended.
