A request without a known outcome does not give a task up

What callers saw: a job answered as `failed` although one target, or none, had crashed with its task. When a target crashes, all runs in its holder's ledger become suspects, also requests that the target has not confirmed: they may have been refused, or may never have arrived. Such a request counted like a run, so that it and one crash under which the task was alone made two.

A report of a crash now says which runs were not confirmed. They make the task a suspect, whose next run is a trial, but the task is given up only after two crashes with a confirmed run (with one of which it was alone, or beside a third crash of either kind), or after four of any kind, because a task may crash its target before the response to the start.

The fleet Replacing now has jobs with a limit on the tasks of a step on one target.

--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -21,6 +21,10 @@
 /// beside different tasks are unlikely to have another cause.
 const SHARED_CRASH_LIMIT: usize = 3;
 
+/// The crashes after which a task is given up although its runs were not confirmed: a task may crash its target
+/// before the response to the start.
+const UNCONFIRMED_CRASH_LIMIT: usize = 4;
+
 /// How long a crash is remembered: longer than clients keep sending a job again.
 const CRASH_LIFETIME: Duration = Duration::from_secs(120);
 
@@ -38,6 +42,8 @@
     boot: Option<TargetBoot>,
     /// Whether the target had no other task.
     alone: bool,
+    /// Whether the target had confirmed the run.
+    confirmed: bool,
 }
 
 impl TaskCrash {
@@ -88,6 +94,7 @@
                 target: report.target.clone(),
                 boot: report.boot,
                 alone: report.alone == Some(*task),
+                confirmed: !report.unconfirmed.contains(task),
             });
             fresh.push(*task);
         }
@@ -145,7 +152,11 @@
     pub fn suspicion(&self, task: TaskName) -> CrashSuspicion {
         let count = self.count(task);
         let alone = self.crashes_of(task).any(|crash| crash.alone);
-        if count >= SHARED_CRASH_LIMIT || (count >= CRASH_LIMIT && alone) {
+        let confirmed = self.crashes_of(task).filter(|crash| crash.confirmed);
+        let ran_at = confirmed.count();
+        let is_cause = count >= UNCONFIRMED_CRASH_LIMIT
+            || (ran_at >= CRASH_LIMIT && (alone || count >= SHARED_CRASH_LIMIT));
+        if is_cause {
             CrashSuspicion::Cause
         } else if count > 0 {
             CrashSuspicion::Suspect
--- a/crates/fleet/src/engine/crashes.rs
+++ b/crates/fleet/src/engine/crashes.rs
@@ -30,6 +30,7 @@
             boot: crash.boot,
             tasks: crash.tasks,
             alone: crash.alone,
+            unconfirmed: crash.unconfirmed.into_iter().collect(),
         };
         for receiver in receivers {
             self.send(receiver, FleetMessage::Crashed(vec![report.clone()]));
--- a/crates/fleet/tests/fault_run.rs
+++ b/crates/fleet/tests/fault_run.rs
@@ -90,7 +90,7 @@
     match kind {
         FleetKind::Replacing => JobShape {
             label: [None, Some("kind-a"), Some("kind-b")][rng.random_range(0..3)],
-            spread_limit: None,
+            spread_limit: [None, Some(1), Some(2)][rng.random_range(0..3)],
             ..shape
         },
         FleetKind::Deadly => JobShape {
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -879,6 +879,8 @@
     pub tasks: Vec<TaskName>,
     /// The task, if it was the only one.
     pub alone: Option<TaskName>,
+    /// Those of the tasks whose runs the target had not confirmed, so that they may never have started.
+    pub unconfirmed: Vec<TaskName>,
 }
 
 /// A run that its coordinator still needs, with its resources.
