held: no ends are acknowledged while a target may have restarted

What callers saw: a task that was done could run again. The numbers of ends begin anew with each instance of a target, but a poll went on to acknowledge ends by the number of the former one until a report had shown the restart. The next instance, which has fewer ends, then forgot ends that no holder had read.

A poll now acknowledges ends only if the target has answered since the last failed poll, broken connection or pause of the VM. Until then it acknowledges none; the target forgets nothing by it, and repeats what was read.

Evidence: no_end_is_acknowledged_while_the_target_may_have_restarted (held_target) fails without the change in all four cases (left 1, right 0). Not covered: a poll that is on its way at the restart and is carried out by the next instance. No response can be awaited before it.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -689,7 +689,7 @@
             number: poll.number,
             request: PollRequest {
                 token: self.token,
-                acked_through: self.acked_through,
+                acked_through: self.acknowledged_ends(),
                 lease_end: lease_end.flatten(),
                 wait: poll.wait,
             },
@@ -700,6 +700,15 @@
         }
     }
 
+    /// The number through which a poll acknowledges ends. Another instance numbers its ends anew, so none are
+    /// acknowledged while the target may have restarted: it would forget ends that were not read.
+    fn acknowledged_ends(&self) -> u64 {
+        match self.is_steady() {
+            true => self.acked_through,
+            false => 0,
+        }
+    }
+
     /// The lease that a poll grants now. A poll that is to confirm a claim grants none: the target may
     /// have runs that this VM does not know. Nor does one after a failed connection until the same instance
     /// has answered: another one may have another holder's runs, and counts the end of the lease on another
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -476,6 +476,57 @@
     );
 }
 
+/// What makes it possible that a target has restarted without the knowledge of its holder.
+#[derive(Clone, Copy, Debug)]
+enum Doubt {
+    SilentPoll,
+    BrokenPoll,
+    BrokenStart,
+    Pause,
+}
+
+/// Guards against an end that the next instance of a target forgets before anyone has read it: the former instance had
+/// an end with the same number, and the holder has not noticed the restart.
+#[test_case(Doubt::SilentPoll; "poll without a response")]
+#[test_case(Doubt::BrokenPoll; "poll on a broken connection")]
+#[test_case(Doubt::BrokenStart; "start on a broken connection")]
+#[test_case(Doubt::Pause; "paused holder")]
+fn no_end_is_acknowledged_while_the_target_may_have_restarted(doubt: Doubt) {
+    let mut holder = Holder::confirmed();
+    let (name, _) = holder.start(0, StartAnswer::Accepted(None));
+    holder.exchange(vec![], vec![ended(1, name, RunEnd::Done)]);
+    holder.pause();
+    let lost = match doubt {
+        Doubt::SilentPoll | Doubt::BrokenPoll => {
+            let plan = holder.plan();
+            assert_eq!(plan.request.acked_through, 1);
+            holder.now = holder.now + plan.options.timeout;
+            let silent = matches!(doubt, Doubt::SilentPoll);
+            let target = &mut holder.target;
+            target.handle_poll_failure(holder.now, plan.number, silent);
+            holder.now = holder.now + ms(500);
+            holder.plan()
+        }
+        Doubt::BrokenStart => {
+            holder.start(1, StartAnswer::ConnectionLost);
+            holder.plan()
+        }
+        Doubt::Pause => {
+            holder.target.reconfirm(holder.now);
+            holder.plan()
+        }
+    };
+    assert_eq!(lost.request.acked_through, 0);
+    let report = holder.report(vec![], vec![]);
+    holder.answer(&lost, &report);
+    holder.pause();
+    assert_eq!(
+        holder.plan().request.acked_through,
+        1,
+        "the same instance has answered"
+    );
+}
+
 /// Guards against a second run while the first one still runs on an unreachable target.
 #[test]
 fn runs_of_an_unreachable_target_end_with_their_lease() {
