held: the next instance of a target is not judged by the failures and run times of the former one

What callers saw: up to 4 s in which a target that has come back is not used because the former instance failed what it started, and work that goes to the wrong targets because the slowdown of the former one, perhaps of another kind, is taken for that of the next one.

At a restart the circuit breaker is closed and the slowdown is as expected. The time until which the target is slow after its start is kept: the list may have shown it before the restart was noticed.

Evidence: next_instance_is_not_judged_by_the_former_one (held_target) fails without the change.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -88,6 +88,19 @@
         }
     }
 
+    /// Forgets the failures and the speed of the instance so far, because another one has started. The list states
+    /// until when the target is slow, and may have done so before the restart was noticed.
+    pub fn restart(&mut self) {
+        *self = Self {
+            cold: self.cold.map(|cold| ColdPhase {
+                slowdown: 0.0,
+                ..cold
+            }),
+            cold_ended_at: self.cold_ended_at,
+            ..Self::new(self.settings.clone())
+        };
+    }
+
     /// Sets until when the target is slow; `None` if it is not. What is learned in that time is kept
     /// separately and discarded at its end.
     pub fn set_cold_until(&mut self, now: TimePoint, until: Option<TimePoint>) {
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -1053,6 +1053,7 @@
             outcome.restarted = self.boot.is_some();
             let silent_crash = self.silent_crash.take();
             if outcome.restarted {
+                self.health.restart();
                 let crash = self.notice_crash();
                 let silent_crash = silent_crash.and_then(|it| it.without_runs_of(report));
                 let silent_crash = silent_crash.and_then(TargetCrash::without_unconfirmed);
--- a/crates/fleet/tests/held_target.rs
+++ b/crates/fleet/tests/held_target.rs
@@ -476,6 +476,35 @@
     );
 }
 
+/// Guards against a target that is not used, or taken for slow, because of the failures and the run times of a former
+/// instance, which may have been of another kind.
+#[test]
+fn next_instance_is_not_judged_by_the_former_one() {
+    let mut holder = Holder::confirmed();
+    let until = holder.now + ms(60_000);
+    let health = holder.target.health_mut();
+    health.record_success(ms(400), ms(100));
+    for _ in 0..3 {
+        health.record_failure(holder.now);
+    }
+    // The list may show the next instance first.
+    health.set_cold_until(holder.now, Some(until));
+    assert!(health.slowdown() > 1.2);
+    let plan = holder.plan();
+    let report = PollReport {
+        boot: Some(TargetBoot(2)),
+        ..holder.report(vec![], vec![])
+    };
+    assert!(holder.answer(&plan, &report).restarted);
+    let health = holder.target.health_mut();
+    assert!(
+        health.admits(holder.now, 1),
+        "failures of the former instance"
+    );
+    assert_eq!(health.slowdown(), 1.0);
+    assert!(health.is_cold());
+}
+
 /// What makes it possible that a target has restarted without the knowledge of its holder.
 #[derive(Clone, Copy, Debug)]
 enum Doubt {
