--- a/crates/fleet/src/crash_log.rs
+++ b/crates/fleet/src/crash_log.rs
@@ -14,11 +14,11 @@
 use filbertpitch_types::fleet::CrashReport;
 use filbertpitch_types::prelude::*;
 
-/// The crashes after which a task is given up if it was alone on one of the targets.
+/// The crashes with a confirmed run after which a task is given up if it was alone on one of the targets.
 const CRASH_LIMIT: usize = 2;
 
-/// The crashes after which a task is given up whatever else the targets ran: three crashes
-/// beside different tasks are unlikely to have another cause.
+/// The crashes, `CRASH_LIMIT` of them with a confirmed run, after which a task is given up whatever else the
+/// targets ran: three crashes beside different tasks are unlikely to have another cause.
 const SHARED_CRASH_LIMIT: usize = 3;
 
 /// The crashes after which a task is given up although its runs were not confirmed: a task may crash its target
@@ -153,9 +153,9 @@
         let count = self.count(task);
         let alone = self.crashes_of(task).any(|crash| crash.alone);
         let confirmed = self.crashes_of(task).filter(|crash| crash.confirmed);
-        let ran_at = confirmed.count();
+        let enough_runs = confirmed.count() >= CRASH_LIMIT;
         let is_cause = count >= UNCONFIRMED_CRASH_LIMIT
-            || (ran_at >= CRASH_LIMIT && (alone || count >= SHARED_CRASH_LIMIT));
+            || (enough_runs && (alone || count >= SHARED_CRASH_LIMIT));
         if is_cause {
             CrashSuspicion::Cause
         } else if count > 0 {
