A cancel reaches the job's coordinator from any VM

Cause: a VM looked at its own jobs and at those that it had forwarded, and took "not here" for "does not exist". It now asks all other VMs (`Cancel`, `CancelDone`) and answers 200 if one of them had the job, 410 if none has it, and 503 with Retry-After if one that may have it could not be asked.

--- a/crates/filbertpitch/src/fleet/callers.rs
+++ b/crates/filbertpitch/src/fleet/callers.rs
@@ -5,6 +5,7 @@
 
 use filbertpitch_dispatch::entity::KindIndex;
 use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::cancellation::CancelOutcome;
 use filbertpitch_fleet::engine::{FleetEngine, FleetEvent};
 use filbertpitch_platform::callers::{self, CallerRequest, JobOperation};
 use filbertpitch_types::fleet::{ClientTimeout, JobSpec, PeerState};
@@ -93,27 +94,24 @@
         }
     }
 
-    fn cancel(&self, call: &CallerRequest, path: &str) -> ServerResponse {
+    /// Cancels a job, whichever VM coordinates it.
+    async fn cancel(&self, call: &CallerRequest, path: &str) -> ServerResponse {
         let id = self.driver.inspect(|engine| {
             let found = engine.catalog().match_request(&call.host, path)?;
             Some(found.rest.parse::<JobId>().ok())
         });
-        let Some(id) = id else {
-            return callers::unknown_queue_response();
+        let id = match id {
+            None => return callers::unknown_queue_response(),
+            Some(None) => return callers::unknown_job_response(),
+            Some(Some(id)) => id,
         };
-        if id.is_some_and(|id| self.driver.forwarder().cancel(id)) {
+        if self.driver.forwarder().cancel(id) {
             return callers::cancelled_response();
         }
-        let live = id.filter(|id| {
-            self.driver
-                .inspect(|engine| engine.job_started(*id).is_some())
-        });
-        match live {
-            Some(id) => {
-                self.driver.feed(FleetEvent::JobCancelled(id));
-                callers::cancelled_response()
-            }
-            None => callers::unknown_job_response(),
+        match self.driver.cancel(id).await {
+            CancelOutcome::Cancelled => callers::cancelled_response(),
+            CancelOutcome::UnknownJob => callers::unknown_job_response(),
+            CancelOutcome::Unconfirmed => callers::unconfirmed_cancel_response(),
         }
     }
 }
@@ -187,7 +185,7 @@
         match call.operation {
             JobOperation::Submit => self.submit(&call, &request, arrived).await,
             JobOperation::Query => self.look(&call, request.path()).await,
-            JobOperation::Cancel => self.cancel(&call, request.path()),
+            JobOperation::Cancel => self.cancel(&call, request.path()).await,
         }
     }
 
--- a/crates/filbertpitch/src/fleet/driver.rs
+++ b/crates/filbertpitch/src/fleet/driver.rs
@@ -9,6 +9,7 @@
 
 use filbertpitch_dispatch::entity::VmIndex;
 use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::cancellation::{CancelOutcome, CancelToken};
 use filbertpitch_fleet::engine::{
     EndedClients, FleetAction, FleetEngine, FleetEvent, ForwardOrigin, JobRoute,
 };
@@ -40,6 +41,9 @@
     clients: WaitingClients,
     replies: RefCell<HashMap<CallerToken, oneshot::Sender<JobReply>>>,
     next_caller: Cell<u64>,
+    /// The clients that wait for the answers to their cancels.
+    cancels: RefCell<HashMap<CancelToken, oneshot::Sender<CancelOutcome>>>,
+    next_cancel: Cell<u64>,
     timer: EngineTimer,
     /// When the timer fires if nothing delays it.
     expected_expiry: Cell<Option<TimePoint>>,
@@ -86,6 +90,8 @@
             clients: WaitingClients::new(watch),
             replies: RefCell::default(),
             next_caller: Cell::new(0),
+            cancels: RefCell::default(),
+            next_cancel: Cell::new(0),
             timer,
             expected_expiry: Cell::new(None),
             log,
@@ -178,6 +184,17 @@
         reply
     }
 
+    /// Cancels a job, whichever VM has it, and waits for the answer.
+    pub(super) async fn cancel(self: &Rc<Self>, job: JobId) -> CancelOutcome {
+        let token = CancelToken(self.next_cancel.get());
+        self.next_cancel.set(token.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.cancels.borrow_mut().insert(token, sender);
+        self.feed(FleetEvent::CancelRequested { token, job });
+        // The engine answers each cancel, after a time-out if need be.
+        receiver.await.unwrap_or(CancelOutcome::Unconfirmed)
+    }
+
     /// Carries out the engine's actions and sets its timer. `now` is the time of the event.
     fn perform_actions(self: &Rc<Self>, now: TimePoint) {
         let (actions, due) = {
@@ -215,6 +232,12 @@
                     let _ = sender.send(reply);
                 }
             }
+            FleetAction::AnswerCancel { token, outcome } => {
+                if let Some(sender) = self.cancels.borrow_mut().remove(&token) {
+                    // The client may have closed its connection.
+                    let _ = sender.send(outcome);
+                }
+            }
             FleetAction::SendEnvelope {
                 peer,
                 address,
--- a/crates/fleet/src/engine/event.rs
+++ b/crates/fleet/src/engine/event.rs
@@ -15,6 +15,7 @@
 };
 use filbertpitch_types::prelude::*;
 
+use crate::cancellation::{CancelOutcome, CancelToken};
 use crate::held::{PollNumber, PollPlan};
 use crate::job_routing::ForwardingEnd;
 use crate::job_table::JobEstimate;
@@ -88,8 +89,13 @@
     },
     /// A client has closed its connection and no longer waits for the answer.
     CallerDisconnected(CallerToken),
-    /// A client has cancelled a job.
-    JobCancelled(JobId),
+    /// A client cancels a job, whichever VM has it.
+    CancelRequested {
+        /// Identifies the client's request.
+        token: CancelToken,
+        /// The job.
+        job: JobId,
+    },
     /// The result of a start request, which may be a time-out or a failed connection.
     StartResult {
         /// The target.
@@ -151,6 +157,13 @@
         /// The answer.
         reply: JobReply,
     },
+    /// Answer the cancel of a client.
+    AnswerCancel {
+        /// Identifies the client's request.
+        token: CancelToken,
+        /// The answer.
+        outcome: CancelOutcome,
+    },
     /// Send an envelope to a peer.
     SendEnvelope {
         /// The peer and the number of the envelope; `None` for a seed address where one may listen.
--- a/crates/fleet/src/engine/jobs.rs
+++ b/crates/fleet/src/engine/jobs.rs
@@ -34,6 +34,11 @@
             self.update_run_origins(job, former);
             return;
         }
+        if self.cancels.is_cancelled(self.clock.time, order.id) {
+            let reply = JobReply::Cancelled;
+            self.router.finish_received(caller);
+            return self.actions.push(FleetAction::Reply { caller, reply });
+        }
         self.router.record_coordinated(self.clock.time);
         let plan = match self.plan_job(queue, &order, client_timeout) {
             Ok(plan) => plan,
@@ -160,12 +165,6 @@
         }
     }
 
-    pub(super) fn cancel_job(&mut self, id: JobId) {
-        if let Some(key) = self.jobs.find(id) {
-            self.answer_job(key, JobReply::Cancelled);
-        }
-    }
-
     /// The number of jobs of a queue of which no task may have started.
     pub fn waiting_jobs(&self, queue: KindIndex) -> usize {
         let jobs = self.jobs.iter();
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! same path as one between VMs, except for the network.
 
 mod admission;
+mod cancels;
 mod capacities;
 mod crashes;
 mod event;
@@ -35,6 +36,7 @@
 use typed_index_collections::TiVec;
 
 use crate::blocked::BlockedRequests;
+use crate::cancellation::{CancelTable, CancelToken};
 use crate::capacity_watch::CapacityWatch;
 use crate::catalog::QueueCatalog;
 use crate::closed_zones::ClosedZones;
@@ -74,6 +76,8 @@
     Sample,
     /// Tasks that wait for a fast target are considered again.
     FastWait,
+    /// The answers of other VMs to a cancel are late.
+    CancelLate(CancelToken),
 }
 
 /// A target's refusal of this VM's token, because it has seen a higher one.
@@ -154,6 +158,7 @@
     router: JobRouter,
     /// The recent crashes of targets and the tasks that the targets had.
     crash_log: CrashLog,
+    cancels: CancelTable,
     offered_rates: OfferedRates,
     shedder: LoadShedder,
     /// Whether waiting tasks must be matched with free capacity again.
@@ -220,6 +225,7 @@
             jobs: JobTable::default(),
             router,
             crash_log: CrashLog::default(),
+            cancels: CancelTable::default(),
             offered_rates: OfferedRates::default(),
             shedder: LoadShedder::default(),
             placement_due: false,
@@ -279,7 +285,7 @@
             }
             FleetEvent::ForwardingEnded { job, end } => self.finish_forwarding(job, end),
             FleetEvent::CallerDisconnected(caller) => self.remove_caller(caller),
-            FleetEvent::JobCancelled(job) => self.cancel_job(job),
+            FleetEvent::CancelRequested { token, job } => self.request_cancel(token, job),
             FleetEvent::StartResult {
                 target,
                 token,
@@ -337,6 +343,7 @@
                     self.fast_wait_set = false;
                     self.placement_due = true;
                 }
+                TimerTopic::CancelLate(token) => self.give_up_cancel(token),
             }
         }
         if self.offers.expire(self.clock.time) {
--- a/crates/fleet/src/engine/peers.rs
+++ b/crates/fleet/src/engine/peers.rs
@@ -260,6 +260,7 @@
         self.blocked_requests.drop_coordinator(peer);
         self.stop_runs_for(peer);
         self.drop_forwarding_with(peer);
+        self.drop_cancels_with(peer);
         self.orphan_tasks_on(peer, contact, reason);
         self.placement_due = true;
     }
@@ -334,6 +335,10 @@
             FleetMessage::Abandon { job, forwarded_at } => {
                 self.receive_abandonment(from, job, forwarded_at);
             }
+            FleetMessage::Cancel(job) => self.receive_cancel(from, job),
+            FleetMessage::CancelDone { job, found } => {
+                self.receive_cancel_answer(from, job, found);
+            }
             FleetMessage::Redirected { run, target, token } => {
                 self.receive_redirection(from, run, &target, token);
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod assignment;
 pub mod blocked;
+pub mod cancellation;
 pub mod capacity_watch;
 pub mod catalog;
 pub mod closed_zones;
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -15,6 +15,7 @@
 
 use filbertpitch_dispatch::entity::{KindIndex, TargetIndex, VmIndex};
 use filbertpitch_dispatch::job::CallerToken;
+use filbertpitch_fleet::cancellation::{CancelOutcome, CancelToken};
 use filbertpitch_fleet::engine::{
     FleetAction, FleetEngine, FleetEvent, FleetNotice, FleetSettings,
 };
@@ -326,6 +327,8 @@
     departures: Departures,
     plan: FaultPlan,
     routes: RouteAudit,
+    /// The answers to cancels.
+    pub cancel_answers: BTreeMap<CancelToken, CancelOutcome>,
     /// The VM to which clients send jobs again; any VM if there is none.
     pub resend_vm: Option<usize>,
     /// Reads the processor time of this thread, if the time of the engines is measured.
@@ -433,6 +436,7 @@
             departures: Departures::default(),
             plan: FaultPlan::default(),
             routes: RouteAudit::default(),
+            cancel_answers: BTreeMap::new(),
             resend_vm: None,
             rng,
             processor_clock: None,
@@ -540,6 +544,14 @@
         self.jobs.get_mut(&id).unwrap().sends = SEND_LIMIT;
     }
 
+    /// A client cancels a job at a VM. Returns by what the answer is found in `cancel_answers`.
+    pub fn cancel(&mut self, vm: usize, job: JobId) -> CancelToken {
+        self.next_caller += 1;
+        let token = CancelToken(self.next_caller);
+        self.feed(vm, FleetEvent::CancelRequested { token, job });
+        token
+    }
+
     /// Closes the connection of a job's client, which sends the job again to a VM of its choice after
     /// the usual delay.
     pub fn send_again(&mut self, id: JobId, vm: usize) {
@@ -1444,6 +1456,9 @@
                 };
                 self.schedule_answer(at, call, vm, event);
             }
+            FleetAction::AnswerCancel { token, outcome } => {
+                self.cancel_answers.insert(token, outcome);
+            }
             FleetAction::EndForwarding(job) => self.give_up_exchange(vm, job),
             FleetAction::Disconnect(_) => {}
             FleetAction::Notice(notice) => self.record_notice(vm, notice),
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -996,6 +996,15 @@
         /// The sender's token for this target.
         token: FencingToken,
     },
+    /// From a VM whose client has cancelled a job which the VM does not have: cancel it.
+    Cancel(JobId),
+    /// Answers `Cancel`.
+    CancelDone {
+        /// The job.
+        job: JobId,
+        /// Whether the sender coordinated the job.
+        found: bool,
+    },
 }
 
 /// What one entry VM sends to another: its pending messages and its current state.
