A confirmed claim states the target's instance to all VMs

A VM that claims a target states it to its peers before the target has answered, without an instance, and the statement was not repeated once the instance was known: only the next change of its held targets brought it.

The version of the holdings now rises with the instance. One more statement of the holdings follows each first response to a claim; it goes with the next envelope, none is sent for it.

Test: run_claims, holdings_state_the_instance_that_has_answered; before: [None] instead of [Some(1)].

--- a/crates/fleet/src/engine/holding.rs
+++ b/crates/fleet/src/engine/holding.rs
@@ -438,7 +438,11 @@
         match answer {
             PollResult::Report(report) => {
                 let claimed = held.phase() == HoldPhase::Claiming;
+                let former = held.instance();
                 let outcome = held.handle_poll_report(now, number, &report);
+                if held.instance() != former {
+                    self.holdings_version += 1;
+                }
                 if held.take_lost_response() {
                     self.loss_detector.record_loss(now);
                 }
--- a/crates/fleet/src/engine/mod.rs
+++ b/crates/fleet/src/engine/mod.rs
@@ -135,7 +135,7 @@
     unknown_seeds: UnknownSeeds,
     held: BTreeMap<TargetIndex, HeldTarget>,
     blocked_requests: BlockedRequests,
-    /// Rises with each change of the held targets or their tokens.
+    /// Rises with each change of the held targets, their tokens or their instances.
     holdings_version: u32,
     /// The VM that each target is assigned to.
     assigned_holders: TiVec<TargetIndex, Option<VmIndex>>,
--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -82,6 +82,8 @@
     peers: Vec<SimPeer>,
     /// The messages of the engine to each peer.
     received: BTreeMap<SocketAddr, Vec<FleetMessage>>,
+    /// The latest holdings that the engine has stated.
+    stated_holdings: Vec<HoldingReport>,
     notices: Vec<FleetNotice>,
     polls: Vec<(TargetIndex, PollPlan)>,
     /// Whether a start request was sent.
@@ -109,6 +111,7 @@
             now: START,
             peers: peers.collect(),
             received: BTreeMap::new(),
+            stated_holdings: Vec::new(),
             notices: Vec::new(),
             polls: Vec::new(),
             started: false,
@@ -202,6 +205,9 @@
                             sent_at: self.now,
                             clients_until: self.now,
                         };
+                        if let Some(holdings) = envelope.holdings {
+                            self.stated_holdings = holdings;
+                        }
                         let messages = envelope.messages;
                         self.received.entry(address).or_default().extend(messages);
                         let acked = FleetEvent::EnvelopeAcked { peer, number, ack };
@@ -508,3 +514,18 @@
         spread_limit: None,
     })
 }
+
+/// Guards against a target whose instance is not known to the other VMs after its holder has learned it.
+#[test]
+fn holdings_state_the_instance_that_has_answered() {
+    let mut bench = Bench::new(OWN_ZONE, 1);
+    bench.run_for(ms(200));
+    let instances = |bench: &Bench| {
+        let holdings = bench.stated_holdings.iter();
+        holdings.map(|holding| holding.boot).collect::<Vec<_>>()
+    };
+    assert_eq!(instances(&bench), [None]);
+    bench.answer_poll(bench.report());
+    bench.run_for(ms(200));
+    assert_eq!(instances(&bench), [Some(TargetBoot(1))]);
+}
