A former holder's report of a crash is not recorded

A job was answered as failed although only one target had crashed under its task.

A crash report now names the fencing token under which the reporter held the target. A VM that knows a claim of the same instance with a higher token leaves the report out: that holder has got the list of runs from the target, and reports the crash itself. A crash of a former instance still counts. The layout of envelopes changes (path 13).

--- a/crates/filbertpitch/src/fleet/peers.rs
+++ b/crates/filbertpitch/src/fleet/peers.rs
@@ -20,7 +20,7 @@
 use super::forwarding::{self, JOB_PATH};
 
 /// Where envelopes are sent. The number changes with the layout of envelopes.
-const ENVELOPE_PATH: &str = "/peer/envelope/12";
+const ENVELOPE_PATH: &str = "/peer/envelope/13";
 
 /// How envelopes and receipts are encoded.
 const ENVELOPE_FORMAT: BodyFormat = BodyFormat::PackedMessagePack;
--- a/crates/fleet/src/engine/crashes.rs
+++ b/crates/fleet/src/engine/crashes.rs
@@ -9,6 +9,7 @@
 use crate::crash_log::CrashSuspicion;
 use crate::held::TargetCrash;
 use crate::job_table::{TaskPhase, TaskRef};
+use crate::registry::TargetInstance;
 
 /// Of so many held targets, one may be reserved for a trial or unreachable, so that trials under load
 /// cost few targets at a time.
@@ -27,6 +28,7 @@
         let receivers = self.crash_receivers(&crash.coordinators);
         let report = CrashReport {
             target: name,
+            token: crash.token,
             boot: crash.boot,
             tasks: crash.tasks,
             alone: crash.alone,
@@ -62,6 +64,9 @@
         let now = self.now();
         let mut given_up = BTreeSet::new();
         for report in reports {
+            if self.is_by_former_holder(report) {
+                continue;
+            }
             for name in self.crash_log.record(now, report) {
                 let Some(task) = self.jobs.find_task(&name) else {
                     continue;
@@ -86,6 +91,26 @@
         }
     }
 
+    /// Whether another VM has held the crashed instance since the reporter did. The target has told it which runs
+    /// it had; the reporter may not know that some of them were stopped.
+    fn is_by_former_holder(&self, report: &CrashReport) -> bool {
+        let Some(target) = self.registry.find(&report.target) else {
+            return false;
+        };
+        let instance = TargetInstance(report.boot);
+        let own = self.held.get(&target);
+        let own = own.map(|held| (held.token(), held.instance()));
+        let links = self.links.iter().flatten();
+        let holdings = links.flat_map(|link| link.holdings());
+        let of_peers = holdings.filter(|holding| holding.target == target);
+        let of_peers = of_peers.map(|holding| (holding.token, holding.instance));
+        report.boot.is_some()
+            && own
+                .into_iter()
+                .chain(of_peers)
+                .any(|(token, held)| held == instance && token > report.token)
+    }
+
     /// Gives up a job that has come again after one of its tasks has crashed too many targets.
     pub(super) fn give_up_crashing_job(&mut self, key: JobKey) {
         let id = self.jobs.get(key).map(|job| job.id);
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -183,6 +183,8 @@
 /// A crash of a target that had runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetCrash {
+    /// The fencing token under which the runs were known.
+    pub token: FencingToken,
     /// The instance that has crashed, if it is known.
     pub boot: Option<TargetBoot>,
     /// The tasks whose runs were on the target, or may have been.
@@ -1390,6 +1392,7 @@
         let unconfirmed = runs.iter().filter(|(_, run)| !run.has_started());
         let unconfirmed = unconfirmed.map(|(task, _)| **task).collect();
         (!tasks.is_empty()).then(|| TargetCrash {
+            token: self.token,
             boot: self.boot,
             alone: sole_task(&tasks, &unconfirmed),
             unconfirmed,
--- a/crates/fleet/tests/crash_log.rs
+++ b/crates/fleet/tests/crash_log.rs
@@ -29,6 +29,7 @@
 fn crash(instance: usize, scene: CrashScene) -> CrashReport {
     CrashReport {
         target: "target-1".parse().unwrap(),
+        token: FencingToken(1),
         boot: Some(TargetBoot(instance as u64)),
         tasks: vec![TASK],
         alone: (scene == Alone).then_some(TASK),
--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -12,9 +12,10 @@
 };
 use filbertpitch_fleet::held::PollPlan;
 use filbertpitch_types::fleet::{
-    CapacityReport, DemandReport, EnvelopeAck, FleetConfiguration, FleetMessage, HoldingReport,
-    JobSpec, KeptRun, PeerEnvelope, PeerIdentity, PeerState, PlaceRequest, QueueSpec,
-    RoutingReport, ServicePolicy, StepSpec, TargetChange, TargetEntry, TargetState, TaskPlacement,
+    CapacityReport, CrashReport, DemandReport, EnvelopeAck, FleetConfiguration, FleetMessage,
+    HoldingReport, JobSpec, KeptRun, PeerEnvelope, PeerIdentity, PeerState, PlaceRequest,
+    QueueSpec, RoutingReport, ServicePolicy, StepSpec, TargetChange, TargetEntry, TargetState,
+    TaskPlacement,
 };
 use filbertpitch_types::lease::{PollReport, PollResult, RunningEntry, StartAnswer, StartRefusal};
 use filbertpitch_types::prelude::*;
@@ -348,6 +349,14 @@
         assert!(messages.iter().any(place), "{messages:?}");
     }
 
+    /// The crashes recorded for the task of the run.
+    fn suspected(&self) -> usize {
+        let notices = self.notices.iter();
+        notices
+            .filter(|it| matches!(it, FleetNotice::TaskSuspected { .. }))
+            .count()
+    }
+
     fn orphaned(&self) -> usize {
         let notices = self.notices.iter();
         notices
@@ -529,3 +538,29 @@
     bench.run_for(ms(200));
     assert_eq!(instances(&bench), [Some(TargetBoot(1))]);
 }
+
+/// Guards against a job that is answered as failed for a crash under a run that the next holder of the target had
+/// stopped, and against a crash that is not counted although the run was there.
+#[test_case(FencingToken(20), TargetBoot(1), 0; "a former holder")]
+#[test_case(FencingToken(30), TargetBoot(1), 1; "the present holder")]
+#[test_case(FencingToken(20), TargetBoot(0), 1; "a former holder, of a former instance")]
+fn crash_under_a_later_claim_is_not_taken_from_a_former_holder(
+    token: FencingToken,
+    crashed: TargetBoot,
+    suspected: usize,
+) {
+    let mut bench = Bench::new(PEER_ZONE, 2);
+    bench.place(0, FencingToken(20));
+    bench.peers[1].token = Some(FencingToken(30));
+    bench.run_for(ms(200));
+    let report = CrashReport {
+        target: target_name(),
+        token,
+        boot: Some(crashed),
+        tasks: vec![run().task],
+        alone: Some(run().task),
+        unconfirmed: Vec::new(),
+    };
+    bench.send(0, vec![FleetMessage::Crashed(vec![report])]);
+    assert_eq!(bench.suspected(), suspected);
+}
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -873,6 +873,9 @@
 pub struct CrashReport {
     /// The target.
     pub target: TargetName,
+    /// The fencing token of the holder that has noticed the crash. A holder with a higher one for the same instance
+    /// knows better which runs the target had.
+    pub token: FencingToken,
     /// The instance that has crashed, if it is known.
     pub boot: Option<TargetBoot>,
     /// The tasks whose runs were on the target, or may have been.
