--- a/crates/fleet/tests/run_claims.rs
+++ b/crates/fleet/tests/run_claims.rs
@@ -350,7 +350,7 @@
     }
 
     /// The crashes recorded for the task of the run.
-    fn suspected(&self) -> usize {
+    fn recorded_crashes(&self) -> usize {
         let notices = self.notices.iter();
         notices
             .filter(|it| matches!(it, FleetNotice::TaskSuspected { .. }))
@@ -547,7 +547,7 @@
 fn crash_under_a_later_claim_is_not_taken_from_a_former_holder(
     token: FencingToken,
     crashed: TargetBoot,
-    suspected: usize,
+    recorded: usize,
 ) {
     let mut bench = Bench::new(PEER_ZONE, 2);
     bench.place(0, FencingToken(20));
@@ -562,5 +562,5 @@
         unconfirmed: Vec::new(),
     };
     bench.send(0, vec![FleetMessage::Crashed(vec![report])]);
-    assert_eq!(bench.suspected(), suspected);
+    assert_eq!(bench.recorded_crashes(), recorded);
 }
