review: a cancelled job starts again when its request is repeated at another machine

Tried: a job is submitted and cancelled at one machine, and its request arrives once more 4 s after the 2xx response at another one, which the users' protocol page names. Why: each machine that hears of a cancel remembers it, but a machine that has the job itself tells no other.

--- /dev/null
+++ b/review/standin-2/src/cases/mod.rs
@@ -0,0 +1,4 @@
+//! The cases of the review.
+
+pub mod cancelled_again;
+pub mod late_heartbeat;
