review: a busy machine forwards jobs to one with an older configuration

Tried: one machine is cut off from the store for 5.5 s while the configuration sends the queue to another service; the machine that takes the requests is busy. Why: it forwards a part of its jobs, and nothing compares the versions.

--- a/review/standin-2/src/cases/cancelled_again.rs
+++ b/review/standin-2/src/cases/cancelled_again.rs
@@ -20,14 +20,13 @@
     let executors = (0..6).map(|index| ExecutorPlan {
         id: format!("worker-{index}"),
         zone: zones[index % 2 * 2].to_owned(),
+        service: "desk",
         labels: vec!["a".to_owned(), format!("r{}", index / 3)],
         cpu: 64_000,
     });
     let mut system = System::start(directory, &zones, executors.collect())?;
     for executor in &system.executors {
-        executor.beat(&system.store, |store, executor, _, entry| {
-            store.put("keyed.servers", &executor.id, &entry);
-        });
+        executor.beat_calmly(&system.store);
     }
     system.start_vms()?;
     // All machines are in touch from here on.
--- a/review/standin-2/src/cases/late_heartbeat.rs
+++ b/review/standin-2/src/cases/late_heartbeat.rs
@@ -29,6 +29,7 @@
     let executors = (0..4).map(|index| ExecutorPlan {
         id: format!("worker-{index}"),
         zone: zones[0].to_owned(),
+        service: "desk",
         labels: vec!["a".to_owned(), format!("r{}", index / 3)],
         cpu: 64_000,
     });
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod cancelled_again;
 pub mod late_heartbeat;
+pub mod older_receiver;
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -61,6 +61,7 @@
     pub id: String,
     pub zone: String,
     address: SocketAddr,
+    service: &'static str,
     labels: Vec<String>,
     cpu: u64,
     born: u64,
@@ -74,6 +75,7 @@
 pub struct ExecutorPlan {
     pub id: String,
     pub zone: String,
+    pub service: &'static str,
     pub labels: Vec<String>,
     /// In thousandths of a core.
     pub cpu: u64,
@@ -86,6 +88,7 @@
         let executor = Self {
             id: plan.id,
             zone: plan.zone,
+            service: plan.service,
             labels: plan.labels,
             cpu: plan.cpu,
             address: listener.local_addr().expect("a bound address"),
@@ -107,6 +110,13 @@
         executor
     }
 
+    /// Writes the executor's entry at each heartbeat, without disruption.
+    pub fn beat_calmly(&self, store: &Store) {
+        self.beat(store, |store, executor, _, entry| {
+            store.put("keyed.servers", &executor.id, &entry);
+        });
+    }
+
     /// Writes the executor's entry at each heartbeat. `write` carries out the call to the store.
     pub fn beat<W>(&self, store: &Store, write: W)
     where
@@ -128,7 +138,7 @@
         state.seq += 1;
         let draining = state.draining;
         let mut entry = json!({
-            "service": "desk", "address": self.address.to_string(), "zone": self.zone,
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
             "version": "1", "slots": 8, "state": if draining { "draining" } else { "ready" },
             "coldRemainingMs": 0, "seq": state.seq, "born": self.born,
             "capacity": { "cpu": self.cpu, "memMb": 131072, "gpu": 0 }, "labels": self.labels,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod executor;
 mod http;
+mod link;
 mod record;
 mod store;
 mod system;
@@ -34,6 +35,7 @@
     let verdict = match &*case {
         "cancelled-again" => cases::cancelled_again::run(&directory, &record_file),
         "late-heartbeat" => cases::late_heartbeat::run(&directory, &record_file),
+        "older-receiver" => cases::older_receiver::run(&directory, &record_file),
         _ => Err(format!("there is no case `{case}`")),
     };
     if std::env::var_os("KEEP").is_none() {
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -11,6 +11,7 @@
 
 use crate::executor::{Executor, ExecutorPlan, StartedRun, Starts};
 use crate::http::call;
+use crate::link::Link;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -30,6 +31,8 @@
     ready: SocketAddr,
     pub peers: SocketAddr,
     metrics: SocketAddr,
+    /// Between the process and the store.
+    pub store_link: Link,
     process: Option<Child>,
 }
 
@@ -73,16 +76,6 @@
         let starts: Starts = Arc::new(Mutex::new(Vec::<StartedRun>::new()));
         let executors = executors.into_iter();
         let executors = executors.map(|plan| Executor::start(plan, &starts, &record));
-        let configuration = json!({
-            "version": 7,
-            "routes": [{
-                "name": "confirm", "host": HOST, "pathPrefix": PREFIX, "service": "desk",
-                "priority": 0, "maxAttempts": 3, "stretch": 1.6, "sloMs": 60,
-            }],
-            "services": [{ "name": "desk", "rejectsOverload": false }],
-            "limits": null,
-        });
-        store.put("keyed.op", "config", configuration.to_string().as_bytes());
         let mut addresses = free_addresses(zones.len() * 4).into_iter();
         let mut next = || addresses.next().expect("an address for each purpose");
         let vms = zones.iter().enumerate().map(|(index, zone)| Vm {
@@ -92,17 +85,41 @@
             ready: next(),
             peers: next(),
             metrics: next(),
+            store_link: Link::start(store.address),
             process: None,
         });
         let vms = vms.collect();
-        Ok(Self {
+        let system = Self {
             executors: executors.collect(),
             directory: directory.to_owned(),
             record,
             store,
             vms,
             starts,
-        })
+        };
+        system.configure(7, "desk");
+        Ok(system)
+    }
+
+    /// Publishes a configuration in which a service serves the queue. Returns when the store has acknowledged it.
+    pub fn configure(&self, version: u32, service: &str) -> u64 {
+        let configuration = json!({
+            "version": version,
+            "routes": [{
+                "name": "confirm", "host": HOST, "pathPrefix": PREFIX, "service": service,
+                "priority": 0, "maxAttempts": 3, "stretch": 1.6, "sloMs": 60,
+            }],
+            "services": [
+                { "name": "desk", "rejectsOverload": false },
+                { "name": "desk-2", "rejectsOverload": false },
+            ],
+            "limits": null,
+        });
+        let text = configuration.to_string();
+        self.store.put("keyed.op", "config", text.as_bytes());
+        let text = format!("version {version} acknowledged: service {service}");
+        self.record.add(&text);
+        self.record.now_ms()
     }
 
     /// Starts all processes.
@@ -126,7 +143,7 @@
                 "callers": vm.callers.to_string(), "ready": vm.ready.to_string(),
                 "peers": vm.peers.to_string(), "metrics": vm.metrics.to_string(),
             },
-            "store": self.store.address.to_string(),
+            "store": vm.store_link.address.to_string(),
             "seed_peers": seeds.collect::<Vec<_>>(),
             "lease": "1000ms", "resend_delay": "1300ms", "stop_grace": "6s",
             "far_factor": 1.5, "processor_share": 0.25,
@@ -168,6 +185,15 @@
         Ok(())
     }
 
+    /// The id of a process that this case has started.
+    ///
+    /// # Errors
+    /// When the process does not run.
+    pub fn process_id(&self, vm: usize) -> Result<u32, String> {
+        let process = self.vms[vm].process.as_ref();
+        process.map(Child::id).ok_or_else(|| "the process does not run".to_owned())
+    }
+
     /// Sends a signal to a process that this case has started.
     pub fn signal(&self, vm: usize, signal: &str) {
         let vm = &self.vms[vm];
