review: a request without a time limit ends each process that gets it

Tried: a client states the largest 64-bit number as its deadline, with a job of 200 steps, and sends it again after each broken connection. Why: run times are predicted from the stated time-out, and the sum overflows a duration.

--- a/review/standin-2/src/cases/cancelled_again.rs
+++ b/review/standin-2/src/cases/cancelled_again.rs
@@ -49,13 +49,17 @@
         let answer = submitted.join().map_err(|_| "a client has failed")?;
         let acknowledged = cancelled.is_some_and(|(status, _)| status / 100 == 2 || status == 410);
         if !acknowledged || answer.is_none_or(|(status, _)| status / 100 != 2) {
-            system.record.add("the cancel or the submission got no 2xx response");
+            system
+                .record
+                .add("the cancel or the submission got no 2xx response");
             system.record.write(record_file);
             return Ok(Verdict::NotRun);
         }
         std::thread::sleep(REPEATED_AFTER);
         if has_trouble() {
-            system.record.add("the request arrives again, at another machine");
+            system
+                .record
+                .add("the request arrives again, at another machine");
             system.client(1 + number as usize % 3).submit(&id, job);
         }
         for run in system.runs_of(&id) {
--- a/review/standin-2/src/cases/late_heartbeat.rs
+++ b/review/standin-2/src/cases/late_heartbeat.rs
@@ -38,37 +38,40 @@
     for executor in &system.executors {
         let record = system.record.clone();
         let sender = sender.clone();
-        executor.beat(&system.store, move |store, executor: &Executor, seq, entry| {
-            let key = executor.id.clone();
-            if executor.id != DRAINED {
-                return store.put("keyed.servers", &key, &entry);
-            }
-            let text = String::from_utf8_lossy(&entry).into_owned();
-            if seq == LOST_BEAT && has_trouble() {
-                record.add(&format!("heartbeat {seq} of {key} gets no response"));
-                let (store, record) = (store.clone(), record.clone());
-                std::thread::spawn(move || {
-                    std::thread::sleep(CARRIED_OUT_AFTER);
-                    record.add(&format!("the store carries out heartbeat {seq}: {text}"));
-                    store.put("keyed.servers", &key, &entry);
-                });
-                return;
-            }
-            store.put("keyed.servers", &key, &entry);
-            record.add(&format!("the store accepts heartbeat {seq}: {text}"));
-            if seq + 1 == DRAINING_BEAT {
-                executor.drain();
-            }
-            if seq == DRAINING_BEAT {
-                // The case may have ended.
-                let _ = sender.send(record.now_ms());
-                let executor = executor.clone();
-                std::thread::spawn(move || {
-                    std::thread::sleep(LEAVES_AFTER);
-                    executor.leave();
-                });
-            }
-        });
+        executor.beat(
+            &system.store,
+            move |store, executor: &Executor, seq, entry| {
+                let key = executor.id.clone();
+                if executor.id != DRAINED {
+                    return store.put("keyed.servers", &key, &entry);
+                }
+                let text = String::from_utf8_lossy(&entry).into_owned();
+                if seq == LOST_BEAT && has_trouble() {
+                    record.add(&format!("heartbeat {seq} of {key} gets no response"));
+                    let (store, record) = (store.clone(), record.clone());
+                    std::thread::spawn(move || {
+                        std::thread::sleep(CARRIED_OUT_AFTER);
+                        record.add(&format!("the store carries out heartbeat {seq}: {text}"));
+                        store.put("keyed.servers", &key, &entry);
+                    });
+                    return;
+                }
+                store.put("keyed.servers", &key, &entry);
+                record.add(&format!("the store accepts heartbeat {seq}: {text}"));
+                if seq + 1 == DRAINING_BEAT {
+                    executor.drain();
+                }
+                if seq == DRAINING_BEAT {
+                    // The case may have ended.
+                    let _ = sender.send(record.now_ms());
+                    let executor = executor.clone();
+                    std::thread::spawn(move || {
+                        std::thread::sleep(LEAVES_AFTER);
+                        executor.leave();
+                    });
+                }
+            },
+        );
     }
     system.start_vms()?;
     let job = Job {
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases of the review.
 
 pub mod cancelled_again;
+pub mod endless_client;
 pub mod late_heartbeat;
 pub mod older_receiver;
--- a/review/standin-2/src/executor.rs
+++ b/review/standin-2/src/executor.rs
@@ -26,7 +26,6 @@
     pub at_ms: u64,
     pub executor: String,
     pub task: String,
-    pub run: u64,
     /// When it ended, and how.
     pub end: Option<(u64, &'static str)>,
 }
@@ -84,7 +83,9 @@
 impl Executor {
     pub fn start(plan: ExecutorPlan, starts: &Starts, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time");
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a time");
         let executor = Self {
             id: plan.id,
             zone: plan.zone,
@@ -179,7 +180,10 @@
         state.over.insert(task.to_owned(), run.run);
         state.ended.push((number, task.to_owned(), run.run, how));
         self.starts.lock().unwrap()[run.position].end = Some((self.record.now_ms(), how));
-        let text = format!("executor {}: run {} of {task} ends `{how}`", self.id, run.run);
+        let text = format!(
+            "executor {}: run {} of {task} ends `{how}`",
+            self.id, run.run
+        );
         self.record.add(&text);
         self.state.1.notify_all();
     }
@@ -207,7 +211,10 @@
     }
 
     fn refuse(&self, reason: &str) -> Response {
-        Response::json(409, &json!({ "clockMs": self.clock_ms(), "reason": reason }))
+        Response::json(
+            409,
+            &json!({ "clockMs": self.clock_ms(), "reason": reason }),
+        )
     }
 
     fn respond(&self, request: &Request) -> Option<Response> {
@@ -262,7 +269,6 @@
             at_ms: self.record.now_ms(),
             executor: self.id.clone(),
             task: task.to_owned(),
-            run,
             end: None,
         });
         let position = starts.len() - 1;
@@ -283,7 +289,11 @@
         let (Some(task), Some(run)) = (body["task"].as_str(), body["run"].as_u64()) else {
             return Response::json(400, &json!({ "clockMs": self.clock_ms() }));
         };
-        match state.running.get(task).is_some_and(|known| known.run <= run) {
+        match state
+            .running
+            .get(task)
+            .is_some_and(|known| known.run <= run)
+        {
             true => self.end(state, task, "stopped"),
             false => {
                 let over = state.over.entry(task.to_owned()).or_default();
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -133,7 +133,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for position in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * position)) as usize & 63];
-            text.push(if position <= chunk.len() { char::from(digit) } else { '=' });
+            text.push(if position <= chunk.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -1,6 +1,5 @@
 //! A small deployment: stand-ins as threads, entry VMs as processes of the project's own program.
 
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -191,21 +190,9 @@
     /// When the process does not run.
     pub fn process_id(&self, vm: usize) -> Result<u32, String> {
         let process = self.vms[vm].process.as_ref();
-        process.map(Child::id).ok_or_else(|| "the process does not run".to_owned())
-    }
-
-    /// Sends a signal to a process that this case has started.
-    pub fn signal(&self, vm: usize, signal: &str) {
-        let vm = &self.vms[vm];
-        if let Some(process) = &vm.process {
-            let id = process.id().to_string();
-            let status = Command::new("kill").args([signal, &id]).status();
-            self.record.add(&format!(
-                "{}: {signal} {}",
-                vm.name,
-                if status.is_ok_and(|it| it.success()) { "sent" } else { "not sent" }
-            ));
-        }
+        process
+            .map(Child::id)
+            .ok_or_else(|| "the process does not run".to_owned())
     }
 
     /// Waits until a process has ended by itself. Returns whether it has.
@@ -214,7 +201,8 @@
         let Vm { process, name, .. } = &mut self.vms[vm];
         while let Some(child) = process {
             if let Ok(Some(status)) = child.try_wait() {
-                self.record.add(&format!("{name}: process ended with {status}"));
+                self.record
+                    .add(&format!("{name}: process ended with {status}"));
                 *process = None;
                 return true;
             }
@@ -246,12 +234,6 @@
         let of_job = starts.iter().filter(|start| start.task.starts_with(job));
         of_job.cloned().collect()
     }
-
-    /// The executors on which something was started.
-    pub fn used_executors(&self) -> BTreeSet<String> {
-        let starts = self.starts.lock().unwrap();
-        starts.iter().map(|start| start.executor.clone()).collect()
-    }
 }
 
 impl Drop for System {
@@ -293,9 +275,9 @@
 }
 
 impl Job {
-    fn body(self) -> String {
+    fn body(self, estimate_ms: u32) -> String {
         let step = json!({
-            "count": self.tasks, "cpu": self.cpu, "memMb": 64, "estimateMs": self.work_ms,
+            "count": self.tasks, "cpu": self.cpu, "memMb": 64, "estimateMs": estimate_ms,
         });
         let spec = self.work_ms.to_string();
         json!({ "spec": spec, "bestEffort": true, "steps": [step] }).to_string()
@@ -303,16 +285,18 @@
 }
 
 impl Client {
-    fn send(&self, method: &str, id: &str, body: &str, deadline_ms: u32) -> Option<(u16, String)> {
+    /// `deadline_ms` is what the client states; it waits for a minute at most.
+    fn send(&self, method: &str, id: &str, body: &str, deadline_ms: u64) -> Option<(u16, String)> {
         let deadline = deadline_ms.to_string();
         let headers = [
             ("host", HOST),
             ("content-type", "application/json"),
             ("filbertpitch-deadline", &*deadline),
         ];
-        self.record.add(&format!("client: {method} {id} to {}", self.vm));
+        self.record
+            .add(&format!("client: {method} {id} to {}", self.vm));
         let path = format!("{PREFIX}{id}");
-        let timeout = Duration::from_millis(deadline_ms.into());
+        let timeout = Duration::from_millis(deadline_ms.min(60_000));
         let answer = call(self.address, (method, &path), &headers, body, timeout);
         self.record.add(&match &answer {
             Some((status, body)) => format!("client: {method} {id} gets {status} {body}"),
@@ -322,10 +306,27 @@
     }
 
     pub fn submit(&self, id: &str, job: Job) -> Option<(u16, String)> {
-        self.send("POST", id, &job.body(), job.deadline_ms)
+        self.submit_with_estimate(id, job, job.work_ms)
+    }
+
+    pub fn submit_with_estimate(
+        &self,
+        id: &str,
+        job: Job,
+        estimate_ms: u32,
+    ) -> Option<(u16, String)> {
+        self.send("POST", id, &job.body(estimate_ms), job.deadline_ms.into())
+    }
+
+    /// Submits a job of so many steps of one short task each.
+    pub fn submit_steps(&self, id: &str, steps: u32, deadline_ms: u64) -> Option<(u16, String)> {
+        let step = json!({ "count": 1, "cpu": 8000, "memMb": 64, "estimateMs": 200 });
+        let steps = vec![step; steps as usize];
+        let body = json!({ "spec": "10", "bestEffort": true, "steps": steps }).to_string();
+        self.send("POST", id, &body, deadline_ms)
     }
 
     pub fn cancel(&self, id: &str, deadline_ms: u32) -> Option<(u16, String)> {
-        self.send("DELETE", id, "", deadline_ms)
+        self.send("DELETE", id, "", deadline_ms.into())
     }
 }
