--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -155,7 +155,11 @@
         let text = self.settings(vm).to_string();
         std::fs::write(&settings, text).map_err(|error| error.to_string())?;
         let log = self.directory.join(format!("{name}.log"));
-        let log = std::fs::File::create(log).map_err(|error| error.to_string())?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
         let child = Command::new("target/release/filbertpitch")
             .args(["fleet", "--settings"])
