review: a machine that starts again does not know which jobs were cancelled

Tried: a job is cancelled at a machine that asks all others; one of them is killed and starts again, and gets the request of the job once more. Why: what a machine remembers of cancels is lost with its process, and peers that hear each other again share crashes only.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -36,6 +36,7 @@
         "cancelled-again" => cases::cancelled_again::run(&directory, &record_file),
         "late-heartbeat" => cases::late_heartbeat::run(&directory, &record_file),
         "endless-client" => cases::endless_client::run(&directory, &record_file),
+        "restarted-machine" => cases::restarted_machine::run(&directory, &record_file),
         "older-receiver" => cases::older_receiver::run(&directory, &record_file),
         _ => Err(format!("there is no case `{case}`")),
     };
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -199,6 +199,17 @@
             .ok_or_else(|| "the process does not run".to_owned())
     }
 
+    /// Kills a process that this case has started.
+    pub fn kill_vm(&mut self, vm: usize) {
+        let Vm { process, name, .. } = &mut self.vms[vm];
+        if let Some(mut child) = process.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+            self.record.add(&format!("{name}: process killed"));
+        }
+    }
+
     /// Waits until a process has ended by itself. Returns whether it has.
     pub fn wait_for_exit(&mut self, vm: usize, limit: Duration) -> bool {
         let until = Instant::now() + limit;
