--- a/review/standin-2/src/cases/late_heartbeat.rs
+++ b/review/standin-2/src/cases/late_heartbeat.rs
@@ -20,7 +20,7 @@
 const DRAINING_BEAT: u64 = 6;
 
 /// How long the executor goes on after it has said that it drains.
-const LEAVES_AFTER: Duration = Duration::from_secs(9);
+const LEAVES_AFTER: Duration = Duration::from_millis(3800);
 
 const DRAINED: &str = "worker-0";
 
@@ -75,9 +75,9 @@
     }
     system.start_vms()?;
     let job = Job {
-        tasks: 8,
+        tasks: 4,
         cpu: 27_000,
-        work_ms: 250,
+        work_ms: 1000,
         deadline_ms: 1500,
     };
     let mut acked_ms = None;
@@ -88,7 +88,7 @@
         let client = system.client(next as usize % zones.len());
         std::thread::spawn(move || client.submit(&id, job));
         next += 1;
-        std::thread::sleep(Duration::from_millis(400));
+        std::thread::sleep(Duration::from_millis(500));
     }
     let acked_ms = acked_ms.ok_or("the executor did not drain")?;
     std::thread::sleep(Duration::from_millis(1600));
@@ -103,6 +103,11 @@
             run.at_ms - acked_ms
         ));
         verdict = Verdict::Broken;
+        if let Some((_, how)) = run.end.filter(|(_, how)| *how != "done") {
+            system
+                .record
+                .add(&format!("  its run ended `{how}` when the executor left"));
+        }
     }
     system.record.add(&format!("verdict: {verdict:?}"));
     system.record.write(record_file);
