review: a cancelled job runs again when its request arrives again at another VM

Tried: a best-effort job is cancelled at the VM that coordinates it, and its request arrives once more, 4 s after the 2xx response, at another VM. Why: the VM that has the job answers the cancel without telling the others.

--- /dev/null
+++ b/review/standin-3/src/cases.rs
@@ -0,0 +1,138 @@
+//! The cases.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::record::Record;
+use crate::system::{Failure, Places, System, configuration, job, route};
+
+/// After the acknowledgement of a cancel, the time from which no task of the job may start.
+const CANCEL: Duration = Duration::from_millis(3000);
+
+const ZONES: [&str; 6] = [
+    "biratnagar",
+    "biratnagar",
+    "itahari",
+    "itahari",
+    "dharan",
+    "janakpur",
+];
+
+/// Plays a case. Returns whether the rule was broken.
+pub fn play(case: &str, places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    match case {
+        "cancel-at-coordinator" => cancel_at_coordinator(places, record, trouble),
+        "cancel-and-restart" => cancel_and_restart(places, record, trouble),
+        _ => Err(format!("no case is called {case}").into()),
+    }
+}
+
+fn one_service(places: Places, record: Record) -> Result<System, Failure> {
+    let executors = [
+        ("desk", "biratnagar", 3),
+        ("desk", "itahari", 3),
+        ("desk", "dharan", 3),
+        ("desk", "janakpur", 3),
+    ];
+    let first = configuration(7, &[route("confirm", "/lohu930/", "desk")], &["desk"]);
+    System::start(places, record, &ZONES, &executors, &first)
+}
+
+/// Whether a task of the job has started later than `CANCEL` after the cancel was acknowledged.
+fn starts_after_cancel(system: &System, id: &str, acked: Duration) -> bool {
+    let starts = system.starts_of(id);
+    let late = starts.iter().filter(|start| start.at > acked + CANCEL);
+    let late = late.collect::<Vec<_>>();
+    system.record.note(&format!(
+        "job {id}: {} starts, {} of them later than 3 s after the acknowledgement of its cancel at {:.3} s",
+        starts.len(),
+        late.len(),
+        acked.as_secs_f64()
+    ));
+    for start in &late {
+        let after = (start.at - acked).as_secs_f64();
+        system.record.note(&format!(
+            "broken: {} ({}) started {} {after:.3} s after the acknowledgement",
+            start.executor, start.service, start.task
+        ));
+    }
+    !late.is_empty()
+}
+
+/// A job is cancelled at the VM that has it; its request arrives at another VM again.
+fn cancel_at_coordinator(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let mut system = one_service(places, record)?;
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/lohu930/{id}");
+    let body = job(4, 1500);
+    let deadline = Duration::from_secs(10);
+    let first = system.begin_request(0, "POST", path.clone(), deadline, body.clone());
+    thread::sleep(Duration::from_millis(500));
+    if system.starts_of(id).is_empty() {
+        return Err("the job has not started".into());
+    }
+    let cancel = system.request(0, "DELETE", &path, Duration::from_secs(4), "");
+    let acked = system.record.now();
+    if !cancel.is_some_and(|(status, _)| status == 200 || status == 410) {
+        return Err("the cancel was not acknowledged".into());
+    }
+    let (_, answer) = first.join().map_err(|_| "the first request failed")?;
+    if !answer.is_some_and(|(status, _)| status == 200) {
+        return Err("the first request got no 200".into());
+    }
+    thread::sleep(Duration::from_secs(4));
+    if trouble {
+        system
+            .record
+            .note("the request arrives again, 4 s after its 2xx response, at another VM");
+        system.request(2, "POST", &path, deadline, &body);
+    }
+    thread::sleep(Duration::from_secs(4));
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    Ok(starts_after_cancel(&system, id, acked))
+}
+
+/// A job is cancelled, a VM is killed and starts again, and the request of the job arrives there again.
+fn cancel_and_restart(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let mut system = one_service(places, record)?;
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/lohu930/{id}");
+    let body = job(4, 1500);
+    let deadline = Duration::from_secs(10);
+    let first = system.begin_request(0, "POST", path.clone(), deadline, body.clone());
+    thread::sleep(Duration::from_millis(500));
+    if system.starts_of(id).is_empty() {
+        return Err("the job has not started".into());
+    }
+    // At a VM that asks all others, so that each of them has heard of the cancel.
+    let cancel = system.request(2, "DELETE", &path, Duration::from_secs(4), "");
+    let acked = system.record.now();
+    if !cancel.is_some_and(|(status, _)| status == 200 || status == 410) {
+        return Err("the cancel was not acknowledged".into());
+    }
+    let (_, answer) = first.join().map_err(|_| "the first request failed")?;
+    if !answer.is_some_and(|(status, _)| status == 200) {
+        return Err("the first request got no 200".into());
+    }
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        system.kill_vm(3)?;
+        thread::sleep(Duration::from_millis(300));
+        system.start_vm(3)?;
+        system.wait_until_ready(3, Duration::from_secs(5))?;
+    }
+    // The VM that was killed is in touch again 3 s after its start.
+    let due = acked + Duration::from_millis(6500);
+    thread::sleep(due.saturating_sub(system.record.now()));
+    system
+        .record
+        .note("the request arrives again, seconds after its 2xx response, at that VM");
+    system.request(3, "POST", &path, deadline, &body);
+    thread::sleep(Duration::from_secs(3));
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    Ok(starts_after_cancel(&system, id, acked))
+}
