review: a forwarded job is run by the service of an older configuration

Tried: a queue moves to another service while the store turns one VM away and another VM of its zone is slow and forwards jobs to it. Why: forwarding compares no versions of the configuration.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -1,5 +1,7 @@
 //! The cases.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
     match case {
         "cancel-at-coordinator" => cancel_at_coordinator(places, record, trouble),
         "cancel-and-restart" => cancel_and_restart(places, record, trouble),
+        "refused-configuration" => refused_configuration(places, record, trouble),
+        "outdated-receiver" => outdated_receiver(places, record, trouble),
         _ => Err(format!("no case is called {case}").into()),
     }
 }
@@ -136,3 +140,121 @@
     }
     Ok(starts_after_cancel(&system, id, acked))
 }
+
+/// A configuration adds a queue and drops another one, and allows many attempts to a third one.
+fn refused_configuration(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let executors = [("desk", "biratnagar", 2), ("desk", "itahari", 2)];
+    let mut changed = route("confirm", "/lohu930/", "desk");
+    let (dropped, added) = (
+        route("quote", "/pule252/", "desk"),
+        route("check", "/volo102/", "desk"),
+    );
+    let first = configuration(7, &[changed.clone(), dropped], &["desk"]);
+    let mut system = System::start(places, record, &ZONES, &executors, &first)?;
+    if trouble {
+        changed["maxAttempts"] = 300.into();
+    }
+    system.configure(&configuration(9, &[changed, added], &["desk"]));
+    // configApplyMs is 2,000.
+    thread::sleep(Duration::from_millis(4000));
+    let mut broken = false;
+    for vm in 0..ZONES.len() {
+        let (new, old) = (format!("{vm:016x}"), format!("{:016x}", 16 + vm));
+        let timeout = Duration::from_secs(3);
+        let path = format!("/volo102/{new}");
+        let answer = system.request(vm, "POST", &path, timeout, &job(1, 50));
+        if answer.is_some_and(|(status, _)| status == 404) {
+            broken = true;
+            system.record.note("broken: 404 though the route is there");
+        }
+        let path = format!("/pule252/{old}");
+        let answer = system.request(vm, "POST", &path, timeout, &job(1, 50));
+        if answer.is_some_and(|(status, _)| status == 200) && !system.starts_of(&old).is_empty() {
+            broken = true;
+            system.record.note("broken: run with a dropped route");
+        }
+    }
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    Ok(broken)
+}
+
+/// `rollbackSlackMs`, eight times that on a slowed machine.
+const ROLLBACK_SLACK: Duration = Duration::from_millis(8 * 250);
+
+/// A queue moves to another service while the store turns one VM away and another one of its zone is slow.
+fn outdated_receiver(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let mut executors = Vec::new();
+    for zone in ["biratnagar", "itahari", "dharan", "janakpur"] {
+        executors.extend([("desk", zone, 2), ("newdesk", zone, 2)]);
+    }
+    let services = ["desk", "newdesk"];
+    let first = configuration(7, &[route("confirm", "/lohu930/", "desk")], &services);
+    let mut system = System::start(places, record, &ZONES, &executors, &first)?;
+    let ended = Arc::new(AtomicBool::new(false));
+    let load = system.begin_load(0, 8, Duration::from_millis(200), &ended);
+    thread::sleep(Duration::from_millis(1000));
+    let (slow, away) = (Duration::from_millis(5500), Duration::from_millis(9000));
+    let began = system.record.now();
+    let slowdown = trouble.then(|| {
+        system
+            .record
+            .note("the store turns front-biratnagar-1 away for 9 s");
+        system.vms[1].turned_away.store(true, Ordering::SeqCst);
+        system
+            .record
+            .note("front-biratnagar-0 runs 5.5 times slower for 5.5 s");
+        system.slow_down(0, slow)
+    });
+    thread::sleep(Duration::from_millis(500));
+    system.configure(&configuration(
+        9,
+        &[route("confirm", "/lohu930/", "newdesk")],
+        &services,
+    ));
+    thread::sleep((began + away).saturating_sub(system.record.now()));
+    system.vms[1].turned_away.store(false, Ordering::SeqCst);
+    ended.store(true, Ordering::SeqCst);
+    let sent = load
+        .into_iter()
+        .flat_map(|thread| thread.join().unwrap_or_default());
+    let sent = sent.collect::<Vec<_>>();
+    if let Some(slowdown) = slowdown {
+        let _ = slowdown.join();
+    }
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    let starts = system.starts.lock().expect("the starts").clone();
+    let seen = starts
+        .iter()
+        .find(|start| start.service == "newdesk")
+        .map(|start| start.at);
+    let seen = seen.ok_or("no executor has seen the new version")?;
+    system.record.note(&format!(
+        "an executor sees the new version at {:.3} s",
+        seen.as_secs_f64()
+    ));
+    let mut broken = 0;
+    for start in starts.iter().filter(|start| start.service == "desk") {
+        let id = start.task.split('.').next().unwrap_or_default();
+        let request = sent.iter().find(|request| request.id == id);
+        let Some(request) = request.filter(|request| request.at > seen + ROLLBACK_SLACK) else {
+            continue;
+        };
+        broken += 1;
+        system.record.note(&format!(
+            "broken: {id}, sent to front-biratnagar-0 {:.3} s after an executor has seen the new version, is run \
+             by the old service: {} starts {}",
+            (request.at - seen).as_secs_f64(),
+            start.executor,
+            start.task
+        ));
+    }
+    system.record.note(&format!(
+        "{} requests, {broken} starts by the old service after the slack",
+        sent.len()
+    ));
+    Ok(broken > 0)
+}
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -1,7 +1,7 @@
 //! A small deployment: the store, executors, and the project's own program as separate processes.
 
 use std::fs::{self, File};
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -67,10 +67,10 @@
     starts: u32,
 }
 
-impl Vm {
-    pub fn process_id(&self) -> Option<u32> {
-        self.process.as_ref().map(Child::id)
-    }
+/// A job that a client has sent.
+pub struct Sent {
+    pub at: Duration,
+    pub id: String,
 }
 
 pub struct System {
@@ -300,6 +300,67 @@
         })
     }
 
+    /// Clients that each send a small job to a VM and, a while after its answer, the next one, until `ended` is
+    /// set. Returns when which job was sent.
+    pub fn begin_load(
+        &self,
+        vm: usize,
+        clients: u64,
+        pause: Duration,
+        ended: &Arc<AtomicBool>,
+    ) -> Vec<thread::JoinHandle<Vec<Sent>>> {
+        let client = |client: u64| {
+            let (record, name) = (Arc::clone(&self.record), self.vms[vm].name.clone());
+            let (address, ended) = (self.vms[vm].callers, Arc::clone(ended));
+            thread::spawn(move || {
+                let mut sent = Vec::new();
+                while !ended.load(Ordering::SeqCst) {
+                    let id = format!("{:016x}", client << 32 | sent.len() as u64);
+                    let at = record.now();
+                    let path = format!("/lohu930/{id}");
+                    let body = job(1, 50);
+                    send(
+                        &record,
+                        (&name, address),
+                        "POST",
+                        &path,
+                        Duration::from_millis(1500),
+                        &body,
+                    );
+                    sent.push(Sent { at, id });
+                    thread::sleep(pause);
+                }
+                sent
+            })
+        };
+        (1..=clients).map(client).collect()
+    }
+
+    /// Lets the process of a VM run for 10 ms of each 55 ms only, by signals.
+    pub fn slow_down(&self, vm: usize, duration: Duration) -> thread::JoinHandle<()> {
+        let process = self.vms[vm].process.as_ref().map(Child::id);
+        thread::spawn(move || {
+            let Some(process) = process else { return };
+            // The standard library sends no other signals than SIGKILL.
+            let shell = Command::new("sh").stdin(Stdio::piped()).spawn();
+            let Some((mut shell, mut input)) = shell.ok().and_then(|mut shell| {
+                let input = shell.stdin.take()?;
+                Some((shell, input))
+            }) else {
+                return;
+            };
+            let until = Instant::now() + duration;
+            while Instant::now() < until {
+                let _ = writeln!(input, "kill -STOP {process}");
+                thread::sleep(Duration::from_millis(45));
+                let _ = writeln!(input, "kill -CONT {process}");
+                thread::sleep(Duration::from_millis(10));
+            }
+            drop(input);
+            let _ = shell.wait();
+        })
+    }
+
     /// The starts so far of the tasks of a job.
     pub fn starts_of(&self, job: &str) -> Vec<Started> {
         let starts = self.starts.lock().expect("the starts");
