review: a job whose route was removed cannot be cancelled

Tried: the route of a running job is removed, and the client cancels the job. Why: the cancel looks up the route before it looks for the job.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -8,6 +8,12 @@
 use crate::record::Record;
 use crate::system::{Failure, Places, System, configuration, job, route};
 
+/// `ackTimeoutMs`: a cancel that has waited so long for its acknowledgement counts as acknowledged.
+const ACK_TIMEOUT: Duration = Duration::from_millis(4000);
+
+/// `stopTimeoutMs`
+const STOP_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// After the acknowledgement of a cancel, the time from which no task of the job may start.
 const CANCEL: Duration = Duration::from_millis(3000);
 
@@ -27,6 +33,7 @@
         "cancel-and-restart" => cancel_and_restart(places, record, trouble),
         "refused-configuration" => refused_configuration(places, record, trouble),
         "outdated-receiver" => outdated_receiver(places, record, trouble),
+        "cancel-on-dropped-route" => cancel_on_dropped_route(places, record, trouble),
         _ => Err(format!("no case is called {case}").into()),
     }
 }
@@ -258,3 +265,54 @@
     ));
     Ok(broken > 0)
 }
+
+/// A route is dropped while one of its jobs runs, and the client cancels the job.
+fn cancel_on_dropped_route(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let executors = [("desk", "biratnagar", 2), ("desk", "itahari", 2)];
+    let (kept, quote) = (
+        route("confirm", "/lohu930/", "desk"),
+        route("quote", "/pule252/", "desk"),
+    );
+    let first = configuration(7, &[kept.clone(), quote], &["desk"]);
+    let mut system = System::start(places, record, &ZONES, &executors, &first)?;
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/pule252/{id}");
+    let deadline = Duration::from_secs(20);
+    let sent = system.begin_request(0, "POST", path.clone(), deadline, job(2, 8100));
+    thread::sleep(Duration::from_millis(200));
+    if trouble {
+        system.configure(&configuration(9, &[kept], &["desk"]));
+    }
+    thread::sleep(Duration::from_millis(200));
+    if system.starts_of(id).is_empty() {
+        return Err("the job has not started".into());
+    }
+    let asked = system.record.now();
+    let acked = loop {
+        let answer = system.request(0, "DELETE", &path, Duration::from_secs(4), "");
+        let now = system.record.now();
+        if answer.is_some_and(|(status, _)| status == 410 || (200..300).contains(&status)) {
+            break now;
+        }
+        if now >= asked + ACK_TIMEOUT {
+            system
+                .record
+                .note("the cancel has waited 4 s for its acknowledgement");
+            break asked + ACK_TIMEOUT;
+        }
+        thread::sleep(Duration::from_millis(500));
+    };
+    let due = acked + CANCEL + STOP_TIMEOUT;
+    thread::sleep(due.saturating_sub(system.record.now()) + Duration::from_millis(150));
+    let running = system.running_of(id);
+    for task in &running {
+        system.record.note(&format!(
+            "broken: {task} runs on, 3.2 s after the time at which the cancel counts"
+        ));
+    }
+    let _ = sent.join();
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    Ok(!running.is_empty())
+}
--- a/review/standin-3/src/executor.rs
+++ b/review/standin-3/src/executor.rs
@@ -128,6 +128,14 @@
         })
     }
 
+    /// The tasks of a job that run here now.
+    pub fn running_of(&self, job: &str) -> Vec<String> {
+        let mut state = self.state.lock().expect("the state");
+        self.advance(&mut state);
+        let tasks = state.runs.keys().filter(|task| task.starts_with(job));
+        tasks.cloned().collect()
+    }
+
     fn end(&self, state: &mut State, task: &str, how: &'static str) {
         if let Some(run) = state.runs.remove(task) {
             state.last_end += 1;
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -361,6 +361,14 @@
         })
     }
 
+    /// The tasks of a job that run now.
+    pub fn running_of(&self, job: &str) -> Vec<String> {
+        let executors = self.executors.iter();
+        executors
+            .flat_map(|executor| executor.running_of(job))
+            .collect()
+    }
+
     /// The starts so far of the tasks of a job.
     pub fn starts_of(&self, job: &str) -> Vec<Started> {
         let starts = self.starts.lock().expect("the starts");
