review: priorities above 255 keep all VMs on the old configuration

Replaces the trial with 300 attempts: an operator who spaces the priorities of queues by 100 is more usual.

--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -148,20 +148,33 @@
     Ok(starts_after_cancel(&system, id, acked))
 }
 
-/// A configuration adds a queue and drops another one, and allows many attempts to a third one.
+/// A configuration adds a queue, drops another one, and spaces the priorities of the queues by 100.
 fn refused_configuration(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
     let executors = [("desk", "biratnagar", 2), ("desk", "itahari", 2)];
-    let mut changed = route("confirm", "/lohu930/", "desk");
-    let (dropped, added) = (
-        route("quote", "/pule252/", "desk"),
-        route("check", "/volo102/", "desk"),
-    );
-    let first = configuration(7, &[changed.clone(), dropped], &["desk"]);
-    let mut system = System::start(places, record, &ZONES, &executors, &first)?;
-    if trouble {
-        changed["maxAttempts"] = 300.into();
-    }
-    system.configure(&configuration(9, &[changed, added], &["desk"]));
+    let queue = |name, prefix, priority: u64| {
+        let mut queue = route(name, prefix, "desk");
+        queue["priority"] = priority.into();
+        queue
+    };
+    let first = [
+        queue("confirm", "/lohu930/", 0),
+        queue("quote", "/pule252/", 1),
+        queue("report", "/wuny96/", 2),
+    ];
+    let mut system = System::start(
+        places,
+        record,
+        &ZONES,
+        &executors,
+        &configuration(7, &first, &["desk"]),
+    )?;
+    let spacing = if trouble { 100 } else { 1 };
+    let second = [
+        queue("confirm", "/lohu930/", spacing),
+        queue("check", "/volo102/", 2 * spacing),
+        queue("report", "/wuny96/", 3 * spacing),
+    ];
+    system.configure(&configuration(9, &second, &["desk"]));
     // configApplyMs is 2,000.
     thread::sleep(Duration::from_millis(4000));
     let mut broken = false;
