review: a VM starts tasks on a draining executor after the store has come back

Tried: the store leaves the calls of the VM that publishes the list of executors unanswered for 7.5 s; half a second later an executor drains. Why: the time-out of that VM's reads of the list has grown to 6.4 s by then, and a call that was lost holds the list up for seconds after the outage.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -10,7 +10,7 @@
     exit 2
 fi
 scratch=$(mktemp -d) || exit 2
-TROUBLE="${TROUBLE:-1}" timeout -k 5 110 "$program" cancel-and-restart "$here/record.txt" "$scratch"
+TROUBLE="${TROUBLE:-1}" timeout -k 5 110 "$program" refused-configuration "$here/record.txt" "$scratch"
 code=$?
 rm -rf "$scratch"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
+use crate::store::{SERVED, UNANSWERED};
 use crate::system::{Failure, Places, System, configuration, job, route};
 
 /// `ackTimeoutMs`: a cancel that has waited so long for its acknowledgement counts as acknowledged.
@@ -14,7 +15,7 @@
 /// `stopTimeoutMs`
 const STOP_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// After the acknowledgement of a cancel, the time from which no task of the job may start.
+/// `cancel_ms`
 const CANCEL: Duration = Duration::from_millis(3000);
 
 const ZONES: [&str; 6] = [
@@ -29,125 +30,13 @@
 /// Plays a case. Returns whether the rule was broken.
 pub fn play(case: &str, places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
     match case {
-        "cancel-at-coordinator" => cancel_at_coordinator(places, record, trouble),
-        "cancel-and-restart" => cancel_and_restart(places, record, trouble),
         "refused-configuration" => refused_configuration(places, record, trouble),
-        "outdated-receiver" => outdated_receiver(places, record, trouble),
         "cancel-on-dropped-route" => cancel_on_dropped_route(places, record, trouble),
+        "drain-after-silence" => drain_after_silence(places, record, trouble),
         _ => Err(format!("no case is called {case}").into()),
     }
 }
 
-fn one_service(places: Places, record: Record) -> Result<System, Failure> {
-    let executors = [
-        ("desk", "biratnagar", 3),
-        ("desk", "itahari", 3),
-        ("desk", "dharan", 3),
-        ("desk", "janakpur", 3),
-    ];
-    let first = configuration(7, &[route("confirm", "/lohu930/", "desk")], &["desk"]);
-    System::start(places, record, &ZONES, &executors, &first)
-}
-
-/// Whether a task of the job has started later than `CANCEL` after the cancel was acknowledged.
-fn starts_after_cancel(system: &System, id: &str, acked: Duration) -> bool {
-    let starts = system.starts_of(id);
-    let late = starts.iter().filter(|start| start.at > acked + CANCEL);
-    let late = late.collect::<Vec<_>>();
-    system.record.note(&format!(
-        "job {id}: {} starts, {} of them later than 3 s after the acknowledgement of its cancel at {:.3} s",
-        starts.len(),
-        late.len(),
-        acked.as_secs_f64()
-    ));
-    for start in &late {
-        let after = (start.at - acked).as_secs_f64();
-        system.record.note(&format!(
-            "broken: {} ({}) started {} {after:.3} s after the acknowledgement",
-            start.executor, start.service, start.task
-        ));
-    }
-    !late.is_empty()
-}
-
-/// A job is cancelled at the VM that has it; its request arrives at another VM again.
-fn cancel_at_coordinator(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
-    let mut system = one_service(places, record)?;
-    let id = "5c0e7a21d94b36f8";
-    let path = format!("/lohu930/{id}");
-    let body = job(4, 1500);
-    let deadline = Duration::from_secs(10);
-    let first = system.begin_request(0, "POST", path.clone(), deadline, body.clone());
-    thread::sleep(Duration::from_millis(500));
-    if system.starts_of(id).is_empty() {
-        return Err("the job has not started".into());
-    }
-    let cancel = system.request(0, "DELETE", &path, Duration::from_secs(4), "");
-    let acked = system.record.now();
-    if !cancel.is_some_and(|(status, _)| status == 200 || status == 410) {
-        return Err("the cancel was not acknowledged".into());
-    }
-    let (_, answer) = first.join().map_err(|_| "the first request failed")?;
-    if !answer.is_some_and(|(status, _)| status == 200) {
-        return Err("the first request got no 200".into());
-    }
-    thread::sleep(Duration::from_secs(4));
-    if trouble {
-        system
-            .record
-            .note("the request arrives again, 4 s after its 2xx response, at another VM");
-        system.request(2, "POST", &path, deadline, &body);
-    }
-    thread::sleep(Duration::from_secs(4));
-    if !system.all_run() {
-        return Err("a VM has ended".into());
-    }
-    Ok(starts_after_cancel(&system, id, acked))
-}
-
-/// A job is cancelled, a VM is killed and starts again, and the request of the job arrives there again.
-fn cancel_and_restart(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
-    let mut system = one_service(places, record)?;
-    let id = "5c0e7a21d94b36f8";
-    let path = format!("/lohu930/{id}");
-    let body = job(4, 1500);
-    let deadline = Duration::from_secs(10);
-    let first = system.begin_request(0, "POST", path.clone(), deadline, body.clone());
-    thread::sleep(Duration::from_millis(500));
-    if system.starts_of(id).is_empty() {
-        return Err("the job has not started".into());
-    }
-    // At a VM that asks all others, so that each of them has heard of the cancel.
-    let cancel = system.request(2, "DELETE", &path, Duration::from_secs(4), "");
-    let acked = system.record.now();
-    if !cancel.is_some_and(|(status, _)| status == 200 || status == 410) {
-        return Err("the cancel was not acknowledged".into());
-    }
-    let (_, answer) = first.join().map_err(|_| "the first request failed")?;
-    if !answer.is_some_and(|(status, _)| status == 200) {
-        return Err("the first request got no 200".into());
-    }
-    thread::sleep(Duration::from_millis(500));
-    if trouble {
-        system.kill_vm(3)?;
-        thread::sleep(Duration::from_millis(300));
-        system.start_vm(3)?;
-        system.wait_until_ready(3, Duration::from_secs(5))?;
-    }
-    // The VM that was killed is in touch again 3 s after its start.
-    let due = acked + Duration::from_millis(6500);
-    thread::sleep(due.saturating_sub(system.record.now()));
-    system
-        .record
-        .note("the request arrives again, seconds after its 2xx response, at that VM");
-    system.request(3, "POST", &path, deadline, &body);
-    thread::sleep(Duration::from_secs(3));
-    if !system.all_run() {
-        return Err("a VM has ended".into());
-    }
-    Ok(starts_after_cancel(&system, id, acked))
-}
-
 /// A configuration adds a queue, drops another one, and spaces the priorities of the queues by 100.
 fn refused_configuration(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
     let executors = [("desk", "biratnagar", 2), ("desk", "itahari", 2)];
@@ -200,85 +89,6 @@
     Ok(broken)
 }
 
-/// `rollbackSlackMs`, eight times that on a slowed machine.
-const ROLLBACK_SLACK: Duration = Duration::from_millis(8 * 250);
-
-/// A queue moves to another service while the store turns one VM away and another one of its zone is slow.
-fn outdated_receiver(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
-    let mut executors = Vec::new();
-    for zone in ["biratnagar", "itahari", "dharan", "janakpur"] {
-        executors.extend([("desk", zone, 2), ("newdesk", zone, 2)]);
-    }
-    let services = ["desk", "newdesk"];
-    let first = configuration(7, &[route("confirm", "/lohu930/", "desk")], &services);
-    let mut system = System::start(places, record, &ZONES, &executors, &first)?;
-    let ended = Arc::new(AtomicBool::new(false));
-    let load = system.begin_load(0, 8, Duration::from_millis(200), &ended);
-    thread::sleep(Duration::from_millis(1000));
-    let (slow, away) = (Duration::from_millis(5500), Duration::from_millis(9000));
-    let began = system.record.now();
-    let slowdown = trouble.then(|| {
-        system
-            .record
-            .note("the store turns front-biratnagar-1 away for 9 s");
-        system.vms[1].turned_away.store(true, Ordering::SeqCst);
-        system
-            .record
-            .note("front-biratnagar-0 runs 5.5 times slower for 5.5 s");
-        system.slow_down(0, slow)
-    });
-    thread::sleep(Duration::from_millis(500));
-    system.configure(&configuration(
-        9,
-        &[route("confirm", "/lohu930/", "newdesk")],
-        &services,
-    ));
-    thread::sleep((began + away).saturating_sub(system.record.now()));
-    system.vms[1].turned_away.store(false, Ordering::SeqCst);
-    ended.store(true, Ordering::SeqCst);
-    let sent = load
-        .into_iter()
-        .flat_map(|thread| thread.join().unwrap_or_default());
-    let sent = sent.collect::<Vec<_>>();
-    if let Some(slowdown) = slowdown {
-        let _ = slowdown.join();
-    }
-    if !system.all_run() {
-        return Err("a VM has ended".into());
-    }
-    let starts = system.starts.lock().expect("the starts").clone();
-    let seen = starts
-        .iter()
-        .find(|start| start.service == "newdesk")
-        .map(|start| start.at);
-    let seen = seen.ok_or("no executor has seen the new version")?;
-    system.record.note(&format!(
-        "an executor sees the new version at {:.3} s",
-        seen.as_secs_f64()
-    ));
-    let mut broken = 0;
-    for start in starts.iter().filter(|start| start.service == "desk") {
-        let id = start.task.split('.').next().unwrap_or_default();
-        let request = sent.iter().find(|request| request.id == id);
-        let Some(request) = request.filter(|request| request.at > seen + ROLLBACK_SLACK) else {
-            continue;
-        };
-        broken += 1;
-        system.record.note(&format!(
-            "broken: {id}, sent to front-biratnagar-0 {:.3} s after an executor has seen the new version, is run \
-             by the old service: {} starts {}",
-            (request.at - seen).as_secs_f64(),
-            start.executor,
-            start.task
-        ));
-    }
-    system.record.note(&format!(
-        "{} requests, {broken} starts by the old service after the slack",
-        sent.len()
-    ));
-    Ok(broken > 0)
-}
-
 /// A route is dropped while one of its jobs runs, and the client cancels the job.
 fn cancel_on_dropped_route(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
     let executors = [("desk", "biratnagar", 2), ("desk", "itahari", 2)];
@@ -329,3 +139,95 @@
     }
     Ok(!running.is_empty())
 }
+
+/// `drainMs`
+const DRAIN: Duration = Duration::from_millis(2000);
+
+/// `contactMs`
+const CONTACT: Duration = Duration::from_millis(3000);
+
+/// The store leaves the calls of the VM that publishes the list unanswered for a while. When it serves all again, an
+/// executor drains.
+fn drain_after_silence(places: Places, record: Record, trouble: bool) -> Result<bool, Failure> {
+    let zones = ["biratnagar", "itahari", "dharan", "janakpur"];
+    let executors = zones.map(|zone| ("desk", zone, 4));
+    let first = configuration(7, &[route("confirm", "/lohu930/", "desk")], &["desk"]);
+    let mut system = System::start(places, record, &zones, &executors, &first)?;
+    let writer = system
+        .store
+        .last_conditional_writer()
+        .ok_or("nobody has written under a condition")?;
+    let vm = system
+        .vms
+        .iter()
+        .position(|vm| vm.name == writer)
+        .ok_or("no such VM")?;
+    system.record.note(&format!(
+        "{writer} has last written to the store under a condition"
+    ));
+    let ended = Arc::new(AtomicBool::new(false));
+    let load = system.begin_load(vm, 10, Duration::from_millis(30), &wide_job(), &ended);
+    thread::sleep(Duration::from_millis(1000));
+    let began = system.record.now();
+    let silence = Duration::from_millis(7500);
+    if trouble {
+        system.record.note(&format!(
+            "the store leaves the calls of {writer} unanswered for 7.5 s"
+        ));
+        system.vms[vm].access.store(UNANSWERED, Ordering::SeqCst);
+    }
+    thread::sleep((began + silence).saturating_sub(system.record.now()));
+    system.vms[vm].access.store(SERVED, Ordering::SeqCst);
+    system.record.note("the store serves all");
+    thread::sleep(Duration::from_millis(500));
+    let of_zone = format!("i-desk-{}-", zones[vm]);
+    let mut of_zone = system
+        .executors
+        .iter()
+        .filter(|executor| executor.id().starts_with(&of_zone));
+    let executor = Arc::clone(of_zone.next().ok_or("no executor")?);
+    let drained = system.record.now();
+    executor.drain(&system.store);
+    // It serves on for `drainMs` and two seconds.
+    thread::sleep(Duration::from_millis(4000));
+    executor.leave(&system.store);
+    let left = system.record.now();
+    thread::sleep(Duration::from_millis(500));
+    ended.store(true, Ordering::SeqCst);
+    for thread in load {
+        let _ = thread.join();
+    }
+    if !system.all_run() {
+        return Err("a VM has ended".into());
+    }
+    let from = (drained + DRAIN).max(began + silence + CONTACT);
+    let starts = system.starts.lock().expect("the starts").clone();
+    let before = starts
+        .iter()
+        .filter(|start| start.executor == executor.id() && start.at < drained);
+    system.record.note(&format!(
+        "{} starts on {} before",
+        before.count(),
+        executor.id()
+    ));
+    let late = starts
+        .iter()
+        .filter(|start| start.executor == executor.id() && start.at > from && start.at < left);
+    let late = late.collect::<Vec<_>>();
+    for start in &late {
+        system.record.note(&format!(
+            "broken: {} started {} {:.3} s after the store had accepted that it drains, {:.3} s after the store served all",
+            start.executor,
+            start.task,
+            (start.at - drained).as_secs_f64(),
+            (start.at - began - silence).as_secs_f64()
+        ));
+    }
+    Ok(!late.is_empty())
+}
+
+/// A job of two tasks that each take almost half of an executor.
+fn wide_job() -> String {
+    let step = serde_json::json!({ "count": 2, "cpu": 27_000, "memMb": 64, "estimateMs": 170 });
+    serde_json::json!({ "spec": "work 170", "steps": [step], "bestEffort": true }).to_string()
+}
--- a/review/standin-3/src/executor.rs
+++ b/review/standin-3/src/executor.rs
@@ -22,6 +22,8 @@
 }
 
 struct State {
+    draining: bool,
+    left: bool,
     token: u64,
     lease_end_ms: u64,
     runs: BTreeMap<String, Run>,
@@ -37,7 +39,6 @@
 pub struct Started {
     pub at: Duration,
     pub executor: String,
-    pub service: String,
     pub task: String,
 }
 
@@ -78,6 +79,8 @@
             started_at: Instant::now(),
             born: born as u64,
             state: Mutex::new(State {
+                draining: false,
+                left: false,
                 token: 0,
                 lease_end_ms: 0,
                 runs: BTreeMap::new(),
@@ -91,7 +94,7 @@
             starts: Arc::clone(starts),
         });
         let server = Arc::clone(&executor);
-        serve(listener, move |request| Some(server.respond(&request)));
+        serve(listener, move |request| server.answer(&request));
         let ticker = Arc::clone(&executor);
         thread::spawn(move || {
             loop {
@@ -113,6 +116,47 @@
         executor
     }
 
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    fn has_left(&self) -> bool {
+        self.state.lock().expect("the state").left
+    }
+
+    fn write_entry(&self, store: &Store) {
+        let entry = self.entry().to_string();
+        store.put("keyed.servers", &self.id, entry.as_bytes());
+    }
+
+    /// Reports that the executor drains. It serves on until [`Self::leave`].
+    pub fn drain(&self, store: &Store) {
+        self.state.lock().expect("the state").draining = true;
+        self.write_entry(store);
+        self.record
+            .note(&format!("the store accepts that {} is draining", self.id));
+    }
+
+    /// Ends everything that runs, and serves no longer.
+    pub fn leave(&self, store: &Store) {
+        let mut state = self.state.lock().expect("the state");
+        self.advance(&mut state);
+        state.left = true;
+        for task in state.runs.keys() {
+            self.record
+                .note(&format!("{} leaves; {task} is lost with it", self.id));
+        }
+        state.runs.clear();
+        drop(state);
+        store.put("keyed.servers", &self.id, b"");
+        self.record.note(&format!("{} has left", self.id));
+    }
+
+    fn answer(&self, request: &Request) -> Option<Response> {
+        let response = self.respond(request);
+        (!self.has_left()).then_some(response)
+    }
+
     fn clock_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
@@ -122,7 +166,7 @@
         state.sequence += 1;
         json!({
             "service": self.service, "address": self.address.to_string(), "zone": self.zone,
-            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+            "version": "v1", "slots": 8, "state": if state.draining { "draining" } else { "ready" }, "coldRemainingMs": 0,
             "capacity": { "cpu": self.cores * 1000, "memMb": 131_072, "gpu": 0 },
             "labels": ["a", "r1-1"], "clockMs": self.clock_ms(), "seq": state.sequence, "born": self.born,
         })
@@ -236,7 +280,6 @@
         self.starts.lock().expect("the starts").push(Started {
             at: self.record.now(),
             executor: self.id.clone(),
-            service: self.service.clone(),
             task: task.to_owned(),
         });
         Some(self.accept())
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -3,14 +3,19 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 
 use crate::http::{Request, Response, serve};
 
+/// How the store treats a machine: it serves it, or never answers its calls.
+pub const SERVED: u8 = 0;
+pub const UNANSWERED: u8 = 1;
+
 /// The most records in a page of the newest ones.
 const PAGE_RECORDS: usize = 500;
 
@@ -18,6 +23,7 @@
 pub struct Store {
     topics: Mutex<BTreeMap<String, Vec<Vec<u8>>>>,
     changed: Condvar,
+    last_conditional: Mutex<Option<String>>,
 }
 
 fn keyed_record(key: &str, value: &[u8]) -> Vec<u8> {
@@ -43,25 +49,41 @@
         self.changed.notify_all();
     }
 
-    /// Serves one machine until the program ends. While the returned flag is set, the machine is turned
-    /// away with 503.
-    pub fn serve_machine(self: &Arc<Self>, listener: TcpListener) -> Arc<AtomicBool> {
-        let turned_away = Arc::new(AtomicBool::new(false));
-        let (store, flag) = (Arc::clone(self), Arc::clone(&turned_away));
+    /// Serves one machine until the program ends. The returned value says how the machine is turned away.
+    pub fn serve_machine(self: &Arc<Self>, name: &str, listener: TcpListener) -> Arc<AtomicU8> {
+        let access = Arc::new(AtomicU8::new(SERVED));
+        let (store, turned, name) = (Arc::clone(self), Arc::clone(&access), name.to_owned());
         serve(listener, move |request| {
-            if flag.load(Ordering::SeqCst) {
-                return Some(Response::empty(503));
+            let response = match turned.load(Ordering::SeqCst) {
+                SERVED => Some(store.respond(&request, &turned)),
+                _ => None,
+            };
+            let silent = || turned.load(Ordering::SeqCst) == UNANSWERED;
+            let Some(response) = response.filter(|_| !silent()) else {
+                // A connection on which a response is lost returns nothing further.
+                loop {
+                    thread::park();
+                }
+            };
+            let conditional = request.parameter("at").is_some() && response.status == 200;
+            if conditional {
+                *store.last_conditional.lock().expect("the name") = Some(name.clone());
             }
-            Some(store.respond(&request, &flag))
+            Some(response)
         });
-        turned_away
+        access
+    }
+
+    /// The machine that last wrote under a condition.
+    pub fn last_conditional_writer(&self) -> Option<String> {
+        self.last_conditional.lock().expect("the name").clone()
     }
 
-    fn respond(&self, request: &Request, turned_away: &AtomicBool) -> Response {
+    fn respond(&self, request: &Request, access: &AtomicU8) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/v1/log-append") => self.append(request),
             ("GET", "/v1/log-newest") => self.newest(request),
-            ("GET", "/v1/log-read") => self.read(request, turned_away),
+            ("GET", "/v1/log-read") => self.read(request, access),
             _ => Response::empty(404),
         }
     }
@@ -125,7 +147,7 @@
         )
     }
 
-    fn read(&self, request: &Request, turned_away: &AtomicBool) -> Response {
+    fn read(&self, request: &Request, access: &AtomicU8) -> Response {
         let topic = request.parameter("topic").unwrap_or_default();
         let number = |name| {
             request
@@ -140,9 +162,9 @@
         loop {
             let records = topics.get(&topic).map_or(&[][..], |records| &records[..]);
             let now = Instant::now();
-            let refused = turned_away.load(Ordering::SeqCst);
-            if records.len() > from || now >= until || refused {
-                if refused {
+            let turned_away = access.load(Ordering::SeqCst) != SERVED;
+            if records.len() > from || now >= until || turned_away {
+                if turned_away {
                     return Response::empty(503);
                 }
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
--- a/review/standin-3/src/system.rs
+++ b/review/standin-3/src/system.rs
@@ -1,11 +1,11 @@
 //! A small deployment: the store, executors, and the project's own program as separate processes.
 
 use std::fs::{self, File};
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -62,24 +62,18 @@
     ready: SocketAddr,
     settings: PathBuf,
     process: Option<Child>,
-    /// While set, the store turns this VM away.
-    pub turned_away: Arc<AtomicBool>,
+    /// How the store treats this VM.
+    pub access: Arc<AtomicU8>,
     starts: u32,
 }
 
-/// A job that a client has sent.
-pub struct Sent {
-    pub at: Duration,
-    pub id: String,
-}
-
 pub struct System {
     places: Places,
     pub record: Arc<Record>,
     pub store: Arc<Store>,
     pub starts: Arc<Mutex<Vec<Started>>>,
     pub vms: Vec<Vm>,
-    executors: Vec<Arc<Executor>>,
+    pub executors: Vec<Arc<Executor>>,
 }
 
 impl Drop for System {
@@ -144,8 +138,8 @@
         for (index, zone) in zones.iter().enumerate() {
             let listener = free_listener()?;
             let store = listener.local_addr()?;
-            let turned_away = system.store.serve_machine(listener);
             let name = format!("front-{zone}-{index}");
+            let access = system.store.serve_machine(&name, listener);
             let (callers, ready, metrics) = (free_address()?, free_address()?, free_address()?);
             let quoted = |value: &dyn std::fmt::Display| json!(value.to_string()).to_string();
             let fields = Fields(vec![
@@ -172,7 +166,7 @@
                 ready,
                 settings,
                 process: None,
-                turned_away,
+                access,
                 starts: 0,
             });
         }
@@ -231,17 +225,6 @@
         Ok(())
     }
 
-    /// Kills the process of a VM with SIGKILL.
-    pub fn kill_vm(&mut self, vm: usize) -> Result<(), Failure> {
-        let vm = &mut self.vms[vm];
-        if let Some(mut process) = vm.process.take() {
-            process.kill()?;
-            process.wait()?;
-        }
-        self.record.note(&format!("{} is killed", vm.name));
-        Ok(())
-    }
-
     pub fn wait_until_ready(&self, vm: usize, limit: Duration) -> Result<(), Failure> {
         let until = Instant::now() + limit;
         let vm = &self.vms[vm];
@@ -301,66 +284,40 @@
     }
 
     /// Clients that each send a small job to a VM and, a while after its answer, the next one, until `ended` is
-    /// set. Returns when which job was sent.
+    /// set.
     pub fn begin_load(
         &self,
         vm: usize,
         clients: u64,
         pause: Duration,
+        job: &str,
         ended: &Arc<AtomicBool>,
-    ) -> Vec<thread::JoinHandle<Vec<Sent>>> {
+    ) -> Vec<thread::JoinHandle<()>> {
         let client = |client: u64| {
             let (record, name) = (Arc::clone(&self.record), self.vms[vm].name.clone());
             let (address, ended) = (self.vms[vm].callers, Arc::clone(ended));
+            let job = job.to_owned();
             thread::spawn(move || {
-                let mut sent = Vec::new();
+                let mut sent = 0_u64;
                 while !ended.load(Ordering::SeqCst) {
-                    let id = format!("{:016x}", client << 32 | sent.len() as u64);
-                    let at = record.now();
+                    let id = format!("{:016x}", client << 32 | sent);
                     let path = format!("/lohu930/{id}");
-                    let body = job(1, 50);
                     send(
                         &record,
                         (&name, address),
                         "POST",
                         &path,
                         Duration::from_millis(1500),
-                        &body,
+                        &job,
                     );
-                    sent.push(Sent { at, id });
+                    sent += 1;
                     thread::sleep(pause);
                 }
-                sent
             })
         };
         (1..=clients).map(client).collect()
     }
 
-    /// Lets the process of a VM run for 10 ms of each 55 ms only, by signals.
-    pub fn slow_down(&self, vm: usize, duration: Duration) -> thread::JoinHandle<()> {
-        let process = self.vms[vm].process.as_ref().map(Child::id);
-        thread::spawn(move || {
-            let Some(process) = process else { return };
-            // The standard library sends no other signals than SIGKILL.
-            let shell = Command::new("sh").stdin(Stdio::piped()).spawn();
-            let Some((mut shell, mut input)) = shell.ok().and_then(|mut shell| {
-                let input = shell.stdin.take()?;
-                Some((shell, input))
-            }) else {
-                return;
-            };
-            let until = Instant::now() + duration;
-            while Instant::now() < until {
-                let _ = writeln!(input, "kill -STOP {process}");
-                thread::sleep(Duration::from_millis(45));
-                let _ = writeln!(input, "kill -CONT {process}");
-                thread::sleep(Duration::from_millis(10));
-            }
-            drop(input);
-            let _ = shell.wait();
-        })
-    }
-
     /// The tasks of a job that run now.
     pub fn running_of(&self, job: &str) -> Vec<String> {
         let executors = self.executors.iter();
