store reads: probe a silent store instead of waiting for a lost response

Cause: a read of the changes of the list was limited by a time-out that grows with each failure, 0.8 to 6.4 s, for the sake of a busy store. An attempt sent just before the end of an outage, whose response is lost, was awaited for up to 6.4 s more while the store answered everything else. The end of the feed and the pages of the whole list had the same fault.

Change: StallWatch. A read whose response may be large is not given up while no byte of it arrives; small reads on a new connection show whether the store answers. One that is answered before a byte of the read has arrived shows that the response is lost, and the read is repeated at once. The grown time-out holds only while bytes arrive. Failed probes are logged and counted as failed reads.

--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -3,6 +3,7 @@
 //! Each follower reads the newest state once and then the changes. When changes were removed before
 //! they were read, or the store was away, it reads the newest state again.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use filbertpitch_fleet::listing::{
     FeedGap, LeftOut, ListEntry, ListFollower, claim_record, is_claim,
 };
+use filbertpitch_fleet::stall_watch::{StallWatch, WatchSettings, WatchStep};
 use filbertpitch_fleet::store_reads::{
     FeedProgress, ListCall, ListOutcome, ListReads, PageReader, PlannedCall, ReadSchedule,
     RecordPage, WholeRead,
@@ -26,6 +28,8 @@
     FeedRecord, ListRecord, PeerObservation, PeerRecord, TargetChange, ZoneRead,
 };
 use filbertpitch_types::prelude::*;
+use filbertpitch_wire::client::ReceivedBytes;
+use futures_util::future::{Either, select};
 use slog::b;
 
 use super::node::FleetNode;
@@ -63,6 +67,9 @@
 /// The memory of a record that is kept of a page, beside its key and its value: the decoded form of both.
 const RECORD_BYTES: usize = 512;
 
+/// The most that a read takes whose response is not known to be lost.
+const MAX_READ_TIME: Duration = Duration::from_secs(60);
+
 /// What a follower keeps: the topic, and whether the store answers.
 struct TopicState {
     topic: &'static str,
@@ -410,38 +417,99 @@
                 monoio::time::sleep(planned.delay).await;
             }
             let started_at = self.driver().now().time;
-            let outcome = match self.perform_list_call(&planned, &mut position).await {
-                Ok(outcome) => {
-                    state.note(&self, None);
-                    outcome
+            let outcome = match planned.quiet_limit {
+                Some(quiet_limit) => {
+                    let settings = WatchSettings {
+                        timeout: planned.timeout,
+                        quiet_limit,
+                    };
+                    self.watch_list_call(&planned, settings, &mut position, &mut state)
+                        .await
                 }
-                Err(error) => {
-                    state.note(&self, Some(&error));
-                    ListOutcome::Failed
+                None => {
+                    let options = ReadOptions {
+                        timeout: planned.timeout,
+                        ..ReadOptions::default()
+                    };
+                    self.perform_list_call(&planned, &mut position, &options)
+                        .await
                 }
             };
+            state.note(&self, outcome.as_ref().err());
+            let outcome = match outcome {
+                Ok(outcome) => outcome,
+                Err(StoreError::Stalled) => ListOutcome::Stalled,
+                Err(_) => ListOutcome::Failed,
+            };
             self.report_left_out(&mut position);
             let response_time = self.driver().now().time.since(started_at);
             reads.record_outcome(outcome, response_time, rand::random());
         }
     }
 
+    /// Performs a call whose response may be large. While no byte of it arrives, probes show whether the store
+    /// answers.
+    async fn watch_list_call(
+        &self,
+        planned: &PlannedCall,
+        settings: WatchSettings,
+        position: &mut ListPosition,
+        state: &mut TopicState,
+    ) -> Result<ListOutcome, StoreError> {
+        let now = || self.driver().now().time;
+        let received = ReceivedBytes::default();
+        let options = ReadOptions {
+            timeout: MAX_READ_TIME,
+            received: Some(received.clone()),
+            ..ReadOptions::default()
+        };
+        let known_through = position.list.through();
+        let mut watch = StallWatch::new(now(), settings);
+        let mut call = pin!(self.perform_list_call(planned, position, &options));
+        loop {
+            match watch.next_step(now(), received.get()) {
+                WatchStep::Wait(time) => {
+                    let wait = pin!(monoio::time::sleep(time));
+                    if let Either::Left((outcome, _)) = select(call.as_mut(), wait).await {
+                        return outcome;
+                    }
+                }
+                WatchStep::Probe(timeout) => {
+                    let probe = pin!(self.store().probe(TARGET_TOPIC, known_through, timeout));
+                    let answer = match select(call.as_mut(), probe).await {
+                        Either::Left((outcome, _)) => return outcome,
+                        Either::Right((answer, _)) => answer,
+                    };
+                    if let Err(error) = &answer {
+                        state.note(self, Some(error));
+                    }
+                    let (answered, count) = (answer.is_ok(), received.get());
+                    if watch.record_probe(now(), answered, count, rand::random()) {
+                        return Err(StoreError::Stalled);
+                    }
+                }
+                WatchStep::GiveUp => return Err(StoreError::TooSlow),
+            }
+        }
+    }
+
+    /// Performs a call; `options` are those of its reads.
     async fn perform_list_call(
         &self,
         planned: &PlannedCall,
         position: &mut ListPosition,
+        options: &ReadOptions,
     ) -> Result<ListOutcome, StoreError> {
-        let timeout = planned.timeout;
         match planned.call {
             // The feed is looked up first, so that it does not end after the list that is read.
             ListCall::FindFeed => {
-                position.feed = self.find_feed_end(timeout).await?;
+                position.feed = self.find_feed_end(options).await?;
                 position.pages = PageReader::default();
                 Ok(ListOutcome::FeedFound)
             }
             ListCall::ReadPage => {
                 let after = position.pages.after();
-                let page = self.store().newest_page(TARGET_TOPIC, after, timeout);
+                let page = self.store().newest_page_with(TARGET_TOPIC, after, options);
                 let page = page.await;
                 let (list, unusable) = (&position.list, &mut position.unusable);
                 let read = |record: &KeyedRecord| {
@@ -462,8 +530,7 @@
             ListCall::ReadFeed(wait) => {
                 let options = ReadOptions {
                     wait,
-                    timeout,
-                    ..ReadOptions::default()
+                    ..options.clone()
                 };
                 self.read_feed(position, &options).await
             }
@@ -471,11 +538,10 @@
                 let missing = until.map_or(u64::MAX, |until| position.list.missing_bytes(until));
                 let bytes = missing.min(u64::from(planned.max_bytes));
                 let options = ReadOptions {
-                    timeout,
                     max_kib: u32::try_from(bytes.div_ceil(1 << 10))
                         .unwrap_or(u32::MAX)
                         .max(1),
-                    ..ReadOptions::default()
+                    ..options.clone()
                 };
                 let outcome = self.read_list(position, &options).await?;
                 if let ListOutcome::ChangesRead {
@@ -548,8 +614,8 @@
         self.driver().feed(FleetEvent::TargetsListed);
     }
 
-    async fn find_feed_end(&self, timeout: Duration) -> Result<LogOffset, StoreError> {
-        let page = self.store().newest_page(FEED_TOPIC, None, timeout);
+    async fn find_feed_end(&self, options: &ReadOptions) -> Result<LogOffset, StoreError> {
+        let page = self.store().newest_page_with(FEED_TOPIC, None, options);
         match page.await {
             Ok(page) => Ok(page.end),
             // Only the end counts.
@@ -568,7 +634,7 @@
         let (records, end) = match read.await? {
             ReadResult::Records { records, next, .. } => (records, next),
             ReadResult::Expired => {
-                position.feed = self.find_feed_end(options.timeout).await?;
+                position.feed = self.find_feed_end(options).await?;
                 return Ok(ListOutcome::FeedExpired);
             }
         };
@@ -627,8 +693,8 @@
         if let Err(StoreError::NoProgress(_)) = read {
             // The next record may be longer than the limit.
             let options = ReadOptions {
-                timeout: options.timeout,
-                ..ReadOptions::default()
+                max_kib: ReadOptions::default().max_kib,
+                ..options.clone()
             };
             read = self.store().read_with(TARGET_TOPIC, from, &options).await;
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod response_timeout;
 pub mod run_time_model;
 pub mod shedding;
+pub mod stall_watch;
 pub mod store_reads;
 pub mod target_clock;
 pub mod zone_probe;
--- a/crates/fleet/src/store_reads.rs
+++ b/crates/fleet/src/store_reads.rs
@@ -38,6 +38,13 @@
 /// progress whatever share of the bandwidth it gets.
 const MIN_READ_BYTES: u32 = 64 << 10;
 
+/// The time without a byte of a large response after which the store is asked whether it answers at all. It
+/// doubles with each lost response, in case the store prepares the response for longer.
+const QUIET_LIMIT: Duration = Duration::from_millis(800);
+
+/// The upper bound of that time.
+const MAX_QUIET_LIMIT: Duration = Duration::from_millis(6400);
+
 /// Failed claims in a row after which a VM reads the list for itself. One failure may be a lost
 /// response; without a claim nobody publishes.
 const CLAIM_FAILURES: u32 = 2;
@@ -296,6 +303,8 @@
 pub enum ListOutcome {
     /// The call got no usable response.
     Failed,
+    /// The response was lost while the store answered a later call.
+    Stalled,
     /// The end of the feed is known.
     FeedFound,
     /// A page was read; whether it was the last one.
@@ -330,8 +339,10 @@
     pub call: ListCall,
     /// The delay before the call.
     pub delay: Duration,
-    /// The time-out of the call.
+    /// The time-out of the call. With a `quiet_limit`, it holds only while bytes of the response arrive.
     pub timeout: Duration,
+    /// For a call whose response may be large: the time without a byte after which a probe is sent.
+    pub quiet_limit: Option<Duration>,
     /// The largest response to a read of the list that is likely to arrive in that time.
     pub max_bytes: u32,
 }
@@ -345,6 +356,8 @@
     /// The latest read of the list has not reached its end.
     more_changes: bool,
     claim_failures: u32,
+    /// Responses in a row that were lost while the store answered later calls.
+    stalls: u32,
     /// Reads of changes that are left of those after a whole read that ended without all pages.
     renewal_reads: u32,
     whole: ReadSchedule,
@@ -360,6 +373,7 @@
             publishing: false,
             more_changes: false,
             claim_failures: 0,
+            stalls: 0,
             renewal_reads: 0,
             whole: ReadSchedule::new(ReadSettings::whole()),
             changes: ReadSchedule::new(ReadSettings::changes()),
@@ -388,10 +402,15 @@
             ListCall::ReadChanges(_) => &self.changes,
             _ => &self.small,
         };
+        let is_large = matches!(
+            self.call,
+            ListCall::FindFeed | ListCall::ReadPage | ListCall::ReadChanges(_)
+        );
         PlannedCall {
             call: self.call,
             delay: self.delay,
             timeout: schedule.timeout(),
+            quiet_limit: is_large.then(|| doubled(QUIET_LIMIT, self.stalls).min(MAX_QUIET_LIMIT)),
             max_bytes: (MAX_READ_BYTES >> schedule.failures().min(u32::BITS - 1))
                 .max(MIN_READ_BYTES),
         }
@@ -402,8 +421,14 @@
     pub fn record_outcome(&mut self, outcome: ListOutcome, response_time: Duration, random: f64) {
         self.delay = Duration::ZERO;
         let usual_wait = FEED_WAIT + FEED_SPREAD.mul_f64(random);
+        self.stalls = match outcome {
+            ListOutcome::Stalled => self.stalls.saturating_add(1),
+            ListOutcome::Failed => self.stalls,
+            _ => 0,
+        };
         self.call = match outcome {
             ListOutcome::Failed => self.record_failure(random),
+            ListOutcome::Stalled => self.call,
             ListOutcome::FeedFound => ListCall::ReadPage,
             ListOutcome::PageRead(last) => {
                 let delay = self.whole.record_response(response_time, random);
--- a/crates/fleet/tests/store_reads.rs
+++ b/crates/fleet/tests/store_reads.rs
@@ -4,6 +4,7 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
+use filbertpitch_fleet::stall_watch::{StallWatch, WatchSettings, WatchStep};
 use filbertpitch_fleet::store_reads::{
     FEED_SPREAD, FEED_WAIT, FeedProgress, LISTING_INTERVAL, ListCall, ListOutcome, ListReads,
     PageReader, PlannedCall, ReadSchedule, ReadSettings, RecordPage, WholeRead,
@@ -40,6 +41,8 @@
 const MAX_READ_BYTES: u32 = 1 << 20;
 const CONFIGURATION_BYTES: u64 = 20_000;
 const FEED_RECORD_BYTES: u64 = 300;
+/// The limit of a probe and the framing.
+const PROBE_BYTES: u64 = 1200;
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 const CONFIGURATION_INTERVAL: Micros = 5 * SECOND;
 /// How long a store that shares fairly needs to notice that a connection is closed.
@@ -66,6 +69,30 @@
     StorePause,
     /// The VM that publishes the feed does nothing for 2 s.
     FeedPause,
+    /// Calls that arrive in a period are never answered.
+    Silence(Silence),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Silence {
+    /// From the time of other faults to the begin of the silence.
+    delay: Micros,
+    time: Micros,
+    /// Whether only the calls of the VM that publishes the feed are not answered.
+    of_publisher: bool,
+    /// Whether records are appended all the same.
+    appends: bool,
+}
+
+impl Fault {
+    /// The time for which the store answers nothing to some VM.
+    fn outage(self) -> Micros {
+        match self {
+            Self::StorePause => FAULT_TIME,
+            Self::Silence(silence) => silence.time,
+            Self::None | Self::FeedPause => 0,
+        }
+    }
 }
 
 /// From the fault to the end of the simulated time.
@@ -155,6 +182,7 @@
             call,
             delay: self.delay,
             timeout: FORMER_TIMEOUT,
+            quiet_limit: None,
             max_bytes: MAX_READ_BYTES,
         }
     }
@@ -197,9 +225,12 @@
             }
             (ListOutcome::ChangesExpired, _) => ListCall::FindFeed,
             (
-                ListOutcome::PageStalled | ListOutcome::PagesEnded | ListOutcome::UnseenDropped,
+                ListOutcome::PageStalled
+                | ListOutcome::PagesEnded
+                | ListOutcome::UnseenDropped
+                | ListOutcome::Stalled,
                 _,
-            ) => unreachable!("the simulated store has no such pages"),
+            ) => unreachable!("no such pages and no probes under these rules"),
         };
     }
 }
@@ -209,6 +240,8 @@
     FirstConfiguration,
     NextConfiguration,
     List(ListCall),
+    /// Shows whether the store answers while another call has no response.
+    Probe(usize),
 }
 
 /// A call in progress.
@@ -221,6 +254,9 @@
     outcome: Option<ExchangeOutcome>,
     unsent: u64,
     max_bytes: u64,
+    watch: Option<StallWatch>,
+    /// The bytes that have arrived.
+    received: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -250,9 +286,13 @@
     WaitOver(usize),
     /// The store can send a further part.
     Send,
+    /// A part of a response has arrived, of that many bytes.
+    PartReceived(usize, u64),
     /// A response has arrived.
     Received(usize),
     TimedOut(usize),
+    /// The VM looks whether the call makes progress.
+    Watched(usize),
     Configured,
 }
 
@@ -282,6 +322,8 @@
     link_free_at: Micros,
     frozen_until: Micros,
     listing: bool,
+    /// The call that shows whether the store answers.
+    probe: Option<usize>,
 }
 
 struct Simulation<Rules> {
@@ -300,6 +342,8 @@
     is_sending: bool,
     waiting: Vec<usize>,
     feed: Vec<FeedEntry>,
+    /// The VM that has published last.
+    publisher: Option<usize>,
     configurations: Vec<Micros>,
     bytes_sent: u64,
     calm_bytes: u64,
@@ -332,6 +376,10 @@
     duration.as_micros() as Micros
 }
 
+fn time_point(now: Micros) -> TimePoint {
+    TimePoint(now)
+}
+
 impl<Rules> Simulation<Rules>
 where
     Rules: ReadRules + Default,
@@ -357,6 +405,7 @@
             link_free_at: 0,
             frozen_until: 0,
             listing: false,
+            probe: None,
         });
         let mut simulation = Self {
             now: 0,
@@ -373,6 +422,7 @@
             is_sending: false,
             waiting: Vec::new(),
             feed: Vec::new(),
+            publisher: None,
             configurations: vec![0],
             bytes_sent: 0,
             calm_bytes: 0,
@@ -394,7 +444,8 @@
         for at in published.take_while(|at| *at < end) {
             simulation.schedule(at, Event::Configured);
         }
-        let during_fault = simulation.fault_at() + FAULT_TIME / 2;
+        let fault_time = fault.outage().max(FAULT_TIME);
+        let during_fault = simulation.fault_at() + fault_time / 2;
         simulation.schedule(during_fault, Event::Configured);
         simulation
     }
@@ -474,8 +525,10 @@
                 }
             }
             Event::Send => self.send(),
+            Event::PartReceived(exchange, bytes) => self.exchanges[exchange].received += bytes,
             Event::Received(exchange) => self.receive(exchange),
             Event::TimedOut(exchange) => self.time_out(exchange),
+            Event::Watched(exchange) => self.watch(exchange),
             Event::Configured => {
                 self.configurations.push(self.now);
                 self.answer_waiting();
@@ -496,6 +549,7 @@
             call: ListCall::FindFeed,
             delay: Duration::ZERO,
             timeout,
+            quiet_limit: None,
             max_bytes: 0,
         };
         self.call(vm, request, wait, planned);
@@ -528,10 +582,29 @@
         self.call(vm, Request::List(planned.call), wait, planned);
     }
 
-    fn call(&mut self, vm: usize, request: Request, wait: Duration, planned: PlannedCall) {
+    /// Whether a call of a VM that has reached the store gets no response.
+    fn is_silent(&self, vm: usize) -> bool {
+        let Fault::Silence(silence) = self.fault else {
+            return false;
+        };
+        let begin = self.fault_at() + silence.delay;
+        let silent = begin..begin + silence.time;
+        silent.contains(&self.now) && (!silence.of_publisher || self.publisher == Some(vm))
+    }
+
+    fn call(&mut self, vm: usize, request: Request, wait: Duration, planned: PlannedCall) -> usize {
         let PlannedCall {
-            timeout, max_bytes, ..
+            timeout,
+            quiet_limit,
+            max_bytes,
+            ..
         } = planned;
+        let settings = quiet_limit.map(|quiet_limit| WatchSettings {
+            timeout,
+            quiet_limit,
+        });
+        let watch = settings.map(|settings| StallWatch::new(time_point(self.now), settings));
+        let is_watched = watch.is_some();
         let exchange = self.exchanges.len();
         let deadline = self.now + micros(wait + timeout);
         self.exchanges.push(Exchange {
@@ -543,20 +616,87 @@
             outcome: None,
             unsent: 0,
             max_bytes: u64::from(max_bytes),
+            watch,
+            received: 0,
         });
         self.calls += 1;
         self.schedule(self.now + STORE_DELAY, Event::Arrived(exchange));
-        self.schedule(deadline, Event::TimedOut(exchange));
+        if is_watched {
+            self.schedule(self.now, Event::Watched(exchange));
+        } else {
+            self.schedule(deadline, Event::TimedOut(exchange));
+        }
         if wait > Duration::ZERO {
             let over = self.now + STORE_DELAY + micros(wait);
             self.schedule(over, Event::WaitOver(exchange));
         }
+        exchange
+    }
+
+    /// Looks whether a call makes progress, and sends a probe if it does not.
+    fn watch(&mut self, exchange: usize) {
+        let now = time_point(self.now);
+        let Exchange {
+            vm,
+            closed_at: None,
+            watch: Some(watch),
+            received,
+            ..
+        } = &mut self.exchanges[exchange]
+        else {
+            return;
+        };
+        let vm = *vm;
+        match watch.next_step(now, *received) {
+            WatchStep::Wait(time) => {
+                self.schedule(self.now + micros(time), Event::Watched(exchange));
+            }
+            WatchStep::Probe(timeout) => {
+                let planned = PlannedCall {
+                    call: ListCall::FindFeed,
+                    delay: Duration::ZERO,
+                    timeout,
+                    quiet_limit: None,
+                    max_bytes: 0,
+                };
+                let request = Request::Probe(exchange);
+                let probe = self.call(vm, request, Duration::ZERO, planned);
+                self.vms[vm].probe = Some(probe);
+            }
+            WatchStep::GiveUp => self.time_out(exchange),
+        }
+    }
+
+    fn end_probe(&mut self, exchange: usize, answered: bool) {
+        let (now, random) = (time_point(self.now), self.rng.random());
+        let Exchange {
+            vm,
+            closed_at: None,
+            watch: Some(watch),
+            received,
+            ..
+        } = &mut self.exchanges[exchange]
+        else {
+            return;
+        };
+        let vm = *vm;
+        if watch.record_probe(now, answered, *received, random) {
+            self.exchanges[exchange].closed_at = Some(self.now);
+            self.finish_list(vm, ListOutcome::Stalled, Duration::ZERO);
+        } else {
+            self.schedule(self.now, Event::Watched(exchange));
+        }
     }
 
     /// Answers a call that has reached the store, or lets it wait for records.
     fn answer(&mut self, exchange: usize, wait_over: bool) {
         let vm = &self.vms[self.exchanges[exchange].vm];
         let (list_end, targets) = (self.list_end(), self.target_count());
+        let is_silent = self.is_silent(self.exchanges[exchange].vm);
+        let appends = match self.fault {
+            Fault::Silence(silence) if is_silent => silence.appends,
+            _ => true,
+        };
         let (bytes, outcome) = match self.exchanges[exchange].request {
             Request::FirstConfiguration => {
                 let known = self.configurations.len();
@@ -628,9 +768,13 @@
                 };
                 (records * ENTRY_BYTES, ExchangeOutcome::List(outcome))
             }
+            Request::Probe(_) => {
+                let outcome = ListOutcome::FeedFound;
+                (PROBE_BYTES, ExchangeOutcome::List(outcome))
+            }
             Request::List(ListCall::DropUnseen) => unreachable!("all pages are read"),
             Request::List(call @ (ListCall::ClaimFeed | ListCall::PublishChanges)) => {
-                let appended = vm.feed_position == self.feed.len();
+                let appended = appends && vm.feed_position == self.feed.len();
                 if appended {
                     let known = vm.through;
                     let last = self.feed.iter().rev().find(|record| !record.claim);
@@ -642,6 +786,7 @@
                         through: if claim { 0 } else { known },
                         claim,
                     });
+                    self.publisher = Some(self.exchanges[exchange].vm);
                     self.answer_waiting();
                 }
                 (
@@ -650,6 +795,9 @@
                 )
             }
         };
+        if is_silent {
+            return;
+        }
         let waits = matches!(
             self.exchanges[exchange].request,
             Request::NextConfiguration | Request::List(ListCall::ReadFeed(_))
@@ -697,6 +845,13 @@
             self.is_sending = false;
             return;
         };
+        if self.sharing == Sharing::InOrder && self.exchanges[exchange].closed_at.is_none() {
+            // The head arrives before the whole response does.
+            let head_at = self
+                .now
+                .max(self.vms[self.exchanges[exchange].vm].link_free_at);
+            self.schedule(head_at, Event::PartReceived(exchange, 1));
+        }
         let response = &mut self.exchanges[exchange];
         let noticed = response.closed_at.map(|at| at + CLOSE_NOTICE);
         if self.sharing == Sharing::Fair && noticed.is_some_and(|at| at <= self.now) {
@@ -721,6 +876,7 @@
         if self.now >= self.end - CALM_TIME {
             self.calm_bytes += part;
         }
+        self.schedule(received_at, Event::PartReceived(exchange, part));
         if done {
             self.schedule(received_at, Event::Received(exchange));
         } else {
@@ -742,6 +898,10 @@
             return;
         };
         self.exchanges[exchange].closed_at = Some(self.now);
+        if let Request::Probe(watched) = request {
+            self.end_probe(watched, true);
+            return;
+        }
         let now = self.now;
         let calm_from = self.fault_at() - 2 * SECOND;
         let response_time = Duration::from_micros(now - started_at);
@@ -818,6 +978,9 @@
     }
 
     fn finish_list(&mut self, vm: usize, outcome: ListOutcome, response_time: Duration) {
+        if let Some(probe) = self.vms[vm].probe.take() {
+            self.exchanges[probe].closed_at.get_or_insert(self.now);
+        }
         let random = self.rng.random();
         let rules = &mut self.vms[vm].rules;
         rules.record_outcome(outcome, response_time, random);
@@ -840,12 +1003,14 @@
         if self.now >= self.end - CALM_TIME {
             self.calm_timeouts += 1;
         }
-        if let Request::List(_) = request {
-            self.finish_list(vm, ListOutcome::Failed, Duration::ZERO);
-        } else {
-            let random = self.rng.random();
-            let delay = self.vms[vm].configuration.record_failure(random);
-            self.schedule(self.now + micros(delay), Event::Configuration(vm));
+        match request {
+            Request::List(_) => self.finish_list(vm, ListOutcome::Failed, Duration::ZERO),
+            Request::Probe(watched) => self.end_probe(watched, false),
+            Request::FirstConfiguration | Request::NextConfiguration => {
+                let random = self.rng.random();
+                let delay = self.vms[vm].configuration.record_failure(random);
+                self.schedule(self.now + micros(delay), Event::Configuration(vm));
+            }
         }
     }
 }
@@ -919,11 +1084,8 @@
         let least = (least * SECOND as f64) as Micros;
         let listed = findings.listed.expect("all VMs have the list");
         assert!(listed <= 2 * least + SECOND, "{findings:?}");
-        let pause = match fault {
-            Fault::StorePause => FAULT_TIME,
-            Fault::None | Fault::FeedPause => 0,
-        };
-        assert!(findings.unconfirmed <= pause + 2 * SECOND, "{findings:?}");
+        let limit = fault.outage() + 2 * SECOND;
+        assert!(findings.unconfirmed <= limit, "{findings:?}");
         if vm_count <= 300 {
             assert!(findings.in_force <= 2 * SECOND, "{findings:?}");
             assert!(
@@ -934,6 +1096,69 @@
     }
 }
 
+/// The longest time from the end of a silence until all VMs know the list. The VMs start tasks on a list that
+/// is 2 s old at most once the silence is 3 s ago.
+const KNOWN_AGAIN: Micros = 3 * SECOND;
+
+/// Guards against a VM whose read waits for a lost response while the store answers again, wherever in its
+/// series of reads the silence begins and ends.
+#[test_case(Sharing::InOrder, false; "all in order")]
+#[test_case(Sharing::Fair, false; "all fair")]
+#[test_case(Sharing::InOrder, true; "publisher in order")]
+#[test_case(Sharing::Fair, true; "publisher fair")]
+fn list_is_known_soon_after_a_silence(sharing: Sharing, of_publisher: bool) {
+    let mut latest = 0;
+    for delay in (0..1500).step_by(300) {
+        for time in (500..=12_500).step_by(750) {
+            for appends in [false, true] {
+                let silence = Silence {
+                    delay: delay * MILLISECOND,
+                    time: time * MILLISECOND,
+                    of_publisher,
+                    appends,
+                };
+                let fault = Fault::Silence(silence);
+                let simulation = Simulation::<ListReads>::new(20, sharing, 80.0 * MEGABYTE, fault);
+                let findings = simulation.run();
+                let late = findings.unconfirmed.saturating_sub(silence.time);
+                assert!(late <= KNOWN_AGAIN, "{late} us, {silence:?}, {findings:?}");
+                assert!(
+                    findings.in_force <= silence.time + KNOWN_AGAIN,
+                    "{findings:?}"
+                );
+                assert_eq!(findings.calm_timeouts, 0, "{silence:?}, {findings:?}");
+                latest = latest.max(late);
+            }
+        }
+    }
+    println!(
+        "list known {:.2} s after a silence",
+        latest as f64 / SECOND as f64
+    );
+}
+
+/// Guards against reads after a silence that keep the store busy: all VMs have much to read then.
+#[test_case(Sharing::InOrder)]
+#[test_case(Sharing::Fair)]
+fn large_fleets_settle_after_a_silence(sharing: Sharing) {
+    for megabytes in STORE_MEGABYTES_PER_SECOND {
+        for (vm_count, of_publisher) in [(150, false), (150, true), (300, false), (300, true)] {
+            let silence = Silence {
+                delay: 0,
+                time: 7500 * MILLISECOND,
+                of_publisher,
+                appends: false,
+            };
+            let fault = Fault::Silence(silence);
+            let findings = report::<ListReads>("present", vm_count, sharing, megabytes, fault);
+            let limit = silence.time + KNOWN_AGAIN;
+            assert!(findings.unconfirmed <= limit, "{findings:?}");
+            assert!(findings.in_force <= limit, "{findings:?}");
+            assert_eq!(findings.calm_timeouts, 0, "{findings:?}");
+        }
+    }
+}
+
 /// Guards against a VM that starts later than necessary while the store is not busy.
 #[test]
 fn pages_follow_at_once_on_a_calm_store() {
--- a/crates/wire/src/client/connection.rs
+++ b/crates/wire/src/client/connection.rs
@@ -4,15 +4,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 
 use futures_util::FutureExt;
 use http::StatusCode;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use monoio::BufResult;
-use monoio::buf::{IoBuf, IoVecBuf};
-use monoio::io::AsyncWriteRent;
+use monoio::buf::{IoBuf, IoBufMut, IoVecBuf, IoVecBufMut};
 use monoio::io::sink::SinkExt;
 use monoio::io::stream::Stream;
+use monoio::io::{AsyncReadRent, AsyncWriteRent};
 use monoio::net::TcpStream;
 use monoio_codec::FramedRead;
 use monoio_http::common::request::Request;
@@ -50,6 +51,59 @@
     }
 }
 
+/// The bytes of a response that have arrived so far. Clones share the count, so that it can be read while
+/// the request is in progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReceivedBytes(Rc<Cell<u64>>);
+
+impl ReceivedBytes {
+    /// The number of bytes.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+
+    fn record(&self, result: &io::Result<usize>) {
+        if let Ok(count) = result {
+            self.0.set(self.0.get().saturating_add(*count as u64));
+        }
+    }
+}
+
+/// Reads from a stream and counts what arrives.
+struct CountingReader {
+    stream: TcpStream,
+    /// The count of the request in progress, if its caller observes it.
+    received: Option<ReceivedBytes>,
+}
+
+impl CountingReader {
+    fn record(&self, result: &io::Result<usize>) {
+        if let Some(received) = &self.received {
+            received.record(result);
+        }
+    }
+}
+
+impl AsyncReadRent for CountingReader {
+    async fn read<T>(&mut self, buffer: T) -> BufResult<usize, T>
+    where
+        T: IoBufMut,
+    {
+        let (result, buffer) = self.stream.read(buffer).await;
+        self.record(&result);
+        (result, buffer)
+    }
+
+    async fn readv<T>(&mut self, buffers: T) -> BufResult<usize, T>
+    where
+        T: IoVecBufMut,
+    {
+        let (result, buffers) = self.stream.readv(buffers).await;
+        self.record(&result);
+        (result, buffers)
+    }
+}
+
 /// Writes to a stream and records each successful write in a [`SentFlag`].
 struct TrackingWriter<'a> {
     stream: &'a mut TcpStream,
@@ -89,7 +143,7 @@
 /// Dropping the connection closes the socket, so a late response is never read as the response to
 /// another request.
 pub(super) struct ClientConnection {
-    frames: FramedRead<TcpStream, BoundedResponseDecoder>,
+    frames: FramedRead<CountingReader, BoundedResponseDecoder>,
 }
 
 impl ClientConnection {
@@ -97,8 +151,12 @@
         let stream = TcpStream::connect_addr(address).await?;
         stream.set_nodelay(true)?;
         let decoder = BoundedResponseDecoder::new(head_bytes);
+        let reader = CountingReader {
+            stream,
+            received: None,
+        };
         Ok(Self {
-            frames: FramedRead::with_capacity(stream, decoder, READ_BUFFER_BYTES),
+            frames: FramedRead::with_capacity(reader, decoder, READ_BUFFER_BYTES),
         })
     }
 
@@ -107,7 +165,7 @@
     /// A socket that is readable between requests has been closed by the server or holds bytes that
     /// belong to no request.
     pub(super) fn is_usable(&self) -> bool {
-        let readable = pin!(self.frames.get_ref().readable(false));
+        let readable = pin!(self.frames.get_ref().stream.readable(false));
         readable.now_or_never().is_none()
     }
 
@@ -118,16 +176,19 @@
         flag: &SentFlag,
     ) -> Result<(), FrameError> {
         let message = encode(address, request)?;
-        let stream = self.frames.get_mut();
+        let stream = &mut self.frames.get_mut().stream;
         let mut encoder = GenericEncoder::new(TrackingWriter { stream, flag });
         Ok(encoder.send_and_flush(message).await?)
     }
 
-    /// Reads a response. Returns it together with whether the connection can be reused.
+    /// Reads a response and counts its bytes in `received`. Returns it together with whether the connection
+    /// can be reused.
     pub(super) async fn read(
         &mut self,
         body_bytes: usize,
+        received: Option<ReceivedBytes>,
     ) -> Result<(ClientResponse, bool), FrameError> {
+        self.frames.get_mut().received = received;
         let (head, decoder) = match self.frames.next().await {
             Some(head) => head?,
             None => return Err(FrameError::Closed),
--- a/crates/wire/src/client/mod.rs
+++ b/crates/wire/src/client/mod.rs
@@ -4,5 +4,6 @@
 mod error;
 mod pool;
 
+pub use connection::ReceivedBytes;
 pub use error::{ClientError, ClientErrorKind, SentState};
 pub use pool::{ConnectionPool, PoolLimits, RequestOptions};
--- a/crates/wire/src/client/pool.rs
+++ b/crates/wire/src/client/pool.rs
@@ -9,7 +9,7 @@
 
 use monoio::time::timeout;
 
-use super::connection::{ClientConnection, SentFlag};
+use super::connection::{ClientConnection, ReceivedBytes, SentFlag};
 use super::{ClientError, ClientErrorKind, SentState};
 use crate::frame::FrameError;
 use crate::message::{ClientRequest, ClientResponse};
@@ -48,6 +48,8 @@
     pub fresh_connection: bool,
     /// The maximum size of a response body, in bytes.
     pub max_response_body: usize,
+    /// Where to count the bytes of the response while they arrive.
+    pub received: Option<ReceivedBytes>,
 }
 
 impl Default for RequestOptions {
@@ -56,6 +58,7 @@
             timeout: Duration::from_secs(10),
             fresh_connection: false,
             max_response_body: 4 << 20,
+            received: None,
         }
     }
 }
@@ -187,7 +190,8 @@
             }
             // A server may respond and close before it has read the whole request, so a response
             // may have arrived even though the write failed.
-            let read = connection.read(options.max_response_body).await;
+            let read = connection.read(options.max_response_body, options.received.clone());
+            let read = read.await;
             let (response, reusable) = read.map_err(|error| error_kind(&error))?;
             if reusable && written.is_ok() {
                 self.put_idle(connection, slot);
