--- a/crates/filbertpitch/src/events/table.rs
+++ b/crates/filbertpitch/src/events/table.rs
@@ -146,6 +146,9 @@
     220 EntriesLeftOut "entries_left_out" Warning
         "Entries in the list of targets are left out, because they name no target to use (`unusable`; `key` is the first), because all together take too much memory (`memory`), or because a record of the feed would be too large (`feed`). Logged once for each reason; the metric counts all."
         "Find out which program wrote them, and remove them.";
+    221 ValuesReplaced "values_replaced" Warning
+        "VMs use other values than some of the configuration `version`: `values` in all, `first` is one of them."
+        "Run `filbertpitch check`, which lists them; publish values that VMs hold.";
     300 PeerLive "peer_live" Info
         "Another entry VM responds to heartbeats."
         "None.";
--- a/crates/filbertpitch/src/fleet/follow.rs
+++ b/crates/filbertpitch/src/fleet/follow.rs
@@ -18,7 +18,7 @@
     RecordPage, WholeRead,
 };
 use filbertpitch_platform::closed_zones::read_zone_change;
-use filbertpitch_platform::configuration::{CONFIGURATION_KEY, read_configuration};
+use filbertpitch_platform::configuration::{CONFIGURATION_KEY, FieldMessage, decode_configuration};
 use filbertpitch_platform::listing::read_target;
 use filbertpitch_platform::store::{
     FEED_TOPIC, KeyedRecord, NewestPage, OPERATOR_TOPIC, ReadOptions, ReadResult, StoreClient,
@@ -381,9 +381,11 @@
             .iter()
             .filter(|record| &*record.key == CONFIGURATION_KEY);
         for value in published.filter_map(|record| record.value.as_ref()) {
-            match read_configuration(value) {
-                Ok(configuration) => {
-                    let configuration = Rc::new(configuration);
+            let decoded = decode_configuration(value);
+            self.metrics().see_configuration(decoded.is_ok());
+            match decoded {
+                Ok(decoded) => {
+                    let configuration = Rc::new(decoded.configuration);
                     let event = FleetEvent::Configured(Rc::clone(&configuration));
                     self.driver().feed(event);
                     let in_force = self.driver().inspect(|engine| {
@@ -392,6 +394,7 @@
                     });
                     if in_force {
                         self.keep_published(value);
+                        self.report_replaced(configuration.version, &decoded.replaced);
                     }
                 }
                 Err(error) => {
@@ -405,6 +408,18 @@
         }
     }
 
+    /// Logs that VMs use other values than those of a configuration.
+    fn report_replaced(&self, version: ConfigVersion, replaced: &[FieldMessage]) {
+        let Some(first) = replaced.first() else {
+            return;
+        };
+        let first = first.to_string();
+        self.log().record(
+            LogEvent::ValuesReplaced,
+            b!("version" => version.0, "values" => replaced.len(), "first" => &first),
+        );
+    }
+
     /// Keeps the list of targets up to date. Runs forever.
     pub(super) async fn follow_targets(self: Rc<Self>) {
         let mut position = ListPosition::default();
--- a/crates/filbertpitch/src/fleet/metrics.rs
+++ b/crates/filbertpitch/src/fleet/metrics.rs
@@ -53,6 +53,8 @@
     store_failures: Family<TopicLabels, Counter>,
     stalled_pages: Family<TopicLabels, Counter>,
     left_out: Family<ReasonLabels, Counter>,
+    /// 1 if the newest record of the configuration cannot be used.
+    configuration_unusable: Gauge,
     /// The time of the latest successful call for each topic.
     store_reads: RefCell<BTreeMap<&'static str, TimePoint>>,
     answered: Histogram,
@@ -68,6 +70,7 @@
             store_failures: Family::default(),
             stalled_pages: Family::default(),
             left_out: Family::default(),
+            configuration_unusable: Gauge::default(),
             store_reads: RefCell::default(),
             answered: histogram(),
             placed: histogram(),
@@ -120,6 +123,11 @@
             .inc();
     }
 
+    /// Notes whether the newest record of the configuration can be used.
+    pub(super) fn see_configuration(&self, usable: bool) {
+        self.configuration_unusable.set(i64::from(!usable));
+    }
+
     /// Counts entries of the list of targets that were left out for a reason.
     pub(super) fn see_left_out(&self, reason: &'static str, entries: u64) {
         self.left_out
@@ -143,6 +151,11 @@
             "Entries of the list of targets that were not used or not sent to other VMs",
             self.left_out.clone(),
         );
+        registry.register(
+            "configuration_unusable",
+            "Whether the newest record of the configuration cannot be used, so that a former one is in force",
+            self.configuration_unusable.clone(),
+        );
         let ages = Family::<TopicLabels, Gauge<f64, AtomicU64>>::default();
         for (topic, read_at) in self.store_reads.borrow().iter() {
             let age = now.since(*read_at).as_secs_f64();
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -9,7 +9,7 @@
 use filbertpitch_types::fleet::{FleetConfiguration, QueueSpec};
 use filbertpitch_types::prelude::*;
 
-use crate::run_time_model::RunTimeModel;
+use crate::run_time_model::{MAX_RUN_TIME, RunTimeModel};
 
 /// The run time that is assumed before the first run of a queue if the client declares none, typical
 /// of sub-second tasks.
@@ -132,6 +132,7 @@
         model
             .and_then(|model| model.predict(client_timeout))
             .unwrap_or(baseline)
+            .min(MAX_RUN_TIME)
     }
 
     fn baseline(&self, queue: KindIndex, declared: Duration) -> Duration {
--- a/crates/fleet/src/engine/admission.rs
+++ b/crates/fleet/src/engine/admission.rs
@@ -26,13 +26,18 @@
 /// shortest or the longest delay do not return together.
 const RETRY_SPREAD: Range<f64> = 0.75..1.5;
 
+/// The most work of a job that is told apart from more, in core-milliseconds: 300 years of one core. Sums over all
+/// jobs do not overflow.
+const MAX_WORK: u64 = 10_000_000_000_000;
+
 /// The expected work of a job, in core-milliseconds, from the expected run time of the tasks of each
 /// step.
 fn job_work(spec: &JobSpec, expected: &[Duration]) -> u64 {
     let steps = spec.steps.iter().zip(expected);
-    let works =
-        steps.map(|(step, expected)| task_work(&step.resources, *expected) * u64::from(step.count));
-    works.sum()
+    let works = steps.map(|(step, expected)| {
+        task_work(&step.resources, *expected).saturating_mul(u64::from(step.count))
+    });
+    works.fold(0, u64::saturating_add).min(MAX_WORK)
 }
 
 /// Why a job is rejected.
@@ -134,7 +139,7 @@
         // gets. A job that needs fast targets runs for a shorter time, but fewer targets are capacity
         // for it: with the shorter time alone, overload makes more of the accepted jobs late.
         let estimate = JobEstimate {
-            objective: run_time.mul_f64(spec.stretch.max(1.0)) + spec.allowance,
+            objective: spec.objective(run_time),
             run_time,
             work: job_work(order, &expected),
             ..JobEstimate::default()
--- a/crates/fleet/src/engine/kinds.rs
+++ b/crates/fleet/src/engine/kinds.rs
@@ -183,7 +183,7 @@
             return false;
         };
         let expected = Duration::from_millis(order.expected_ms.into());
-        let objective = expected.mul_f64(spec.stretch.max(1.0)) + spec.allowance;
+        let objective = spec.objective(expected);
         let factor = |target| self.kind_speeds.factor_of(target);
         suggested.is_some_and(|suggested| {
             is_late_only_on(expected, objective, factor(target), factor(suggested))
--- a/crates/fleet/src/job_table.rs
+++ b/crates/fleet/src/job_table.rs
@@ -120,7 +120,7 @@
     /// Before this time the latest runs do not count as over, whoever reports to hold their target.
     pub over_after: TimePoint,
     /// The number of failed runs.
-    pub failures: u8,
+    pub failures: u32,
     /// Targets that the task avoids, the oldest first.
     pub excluded: SmallVec<[TargetIndex; EXCLUDED_LIMIT]>,
     /// The position in the queue while the task waits.
--- a/crates/fleet/src/run_time_model.rs
+++ b/crates/fleet/src/run_time_model.rs
@@ -24,6 +24,9 @@
 /// The shortest run time that is predicted, in milliseconds.
 const MIN_RUN_MS: f64 = 1.0;
 
+/// The longest run time that is told apart from longer ones. Sums over all tasks of a job do not overflow.
+pub const MAX_RUN_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// A regression of run times on client time-outs, both in milliseconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunTimeModel {
@@ -45,7 +48,7 @@
         let is_better =
             self.jobs >= MIN_JOBS && self.line_error < self.baseline_error * MAX_ERROR_RATIO;
         let predicted = is_better.then(|| self.line(client_timeout)).flatten()?;
-        Some(Duration::from_secs_f64(predicted / 1000.0))
+        Some(Duration::try_from_secs_f64(predicted / 1000.0).unwrap_or(MAX_RUN_TIME))
     }
 
     fn line(&self, client_timeout: Duration) -> Option<f64> {
--- a/crates/fleet/tests/support/world.rs
+++ b/crates/fleet/tests/support/world.rs
@@ -2058,7 +2058,7 @@
         let attempt_limit = self.configuration.queues[queue].attempt_limit;
         self.records(id).iter().any(|(_, record)| {
             let failed = record.starts.iter().filter(|start| start.fails).count();
-            record.crashes.len() >= CRASH_MINIMUM || failed >= usize::from(attempt_limit)
+            record.crashes.len() >= CRASH_MINIMUM || failed >= attempt_limit as usize
         })
     }
 
--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -28,7 +28,7 @@
     /// The priority class; 0 is the highest.
     pub priority: u8,
     /// The number of failed runs of one task after which its job fails.
-    pub attempt_limit: u8,
+    pub attempt_limit: u32,
     /// The latency objective as a multiple of the critical path of a job.
     pub stretch: f64,
     /// A fixed time that the latency objective allows in addition to that multiple.
@@ -37,6 +37,15 @@
     pub requires_advisory: bool,
 }
 
+impl QueueSpec {
+    /// The latency objective of work that takes `run_time` on its critical path, at most [`MAX_OBJECTIVE`].
+    pub fn objective(&self, run_time: Duration) -> Duration {
+        let scaled = run_time.as_secs_f64() * self.stretch.max(1.0);
+        let scaled = Duration::try_from_secs_f64(scaled).unwrap_or(MAX_OBJECTIVE);
+        scaled.saturating_add(self.allowance).min(MAX_OBJECTIVE)
+    }
+}
+
 /// The settings of all targets of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServicePolicy {
@@ -422,6 +431,10 @@
 
 /// Exclusive upper bounds of the slack classes of queued work, in milliseconds. The slack is the time
 /// until the work must start. Work with more slack is in a last class without a bound.
+/// The longest latency objective that is told apart from longer ones. Sums with times of day and of processes do
+/// not overflow.
+pub const MAX_OBJECTIVE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 const SLACK_CLASS_BOUNDS_MS: [u32; 6] = [25, 50, 100, 200, 400, 800];
 
 /// The number of priority classes; priorities above the last class are counted in it.
