--- a/crates/types/src/fleet.rs
+++ b/crates/types/src/fleet.rs
@@ -429,12 +429,12 @@
     pub slowdown_percent: u16,
 }
 
-/// Exclusive upper bounds of the slack classes of queued work, in milliseconds. The slack is the time
-/// until the work must start. Work with more slack is in a last class without a bound.
 /// The longest latency objective that is told apart from longer ones. Sums with times of day and of processes do
 /// not overflow.
 pub const MAX_OBJECTIVE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
+/// Exclusive upper bounds of the slack classes of queued work, in milliseconds. The slack is the time
+/// until the work must start. Work with more slack is in a last class without a bound.
 const SLACK_CLASS_BOUNDS_MS: [u32; 6] = [25, 50, 100, 200, 400, 800];
 
 /// The number of priority classes; priorities above the last class are counted in it.
